--- /dev/null
+++ b/cmd/postjunction/main.go
@@ -0,0 +1,73 @@
+// Command postjunction is the one program of the fleet: serve, and the verbs of operators and callers.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+
+	"postjunction/internal/command/caller"
+	"postjunction/internal/command/serve"
+	"postjunction/internal/node"
+	"postjunction/internal/problem"
+)
+
+func main() {
+	s := caller.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	err := run(os.Args[1:], s)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	_, _ = fmt.Fprintf(os.Stderr, "postjunction: %v\n", err)
+	if problem.Has(err, problem.Usage) || problem.Has(err, problem.OptionsBad) {
+		os.Exit(2)
+	}
+	os.Exit(1)
+}
+
+var own = map[string]func(args []string, s caller.Streams) error{
+	"serve":   func(a []string, s caller.Streams) error { return serve.Run(a, s.Err) },
+	"check":   check,
+	"version": func(_ []string, s caller.Streams) error { _, err := fmt.Fprintln(s.Out, node.Build); return err },
+	"help":    func(_ []string, s caller.Streams) error { usage(s.Out); return nil },
+}
+
+func check(a []string, s caller.Streams) error {
+	_, _, err := serve.Read(a, s.Err)
+	if err == nil {
+		_, err = fmt.Fprintln(s.Out, "the settings are sound")
+	}
+	return err
+}
+
+func run(args []string, s caller.Streams) error {
+	if len(args) == 0 {
+		usage(s.Err)
+		return problem.New(problem.Usage, "a verb is needed")
+	}
+	if f, ok := own[args[0]]; ok {
+		return f(args[1:], s)
+	}
+	if _, ok := caller.Verbs[args[0]]; !ok {
+		usage(s.Err)
+		return problem.New(problem.Usage, "there is no verb %q", args[0])
+	}
+	return caller.Run(context.Background(), args[0], args[1:], s)
+}
+
+func usage(w io.Writer) {
+	_, _ = fmt.Fprint(w, "usage: postjunction VERB [flags] [argument]\n\n  serve      run a node\n  check      check settings without running\n  version    print the build\n  help       print this\n")
+	var ns []string
+	for n := range caller.Verbs {
+		ns = append(ns, n)
+	}
+	sort.Strings(ns)
+	for _, n := range ns {
+		_, _ = fmt.Fprintf(w, "  %-10s %s\n", n, caller.Verbs[n].Help)
+	}
+	_, _ = fmt.Fprint(w, "\nEach verb lists its flags with -h.\n")
+}
--- /dev/null
+++ b/internal/carrier/presence/presence.go
@@ -0,0 +1,100 @@
+// Package presence counts who listens.
+package presence
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"postjunction/internal/gather"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/turn"
+	"postjunction/internal/wire"
+)
+
+// CountTask asks a node who listens to a topic on it.
+type CountTask struct {
+	Topic string `json:"t"`
+}
+
+// CountAnswer names the listeners.
+type CountAnswer struct {
+	Visitors []string `json:"v"`
+}
+
+// Count is the presence call.
+var Count = wire.Name[CountTask, CountAnswer]("Carrier", "Count")
+
+// Presence holds the listeners of one node by topic.
+type Presence struct {
+	Self   string
+	Net    wire.Network
+	Bounds options.Bounds
+	View   *member.View
+	m      *turn.Map[string, map[string]int]
+}
+
+// New makes an empty presence.
+func New(self string, n wire.Network, b options.Bounds, v *member.View) *Presence {
+	return &Presence{Self: self, Net: n, Bounds: b, View: v, m: turn.NewMap[string, map[string]int]()}
+}
+
+func (p *Presence) add(topic, visitor string, n int) {
+	p.m.With(topic, func(m map[string]int, ok bool) (map[string]int, bool) {
+		if !ok {
+			m = map[string]int{}
+		}
+		if m[visitor] += n; m[visitor] <= 0 {
+			delete(m, visitor)
+		}
+		return m, len(m) > 0
+	})
+}
+
+// Enter notes a listener; the function takes it out again.
+func (p *Presence) Enter(visitor string, topics []string) func() {
+	for _, t := range topics {
+		p.add(t, visitor, 1)
+	}
+	return func() {
+		for _, t := range topics {
+			p.add(t, visitor, -1)
+		}
+	}
+}
+
+func (p *Presence) here(topic string) []string {
+	var s []string
+	p.m.With(topic, func(m map[string]int, ok bool) (map[string]int, bool) {
+		for v := range m {
+			s = append(s, v)
+		}
+		return m, ok
+	})
+	return s
+}
+
+// Others counts the other visitors that listen to a topic on any node; whole tells whether every node answered.
+func (p *Presence) Others(ctx context.Context, topic, visitor string) (n int, whole bool) {
+	cx, stop := context.WithTimeout(ctx, p.Bounds.Call()/2)
+	defer stop()
+	fs := member.Pick(p.View.All(), func(i member.Info) bool { return i.Name != p.Self })
+	as := gather.Ask(cx, fs, func(ctx context.Context, i member.Info) (*CountAnswer, error) {
+		return Count.Call(ctx, p.Net, p.Self, i.Fellows, &CountTask{Topic: topic})
+	}, nil)
+	all := p.here(topic)
+	for _, a := range gather.Good(as) {
+		all = append(all, a.A.Visitors...)
+	}
+	slices.Sort(all)
+	all = slices.DeleteFunc(slices.Compact(all), func(s string) bool { return s == visitor })
+	return len(all), len(gather.Good(as)) == len(fs)
+}
+
+// Serve adds the presence call.
+func (p *Presence) Serve(m *http.ServeMux) {
+	Count.Handle(m, func(_ context.Context, q *CountTask) (*CountAnswer, error) {
+		return &CountAnswer{Visitors: p.here(q.Topic)}, nil
+	})
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,36 @@
+// Package clock is the small interface behind which time stands, so that a simulated machine can be frozen.
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Clock tells and waits for time.
+type Clock interface {
+	Now() time.Time
+	Sleep(ctx context.Context, d time.Duration) error
+}
+
+// Real is the machine's own clock; Now carries a monotonic reading.
+type Real struct{}
+
+// Now tells the time.
+func (Real) Now() time.Time { return time.Now() }
+
+// Sleep waits for d or the end of ctx.
+func (Real) Sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Jitter spreads d by up to a share of itself, with x from [0,1).
+func Jitter(d time.Duration, share, x float64) time.Duration {
+	return d + time.Duration(float64(d)*share*x)
+}
--- /dev/null
+++ b/internal/control/confirm/confirm.go
@@ -0,0 +1,124 @@
+// Package confirm finds out from a majority of control disks which description is current.
+package confirm
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/holder"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/description"
+	"postjunction/internal/gather"
+	"postjunction/internal/gossip"
+	"postjunction/internal/options"
+	"postjunction/internal/session"
+	"postjunction/internal/wire"
+
+	"github.com/mailru/easyjson"
+)
+
+// Key is the control key of the description.
+const Key = "description"
+
+// Confirmer keeps the answer fresh on one control node.
+type Confirmer struct {
+	Self   string
+	Net    wire.Network
+	Clock  clock.Clock
+	Bounds options.Bounds
+	Board  *gossip.Board
+	Holder *holder.Holder
+	mu     sync.Mutex
+	c      session.Confirmed
+	at     uint64
+}
+
+// Latest gives the last confirmation; it is OK only while young.
+func (f *Confirmer) Latest() session.Confirmed {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.c
+	c.OK = c.OK && now.Sub(c.At) < f.Bounds.Licence()
+	return c
+}
+
+// Parse reads the description of a register; none was put when it was never written.
+func Parse(v voter.Value) (description.Description, error) {
+	var d description.Description
+	if len(v.Body) == 0 {
+		return d, nil
+	}
+	err := easyjson.Unmarshal(v.Body, &d)
+	return d, err
+}
+
+// Run confirms every half pulse.
+func (f *Confirmer) Run(ctx context.Context) {
+	for f.Clock.Sleep(ctx, f.Bounds.Pulse()/2) == nil {
+		f.once(ctx)
+	}
+}
+
+type peeks = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+
+func (f *Confirmer) once(ctx context.Context) {
+	r := f.Board.Roster()
+	if r.Sequence == 0 {
+		return
+	}
+	at := f.Clock.Now()
+	cx, stop := context.WithTimeout(ctx, f.Bounds.Call())
+	defer stop()
+	as := gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
+		return voter.Peek.Call(ctx, f.Net, f.Self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{Key}, Brief: true})
+	}, func(as peeks) bool { return len(gather.Good(as)) >= r.Majority() })
+	g := gather.Good(as)
+	if len(g) < r.Majority() {
+		return
+	}
+	top := g[0].A.Slots[Key]
+	same := true
+	for _, a := range g[1:] {
+		s := a.A.Slots[Key]
+		same = same && s.Accepted == top.Accepted && s.Value.Writes == top.Value.Writes
+		if s.Above(top) {
+			top = s
+		}
+	}
+	f.Holder.Hint(Key, top.Promised, top.Value.Successor)
+	f.mu.Lock()
+	had, seq := f.c.OK && same && f.writes(top), f.c.Sequence
+	f.mu.Unlock()
+	if had {
+		f.set(at, seq, top)
+		return
+	}
+	v, err := f.Holder.Read(cx, &holder.ReadTask{Key: Key})
+	if err != nil {
+		return
+	}
+	d, err := Parse(*v)
+	if err != nil {
+		return
+	}
+	if d.Sequence > 0 {
+		f.Board.Offer(gossip.News{Description: &d})
+	}
+	top.Value.Writes = v.Writes
+	f.set(at, d.Sequence, top)
+}
+
+var none time.Time
+
+func (f *Confirmer) writes(s voter.Slot) bool { return f.at == s.Value.Writes && f.c.At != none }
+
+func (f *Confirmer) set(at time.Time, seq uint64, s voter.Slot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.c = session.Confirmed{OK: true, Sequence: max(seq, f.c.Sequence), At: at}
+	f.at = s.Value.Writes
+}
--- /dev/null
+++ b/internal/control/founding/founding.go
@@ -0,0 +1,120 @@
+// Package founding makes the first roster: all founding disks agree, then it is opened on each.
+package founding
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/gather"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/wire"
+)
+
+// Founder works out who founds from the settings and the answers at those addresses.
+type Founder struct {
+	opts options.Options
+	net  wire.Network
+	self func() member.Info
+}
+
+// New makes a founder.
+func New(o options.Options, n wire.Network, self func() member.Info) *Founder {
+	return &Founder{opts: o, net: n, self: self}
+}
+
+// Plan gives the founding roster, once every node that may take part has answered.
+// A fleet that stands already, seen at any of them, ends the plan.
+func (f *Founder) Plan(ctx context.Context) (roster.Roster, error) {
+	addrs := f.opts.Founders
+	named := len(addrs) > 0
+	if !named {
+		addrs = append([]string{f.opts.Fellows}, f.opts.Seeds...)
+	}
+	slices.Sort(addrs)
+	addrs = slices.Compact(slices.Clone(addrs))
+	as := gather.Ask(ctx, addrs, func(ctx context.Context, a string) (member.Info, error) {
+		if a == f.opts.Fellows {
+			return f.self(), nil
+		}
+		cx, stop := context.WithTimeout(ctx, f.opts.Bounds().Call())
+		defer stop()
+		h, err := member.Hello.Call(cx, f.net, f.opts.Name, a, &member.HelloTask{})
+		if err != nil {
+			return member.Info{}, err
+		}
+		return h.Info, nil
+	}, nil)
+	if err := gather.First(as); err != nil || len(as) < len(addrs) {
+		return roster.Roster{}, problem.Wrap(problem.NotFounded, err, "%d of %d founding addresses answered", len(gather.Good(as)), len(addrs))
+	}
+	var seats []roster.Seat
+	for _, a := range as {
+		if a.A.Roster > 0 {
+			return roster.Roster{}, problem.New(problem.StaleRoster, "%s is under roster %d already", a.A.Name, a.A.Roster).At(a.A.Roster)
+		}
+		if a.A.Disk == options.DiskControl {
+			seats = append(seats, roster.Seat{Node: a.A.Name, Addr: a.A.Fellows, Incarnation: a.A.Incarnation})
+		} else if named {
+			return roster.Roster{}, problem.New(problem.NotFounded, "founder %s at %s has no control disk", a.A.Name, a.Who)
+		}
+	}
+	if len(seats) == 0 {
+		return roster.Roster{}, problem.New(problem.NotFounded, "no founding address has a control disk")
+	}
+	return roster.Found(seats, roster.Layout{Routine: f.opts.Routine, Urgent: f.opts.Urgent}), nil
+}
+
+// Agree checks a proposed founding against this node's own plan.
+func (f *Founder) Agree(ctx context.Context, r roster.Roster) error {
+	p, err := f.Plan(ctx)
+	if err != nil {
+		return err
+	}
+	if p.Fleet != r.Fleet || p.Layout != r.Layout {
+		return problem.New(problem.NotFounded, "this node would found with %s, not %s; check seeds, founders and partitions", names(p), names(r))
+	}
+	return nil
+}
+
+func names(r roster.Roster) string {
+	var s []string
+	for _, x := range r.Seats {
+		s = append(s, x.Node)
+	}
+	return strings.Join(s, ",")
+}
+
+// Try founds the fleet if this node is the first of the founders.
+func (f *Founder) Try(ctx context.Context) (roster.Roster, error) {
+	r, err := f.Plan(ctx)
+	if err != nil {
+		return r, err
+	}
+	if r.Seats[0].Node != f.opts.Name {
+		return r, problem.New(problem.NotFounded, "%s founds the fleet", r.Seats[0].Node)
+	}
+	ask := func(do func(context.Context, roster.Seat) (*voter.Done, error)) error {
+		as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
+			cx, stop := context.WithTimeout(ctx, f.opts.Bounds().Call())
+			defer stop()
+			return do(cx, s)
+		}, nil)
+		if err := gather.First(as); err != nil || len(as) < len(r.Seats) {
+			return problem.Wrap(problem.NotFounded, err, "%d of %d founding disks agreed", len(gather.Good(as)), len(r.Seats))
+		}
+		return nil
+	}
+	if err := ask(func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
+		return voter.Found.Call(ctx, f.net, f.opts.Name, s.Addr, &voter.FoundTask{Incarnation: s.Incarnation, Roster: r})
+	}); err != nil {
+		return r, err
+	}
+	return r, ask(func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
+		return voter.Open.Call(ctx, f.net, f.opts.Name, s.Addr, &voter.OpenTask{Incarnation: s.Incarnation, Roster: r, Founding: true})
+	})
+}
--- /dev/null
+++ b/internal/control/holder/calls.go
@@ -0,0 +1,34 @@
+// Package holder owns control keys: one holder per key, which has a change on a majority of disks before it answers.
+package holder
+
+import (
+	"postjunction/internal/control/voter"
+	"postjunction/internal/wire"
+)
+
+// ChangeTask writes a key if its count of writes is still Base. By is the change's own name, so that a repeat is known.
+type ChangeTask struct {
+	Key    string `json:"key"`
+	Base   uint64 `json:"base"`
+	By     string `json:"by"`
+	Body   []byte `json:"body"`
+	Handed int    `json:"handed,omitempty"`
+}
+
+// ReadTask reads a key; the answer is current when it was asked for.
+type ReadTask struct {
+	Key    string `json:"key"`
+	Handed int    `json:"handed,omitempty"`
+}
+
+// TakeTask names the receiver as successor for a key.
+type TakeTask struct {
+	Key string `json:"key"`
+}
+
+// The holder's calls.
+var (
+	Change = wire.Name[ChangeTask, voter.Value]("Control", "Change")
+	Read   = wire.Name[ReadTask, voter.Value]("Control", "Read")
+	Take   = wire.Name[TakeTask, voter.Done]("Control", "Take")
+)
--- /dev/null
+++ b/internal/control/holder/holder.go
@@ -0,0 +1,496 @@
+package holder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/epoch"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/gather"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/turn"
+	"postjunction/internal/wire"
+)
+
+// Fellows is what the holder knows of the other nodes.
+type Fellows interface {
+	Roster() roster.Roster
+	Live(node string) (addr string, ok bool)
+}
+
+// Told hears of a key's value once it is on a majority.
+type Told func(key string, v voter.Value)
+
+type held struct {
+	epoch  epoch.Epoch
+	roster uint64
+	sure   bool
+	value  voter.Value
+	seen   epoch.Epoch
+	hint   string
+}
+
+// Holder claims and keeps keys for one control node.
+type Holder struct {
+	self    string
+	net     wire.Network
+	clk     clock.Clock
+	bounds  options.Bounds
+	fellows Fellows
+	told    Told
+	turns   *turn.Turns
+	keys    *turn.Map[string, held]
+	mu      sync.Mutex
+	leaving bool
+	claims  uint64
+	accepts uint64
+}
+
+const (
+	turnShards = 64
+	claimTries = 4
+	handsMost  = 2
+)
+
+// New makes a holder that holds nothing.
+func New(self string, n wire.Network, c clock.Clock, b options.Bounds, f Fellows, t Told) *Holder {
+	return &Holder{self: self, net: n, clk: c, bounds: b, fellows: f, told: t, turns: turn.New(turnShards), keys: turn.NewMap[string, held]()}
+}
+
+func (h *Holder) get(k string) held {
+	v, _ := h.keys.Get(k)
+	return v
+}
+
+func (h *Holder) edit(k string, f func(*held)) {
+	h.keys.With(k, func(v held, _ bool) (held, bool) {
+		f(&v)
+		return v, true
+	})
+}
+
+// Holds tells whether this node holds a key as far as it knows.
+func (h *Holder) Holds(k string) bool {
+	v := h.get(k)
+	return v.sure && v.roster == h.fellows.Roster().Sequence
+}
+
+// Hint notes who holds a key by an epoch seen elsewhere.
+func (h *Holder) Hint(k string, e epoch.Epoch, successor string) {
+	h.edit(k, func(v *held) {
+		if !e.Less(v.seen) {
+			v.seen, v.hint = e, e.Node
+			if successor != "" {
+				v.hint = successor
+			}
+		}
+	})
+}
+
+func (h *Holder) elsewhere(k string) (string, bool) {
+	v := h.get(k)
+	if v.sure && v.roster == h.fellows.Roster().Sequence || v.hint == "" || v.hint == h.self {
+		return "", false
+	}
+	return h.fellows.Live(v.hint)
+}
+
+// Holder gives who is thought to hold a key.
+func (h *Holder) Holder(k string) string {
+	if h.Holds(k) {
+		return h.self
+	}
+	return h.get(k).hint
+}
+
+func (h *Holder) isLeaving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving
+}
+
+var passing = map[problem.Kind]bool{problem.Unreachable: true, problem.NotHolder: true, problem.Leaving: true, problem.NotFounded: true}
+
+// Change has a change on a majority before it answers.
+func (h *Holder) Change(ctx context.Context, q *ChangeTask) (*voter.Value, error) {
+	doubt := false
+	for n := *q; ; {
+		if a, ok := h.elsewhere(q.Key); ok && n.Handed < handsMost {
+			n.Handed++
+			v, err := Change.Call(ctx, h.net, h.self, a, &n)
+			if err == nil || !passing[problem.Of(err).Kind] {
+				return v, h.clear(err, doubt, q)
+			}
+			doubt = doubt || problem.Has(err, problem.Unreachable)
+			h.forget(q.Key)
+			n.Handed = handsMost
+		}
+		v, err := h.change(ctx, q, doubt, n.Handed < handsMost)
+		if _, ok := h.elsewhere(q.Key); ok && problem.Has(err, problem.NotHolder) && n.Handed < handsMost {
+			continue
+		}
+		return v, err
+	}
+}
+
+func (h *Holder) clear(err error, doubt bool, q *ChangeTask) error {
+	if doubt && problem.Has(err, problem.StaleBase) {
+		return problem.New(problem.NoMajority, "%s changed while the holder of the key was lost; the outcome is not known", q.Key)
+	}
+	return err
+}
+
+func (h *Holder) change(ctx context.Context, q *ChangeTask, doubt, polite bool) (*voter.Value, error) {
+	back, err := h.turns.Take(ctx, q.Key)
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	v, err := h.own(ctx, q.Key, polite)
+	if err != nil {
+		return nil, err
+	}
+	if q.By != "" && v.value.By == q.By {
+		return &v.value, nil
+	}
+	if v.value.Writes != q.Base {
+		return nil, h.clear(problem.New(problem.StaleBase, "%s was written %d times, the change builds on %d", q.Key, v.value.Writes, q.Base).At(v.value.Writes), doubt, q)
+	}
+	n := voter.Value{Writes: q.Base + 1, By: q.By, Body: q.Body}
+	if err := h.accept(ctx, q.Key, v, n); err != nil {
+		return nil, err
+	}
+	return &n, nil
+}
+
+func (h *Holder) forget(k string) {
+	h.edit(k, func(v *held) { v.hint = "" })
+}
+
+// Read gives the value that was current at some moment after the call began.
+func (h *Holder) Read(ctx context.Context, q *ReadTask) (*voter.Value, error) {
+	for handed := q.Handed; ; {
+		if a, ok := h.elsewhere(q.Key); ok && handed < handsMost {
+			handed++
+			v, err := Read.Call(ctx, h.net, h.self, a, &ReadTask{Key: q.Key, Handed: handed})
+			if err == nil {
+				return v, nil
+			}
+			h.forget(q.Key)
+			handed = handsMost
+		}
+		v, err := h.read(ctx, q.Key, handed < handsMost)
+		if _, ok := h.elsewhere(q.Key); ok && problem.Has(err, problem.NotHolder) && handed < handsMost {
+			continue
+		}
+		return v, err
+	}
+}
+
+func (h *Holder) read(ctx context.Context, k string, polite bool) (*voter.Value, error) {
+	back, err := h.turns.Take(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	if h.Holds(k) {
+		v := h.get(k)
+		if h.confirm(ctx, k, v) {
+			return &v.value, nil
+		}
+		h.edit(k, func(x *held) { x.sure = false })
+		if _, ok := h.elsewhere(k); ok && polite {
+			return nil, problem.New(problem.NotHolder, "%s was claimed elsewhere", k)
+		}
+	}
+	v, err := h.own(ctx, k, polite)
+	if err != nil {
+		return nil, err
+	}
+	return &v.value, nil
+}
+
+// Confirmed tells whether this node still holds a key, as a majority says.
+func (h *Holder) Confirmed(ctx context.Context, k string) bool {
+	back, err := h.turns.Take(ctx, k)
+	if err != nil {
+		return false
+	}
+	defer back()
+	if !h.Holds(k) {
+		return false
+	}
+	if h.confirm(ctx, k, h.get(k)) {
+		return true
+	}
+	h.edit(k, func(x *held) { x.sure = false })
+	return false
+}
+
+func (h *Holder) confirm(ctx context.Context, k string, v held) bool {
+	r := h.fellows.Roster()
+	ctx, stop := context.WithTimeout(ctx, h.bounds.Call())
+	defer stop()
+	ours := func(as []gather.Answer[roster.Seat, *voter.PeekAnswer]) int {
+		n := 0
+		for _, a := range gather.Good(as) {
+			if a.A.Slots[k].Promised == v.epoch {
+				n++
+			}
+		}
+		return n
+	}
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
+		return voter.Peek.Call(ctx, h.net, h.self, s.Addr, &voter.PeekTask{Roster: v.roster, Incarnation: s.Incarnation, Keys: []string{k}, Brief: true})
+	}, func(as []gather.Answer[roster.Seat, *voter.PeekAnswer]) bool { return ours(as) >= r.Majority() })
+	for _, a := range gather.Good(as) {
+		x := a.A.Slots[k]
+		h.Hint(k, x.Promised, x.Value.Successor)
+	}
+	return r.Sequence == v.roster && ours(as) >= r.Majority()
+}
+
+func (h *Holder) own(ctx context.Context, k string, polite bool) (held, error) {
+	for try := 0; ; try++ {
+		r := h.fellows.Roster()
+		if r.Sequence == 0 {
+			return held{}, problem.New(problem.NotFounded, "no roster of control disks is known")
+		}
+		v := h.get(k)
+		if v.sure && v.roster == r.Sequence {
+			return v, nil
+		}
+		if h.isLeaving() {
+			return held{}, problem.New(problem.Leaving, "this control node is stopping")
+		}
+		v, err := h.claim(ctx, k, r)
+		if err == nil {
+			return v, nil
+		}
+		if _, ok := h.elsewhere(k); ok && polite && problem.Has(err, problem.NotHolder) {
+			return held{}, err
+		}
+		if try == claimTries || ctx.Err() != nil || problem.Has(err, problem.StaleRoster) {
+			return held{}, err
+		}
+		if e := h.clk.Sleep(ctx, clock.Jitter(h.bounds.Jitter()/claimTries, float64(claimTries), rand.Float64())); e != nil {
+			return held{}, err
+		}
+	}
+}
+
+type slotAnswers = []gather.Answer[roster.Seat, *voter.SlotAnswer]
+
+func granted(as slotAnswers) int {
+	n := 0
+	for _, a := range gather.Good(as) {
+		if a.A.OK {
+			n++
+		}
+	}
+	return n
+}
+
+func refusals(as slotAnswers) int {
+	n := 0
+	for _, a := range as {
+		if a.Err == nil && !a.A.OK || problem.Has(a.Err, problem.StaleRoster) || problem.Has(a.Err, problem.WrongDisk) {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *Holder) verdict(k string, r roster.Roster, as slotAnswers) error {
+	if granted(as) >= r.Majority() {
+		return nil
+	}
+	for _, a := range gather.Good(as) {
+		if !a.A.OK {
+			h.Hint(k, a.A.Slot.Promised, a.A.Slot.Value.Successor)
+			return problem.New(problem.NotHolder, "%s is held under epoch %s", k, a.A.Slot.Promised)
+		}
+	}
+	for _, a := range as {
+		if problem.Has(a.Err, problem.StaleRoster) {
+			return a.Err
+		}
+	}
+	p := problem.New(problem.NoMajority, "%d of %d control disks answered for %s, %d are needed", granted(as), len(r.Seats), k, r.Majority())
+	p.Cause = gather.First(as)
+	return p
+}
+
+func (h *Holder) claim(ctx context.Context, k string, r roster.Roster) (held, error) {
+	old := h.get(k)
+	e := old.seen
+	if e.Less(old.epoch) {
+		e = old.epoch
+	}
+	e = e.Next(h.self)
+	h.edit(k, func(v *held) { v.sure, v.epoch = false, e })
+	h.count(&h.claims)
+	cx, stop := context.WithTimeout(ctx, h.bounds.Call())
+	defer stop()
+	as := gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
+		return voter.Promise.Call(ctx, h.net, h.self, s.Addr, &voter.PromiseTask{Ballot: ballot(r, s, k), Epoch: e})
+	}, func(as slotAnswers) bool { return granted(as) >= r.Majority() })
+	if err := h.verdict(k, r, as); err != nil {
+		return held{}, err
+	}
+	var top voter.Slot
+	for _, a := range gather.Good(as) {
+		if a.A.OK && a.A.Slot.Above(top) {
+			top = a.A.Slot
+		}
+	}
+	v := held{epoch: e, roster: r.Sequence, value: top.Value, seen: e, hint: h.self}
+	if top.Accepted.Zero() {
+		v.sure = true
+		h.keys.With(k, func(held, bool) (held, bool) { return v, true })
+		return v, nil
+	}
+	n := top.Value
+	n.Successor = ""
+	if err := h.accept(ctx, k, v, n); err != nil {
+		return held{}, err
+	}
+	return h.get(k), nil
+}
+
+func ballot(r roster.Roster, s roster.Seat, k string) voter.Ballot {
+	return voter.Ballot{Roster: r.Sequence, Incarnation: s.Incarnation, Key: k}
+}
+
+func (h *Holder) accept(ctx context.Context, k string, v held, n voter.Value) error {
+	r := h.fellows.Roster()
+	if r.Sequence != v.roster {
+		return problem.New(problem.StaleRoster, "roster %d came into force", r.Sequence)
+	}
+	h.edit(k, func(x *held) { x.sure, x.epoch = false, v.epoch })
+	h.count(&h.accepts)
+	cx, stop := context.WithTimeout(context.WithoutCancel(ctx), h.bounds.Call())
+	done := make(chan error, 1)
+	go func() {
+		defer stop()
+		done <- h.round(cx, k, r, v, n)
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return problem.Wrap(problem.NoMajority, ctx.Err(), "the outcome of writing %s is not known yet", k)
+	}
+}
+
+func (h *Holder) round(ctx context.Context, k string, r roster.Roster, v held, n voter.Value) error {
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
+		cx, stop := context.WithTimeout(context.WithoutCancel(ctx), h.bounds.Call())
+		defer stop()
+		return voter.Accept.Call(cx, h.net, h.self, s.Addr, &voter.AcceptTask{Ballot: ballot(r, s, k), Epoch: v.epoch, Value: n})
+	}, func(as slotAnswers) bool { return granted(as) >= r.Majority() })
+	if err := h.verdict(k, r, as); err != nil {
+		if refusals(as) == len(r.Seats) {
+			return err
+		}
+		return problem.New(problem.NoMajority, "the outcome of writing %s is not known: %v", k, err)
+	}
+	h.edit(k, func(x *held) {
+		if x.epoch == v.epoch {
+			*x = held{epoch: v.epoch, roster: r.Sequence, sure: true, value: n, seen: v.epoch, hint: h.self}
+		}
+	})
+	h.told(k, n)
+	return nil
+}
+
+func (h *Holder) count(n *uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	*n++
+}
+
+// Counts gives how many claims and writes were tried.
+func (h *Holder) Counts() (claims, accepts uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.claims, h.accepts
+}
+
+// Claim makes this node the holder of a key unless a live one holds it.
+func (h *Holder) Claim(ctx context.Context, k string) error {
+	if _, ok := h.elsewhere(k); ok {
+		return problem.New(problem.NotHolder, "%s is held by %s", k, h.get(k).hint)
+	}
+	return h.take(ctx, k, true)
+}
+
+func (h *Holder) take(ctx context.Context, k string, polite bool) error {
+	back, err := h.turns.Take(ctx, k)
+	if err != nil {
+		return err
+	}
+	defer back()
+	_, err = h.own(ctx, k, polite)
+	return err
+}
+
+// HandOver names a successor for every key held and has it take them.
+func (h *Holder) HandOver(ctx context.Context, successors []string) int {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	var ks []string
+	h.keys.Each(func(k string, v held) {
+		if v.sure {
+			ks = append(ks, k)
+		}
+	})
+	if len(successors) == 0 || len(ks) == 0 {
+		return 0
+	}
+	i := map[string]int{}
+	for n, k := range ks {
+		i[k] = n
+	}
+	as := gather.Ask(ctx, ks, func(ctx context.Context, k string) (bool, error) {
+		back, err := h.turns.Take(ctx, k)
+		if err != nil {
+			return false, err
+		}
+		defer back()
+		to := successors[i[k]%len(successors)]
+		v := h.get(k)
+		if v.value.Writes > 0 {
+			n := v.value
+			n.Successor = to
+			n.Writes++
+			if err := h.accept(ctx, k, v, n); err != nil {
+				return false, err
+			}
+		}
+		h.edit(k, func(x *held) { x.sure, x.hint = false, to })
+		a, ok := h.fellows.Live(to)
+		if !ok {
+			return false, problem.New(problem.Unreachable, "%s is gone", to)
+		}
+		_, err = Take.Call(ctx, h.net, h.self, a, &TakeTask{Key: k})
+		return err == nil, err
+	}, nil)
+	return len(gather.Good(as))
+}
+
+// Serve adds the holder's calls.
+func (h *Holder) Serve(m *http.ServeMux) {
+	Change.Handle(m, h.Change)
+	Read.Handle(m, h.Read)
+	Take.Handle(m, func(ctx context.Context, q *TakeTask) (*voter.Done, error) {
+		h.forget(q.Key)
+		return &voter.Done{}, h.take(ctx, q.Key, false)
+	})
+}
--- /dev/null
+++ b/internal/control/reform/reform.go
@@ -0,0 +1,166 @@
+// Package reform changes the roster: it seals the old one on a majority, copies all keys, and opens the next.
+package reform
+
+import (
+	"context"
+	"encoding/json"
+
+	"postjunction/internal/control/epoch"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/gather"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/wire"
+)
+
+// Reformer runs roster changes for one control node.
+type Reformer struct {
+	self   string
+	net    wire.Network
+	bounds options.Bounds
+	seen   epoch.Epoch
+}
+
+// New makes a reformer.
+func New(self string, n wire.Network, b options.Bounds) *Reformer {
+	return &Reformer{self: self, net: n, bounds: b}
+}
+
+func (f *Reformer) call(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, f.bounds.Call())
+}
+
+// Change decides what follows roster r, wanted unless another change was begun, and opens it.
+// It gives the roster that came into force.
+func (f *Reformer) Change(ctx context.Context, r, want roster.Roster) (roster.Roster, error) {
+	next, err := f.decide(ctx, r, want)
+	if err != nil {
+		return roster.Roster{}, err
+	}
+	slots, err := f.copy(ctx, r)
+	if err != nil {
+		return roster.Roster{}, err
+	}
+	as := gather.Ask(ctx, next.Seats, func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
+		cx, stop := f.call(ctx)
+		defer stop()
+		return voter.Open.Call(cx, f.net, f.self, s.Addr, &voter.OpenTask{Incarnation: s.Incarnation, Roster: next, Slots: slots})
+	}, nil)
+	if n := len(gather.Good(as)); n < next.Majority() {
+		return roster.Roster{}, problem.Wrap(problem.NoMajority, gather.First(as), "roster %d was opened on %d of %d disks", next.Sequence, n, len(next.Seats))
+	}
+	return next, nil
+}
+
+func (f *Reformer) decide(ctx context.Context, r, want roster.Roster) (roster.Roster, error) {
+	e := f.seen.Next(f.self)
+	f.seen = e
+	enough := func(as []gather.Answer[roster.Seat, *voter.SlotAnswer]) bool { return f.ok(as) >= r.Majority() }
+	ballot := func(s roster.Seat) voter.Ballot {
+		return voter.Ballot{Roster: r.Sequence, Incarnation: s.Incarnation, Key: voter.RosterKey}
+	}
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
+		cx, stop := f.call(ctx)
+		defer stop()
+		return voter.Promise.Call(cx, f.net, f.self, s.Addr, &voter.PromiseTask{Ballot: ballot(s), Epoch: e})
+	}, enough)
+	if !enough(as) {
+		return roster.Roster{}, f.short(r, as, "promised")
+	}
+	var top voter.Slot
+	for _, a := range gather.Good(as) {
+		if a.A.OK && a.A.Slot.Above(top) {
+			top = a.A.Slot
+		}
+	}
+	next := want
+	if !top.Accepted.Zero() {
+		if err := json.Unmarshal(top.Value.Body, &next); err != nil {
+			return roster.Roster{}, problem.Wrap(problem.DiskDamaged, err, "read the next roster")
+		}
+	}
+	b, _ := json.Marshal(next)
+	as = gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
+		cx, stop := f.call(ctx)
+		defer stop()
+		return voter.Accept.Call(cx, f.net, f.self, s.Addr, &voter.AcceptTask{Ballot: ballot(s), Epoch: e, Value: voter.Value{Writes: 1, By: f.self, Body: b}})
+	}, enough)
+	if !enough(as) {
+		return roster.Roster{}, f.short(r, as, "accepted")
+	}
+	return next, nil
+}
+
+func (f *Reformer) ok(as []gather.Answer[roster.Seat, *voter.SlotAnswer]) int {
+	n := 0
+	for _, a := range gather.Good(as) {
+		if a.A.OK {
+			n++
+		} else if f.seen.Less(a.A.Slot.Promised) {
+			f.seen = a.A.Slot.Promised
+		}
+	}
+	return n
+}
+
+func (f *Reformer) short(r roster.Roster, as []gather.Answer[roster.Seat, *voter.SlotAnswer], verb string) error {
+	for _, a := range as {
+		if problem.Has(a.Err, problem.StaleRoster) {
+			return a.Err
+		}
+	}
+	return problem.Wrap(problem.NoMajority, gather.First(as), "%d of %d disks %s a change of roster %d", f.ok(as), len(r.Seats), verb, r.Sequence)
+}
+
+func (f *Reformer) copy(ctx context.Context, r roster.Roster) (map[string]voter.Slot, error) {
+	type answers = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+	enough := func(as answers) bool { return len(gather.Good(as)) >= r.Intact() }
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
+		cx, stop := f.call(ctx)
+		defer stop()
+		return voter.Peek.Call(cx, f.net, f.self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Sealed: true})
+	}, enough)
+	if !enough(as) {
+		return nil, problem.Wrap(problem.NoMajority, gather.First(as), "%d of the %d intact disks needed gave their keys", len(gather.Good(as)), r.Intact())
+	}
+	m := map[string]voter.Slot{}
+	for _, a := range gather.Good(as) {
+		for k, s := range a.A.Slots {
+			if k == voter.RosterKey {
+				continue
+			}
+			o := m[k]
+			p := o.Promised
+			if p.Less(s.Promised) {
+				p = s.Promised
+			}
+			if s.Above(o) {
+				o = s
+			}
+			o.Promised = p
+			m[k] = o
+		}
+	}
+	return m, nil
+}
+
+// Catch opens the roster in force on a seat that missed it, with the slots of a seat that has it.
+func (f *Reformer) Catch(ctx context.Context, r roster.Roster, late roster.Seat) error {
+	for _, s := range r.Seats {
+		if s.Node == late.Node {
+			continue
+		}
+		cx, stop := f.call(ctx)
+		a, err := voter.Peek.Call(cx, f.net, f.self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation})
+		stop()
+		if err != nil {
+			continue
+		}
+		cx, stop = f.call(ctx)
+		defer stop()
+		_, err = voter.Open.Call(cx, f.net, f.self, late.Addr, &voter.OpenTask{Incarnation: late.Incarnation, Roster: r, Slots: a.Slots})
+		return err
+	}
+	return problem.New(problem.NoMajority, "no seat could give its keys to %s", late.Node)
+}
--- /dev/null
+++ b/internal/control/voter/calls.go
@@ -0,0 +1,100 @@
+// Package voter is the part of a control node that promises and accepts, each synced before it is answered.
+package voter
+
+import (
+	"postjunction/internal/control/epoch"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/wire"
+)
+
+// Value is what a register holds: a count of writes, who wrote, whom the holder named as successor, and the body.
+type Value struct {
+	Writes    uint64 `json:"writes"`
+	By        string `json:"by,omitempty"`
+	Successor string `json:"successor,omitempty"`
+	Body      []byte `json:"body,omitempty"`
+}
+
+// Slot is a voter's memory of one key.
+type Slot struct {
+	Promised epoch.Epoch `json:"promised"`
+	Accepted epoch.Epoch `json:"accepted"`
+	Value    Value       `json:"value"`
+}
+
+// Above tells whether s holds a later acceptance than t.
+func (s Slot) Above(t Slot) bool {
+	if s.Accepted != t.Accepted {
+		return t.Accepted.Less(s.Accepted)
+	}
+	return s.Value.Writes > t.Value.Writes
+}
+
+// Ballot addresses one disk under one roster.
+type Ballot struct {
+	Roster      uint64 `json:"roster"`
+	Incarnation string `json:"incarnation"`
+	Key         string `json:"key"`
+}
+
+// PromiseTask asks for a promise.
+type PromiseTask struct {
+	Ballot
+	Epoch epoch.Epoch `json:"epoch"`
+}
+
+// AcceptTask asks for an acceptance.
+type AcceptTask struct {
+	Ballot
+	Epoch epoch.Epoch `json:"epoch"`
+	Value Value       `json:"value"`
+}
+
+// SlotAnswer gives the slot; OK tells whether the task was done.
+type SlotAnswer struct {
+	OK   bool `json:"ok"`
+	Slot Slot `json:"slot"`
+}
+
+// PeekTask reads slots of the named keys, all when none are named. Sealed slots are given only when asked for.
+type PeekTask struct {
+	Roster      uint64   `json:"roster"`
+	Incarnation string   `json:"incarnation"`
+	Keys        []string `json:"keys,omitempty"`
+	Sealed      bool     `json:"sealed,omitempty"`
+	Brief       bool     `json:"brief,omitempty"`
+}
+
+// PeekAnswer gives slots by key.
+type PeekAnswer struct {
+	Slots map[string]Slot `json:"slots"`
+}
+
+// OpenTask brings a voter under a roster with the copied keys.
+type OpenTask struct {
+	Incarnation string          `json:"incarnation"`
+	Roster      roster.Roster   `json:"roster"`
+	Slots       map[string]Slot `json:"slots"`
+	Founding    bool            `json:"founding,omitempty"`
+}
+
+// FoundTask asks a fresh disk to agree to a founding roster.
+type FoundTask struct {
+	Incarnation string        `json:"incarnation"`
+	Roster      roster.Roster `json:"roster"`
+}
+
+// Done is an answer without contents.
+type Done struct{}
+
+// The voter's calls.
+var (
+	Promise = wire.Name[PromiseTask, SlotAnswer]("Control", "Promise")
+	Accept  = wire.Name[AcceptTask, SlotAnswer]("Control", "Accept")
+	Peek    = wire.Name[PeekTask, PeekAnswer]("Control", "Peek")
+	Open    = wire.Name[OpenTask, Done]("Control", "Open")
+	Found   = wire.Name[FoundTask, Done]("Control", "Found")
+)
+
+// RosterKey is the register that names the next roster; accepting it seals the present one.
+const RosterKey = "roster"
--- /dev/null
+++ b/internal/control/voter/voter.go
@@ -0,0 +1,294 @@
+package voter
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"postjunction/internal/control/roster"
+	"postjunction/internal/disk/journal"
+	"postjunction/internal/kinds"
+	"postjunction/internal/problem"
+	"postjunction/internal/turn"
+)
+
+// Voter keeps promises on one disk.
+type Voter struct {
+	incarnation string
+	journal     *journal.Journal
+	turns       *turn.Turns
+	mu          sync.Mutex
+	slots       map[string]Slot
+	roster      roster.Roster
+	founding    *roster.Roster
+	agree       func(roster.Roster) error
+	opened      func(roster.Roster)
+}
+
+const turnShards = 8
+
+// New makes a voter that has promised nothing.
+func New() *Voter {
+	return &Voter{slots: map[string]Slot{}, turns: turn.New(turnShards)}
+}
+
+// Start gives the voter its disk, its check of foundings, and whom to tell of a new roster.
+func (v *Voter) Start(incarnation string, j *journal.Journal, agree func(roster.Roster) error, opened func(roster.Roster)) {
+	v.incarnation, v.journal, v.agree, v.opened = incarnation, j, agree, opened
+}
+
+type slotRec struct {
+	Key  string `json:"key"`
+	Slot Slot   `json:"slot"`
+}
+
+type rosterRec struct {
+	Roster   roster.Roster  `json:"roster"`
+	Founding *roster.Roster `json:"founding,omitempty"`
+	Clear    bool           `json:"clear,omitempty"`
+}
+
+// Restore takes back a record.
+func (v *Voter) Restore(r journal.Rec) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r.Kind == kinds.Slot {
+		var s slotRec
+		if err := json.Unmarshal(r.Body, &s); err != nil {
+			return problem.Wrap(problem.DiskDamaged, err, "read a slot")
+		}
+		v.slots[s.Key] = s.Slot
+		return nil
+	}
+	var s rosterRec
+	if err := json.Unmarshal(r.Body, &s); err != nil {
+		return problem.Wrap(problem.DiskDamaged, err, "read a roster")
+	}
+	v.roster, v.founding = s.Roster, s.Founding
+	if s.Clear {
+		v.slots = map[string]Slot{}
+	}
+	return nil
+}
+
+// Dump gives the live records.
+func (v *Voter) Dump() []journal.Rec {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	rs := []journal.Rec{rec(kinds.Roster, rosterRec{Roster: v.roster, Founding: v.founding, Clear: true})}
+	for k, s := range v.slots {
+		rs = append(rs, rec(kinds.Slot, slotRec{Key: k, Slot: s}))
+	}
+	return rs
+}
+
+func rec(k uint16, x any) journal.Rec {
+	b, _ := json.Marshal(x)
+	return journal.Rec{Kind: k, Body: b}
+}
+
+// Roster gives the roster that this voter is under; its sequence is 0 before founding.
+func (v *Voter) Roster() roster.Roster {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.roster
+}
+
+func (v *Voter) disk(inc string) error {
+	if inc != v.incarnation {
+		return problem.New(problem.WrongDisk, "this disk is %s, not %s", v.incarnation, inc)
+	}
+	return nil
+}
+
+func (v *Voter) view(b Ballot) (Slot, error) {
+	if err := v.disk(b.Incarnation); err != nil {
+		return Slot{}, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.roster.Sequence != b.Roster || b.Roster == 0 {
+		return Slot{}, problem.New(problem.StaleRoster, "the ballot is under roster %d, this voter under %d", b.Roster, v.roster.Sequence).At(v.roster.Sequence)
+	}
+	if v.sealed() && b.Key != RosterKey {
+		return Slot{}, problem.New(problem.StaleRoster, "roster %d is sealed", v.roster.Sequence).At(v.roster.Sequence)
+	}
+	return v.slots[b.Key], nil
+}
+
+func (v *Voter) sealed() bool {
+	s := v.slots[RosterKey]
+	return !s.Accepted.Zero()
+}
+
+func (v *Voter) take(ctx context.Context, key string) (func(), error) {
+	if key == RosterKey {
+		return v.turns.All(ctx)
+	}
+	return v.turns.Take(ctx, key)
+}
+
+func (v *Voter) store(ctx context.Context, key string, s Slot) error {
+	return v.journal.Put(ctx, true, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.slots[key] = s
+	}, rec(kinds.Slot, slotRec{Key: key, Slot: s}))
+}
+
+// Promise answers once the promise is synced.
+func (v *Voter) Promise(ctx context.Context, q *PromiseTask) (*SlotAnswer, error) {
+	back, err := v.take(ctx, q.Key)
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	s, err := v.view(q.Ballot)
+	if err != nil {
+		return nil, err
+	}
+	if !s.Promised.Less(q.Epoch) {
+		return &SlotAnswer{OK: s.Promised == q.Epoch, Slot: s}, nil
+	}
+	s.Promised = q.Epoch
+	if err := v.store(ctx, q.Key, s); err != nil {
+		return nil, err
+	}
+	return &SlotAnswer{OK: true, Slot: s}, nil
+}
+
+// Accept answers once the value is synced.
+func (v *Voter) Accept(ctx context.Context, q *AcceptTask) (*SlotAnswer, error) {
+	back, err := v.take(ctx, q.Key)
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	s, err := v.view(q.Ballot)
+	if err != nil {
+		return nil, err
+	}
+	n := Slot{Promised: q.Epoch, Accepted: q.Epoch, Value: q.Value}
+	if q.Epoch.Less(s.Promised) || s.Above(n) {
+		return &SlotAnswer{Slot: s}, nil
+	}
+	if err := v.store(ctx, q.Key, n); err != nil {
+		return nil, err
+	}
+	return &SlotAnswer{OK: true, Slot: n}, nil
+}
+
+// Peek reads without promising.
+func (v *Voter) Peek(_ context.Context, q *PeekTask) (*PeekAnswer, error) {
+	if err := v.disk(q.Incarnation); err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.roster.Sequence != q.Roster || q.Roster == 0 || v.sealed() && !q.Sealed {
+		return nil, problem.New(problem.StaleRoster, "the peek is under roster %d, this voter under %d", q.Roster, v.roster.Sequence).At(v.roster.Sequence)
+	}
+	if q.Sealed && !v.sealed() {
+		return nil, problem.New(problem.StaleRoster, "roster %d is not sealed here", v.roster.Sequence)
+	}
+	a := &PeekAnswer{Slots: map[string]Slot{}}
+	add := func(k string, s Slot) {
+		if q.Brief {
+			s.Value.Body = nil
+		}
+		a.Slots[k] = s
+	}
+	for _, k := range q.Keys {
+		add(k, v.slots[k])
+	}
+	if len(q.Keys) == 0 {
+		for k, s := range v.slots {
+			add(k, s)
+		}
+	}
+	return a, nil
+}
+
+// Open brings the voter under a higher roster; slots accepted under the old one are replaced by the copy.
+func (v *Voter) Open(ctx context.Context, q *OpenTask) (*Done, error) {
+	back, err := v.turns.All(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	if err := v.disk(q.Incarnation); err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	cur, f := v.roster, v.founding
+	v.mu.Unlock()
+	if cur.Sequence >= q.Roster.Sequence {
+		if cur.Fleet != q.Roster.Fleet {
+			return nil, problem.New(problem.DiskForeign, "this disk is of fleet %s", cur.Fleet)
+		}
+		return &Done{}, nil
+	}
+	if q.Founding && (f == nil || f.Fleet != q.Roster.Fleet) {
+		return nil, problem.New(problem.StaleRoster, "another founding was agreed to since")
+	}
+	if cur.Sequence > 0 && cur.Fleet != q.Roster.Fleet {
+		return nil, problem.New(problem.DiskForeign, "this disk is of fleet %s", cur.Fleet)
+	}
+	slots := make(map[string]Slot, len(q.Slots))
+	rs := []journal.Rec{rec(kinds.Roster, rosterRec{Roster: q.Roster, Clear: true})}
+	for k, s := range q.Slots {
+		if k == RosterKey {
+			continue
+		}
+		if s.Promised.Less(s.Accepted) {
+			s.Promised = s.Accepted
+		}
+		slots[k] = s
+		rs = append(rs, rec(kinds.Slot, slotRec{Key: k, Slot: s}))
+	}
+	err = v.journal.Put(ctx, true, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.roster, v.founding, v.slots = q.Roster, nil, slots
+	}, rs...)
+	if err != nil {
+		return nil, err
+	}
+	v.opened(q.Roster)
+	return &Done{}, nil
+}
+
+// Found agrees to a founding roster while the disk is under none.
+func (v *Voter) Found(ctx context.Context, q *FoundTask) (*Done, error) {
+	back, err := v.turns.All(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	if err := v.disk(q.Incarnation); err != nil {
+		return nil, err
+	}
+	if cur := v.Roster(); cur.Sequence > 0 {
+		return nil, problem.New(problem.StaleRoster, "this disk is under roster %d already", cur.Sequence).At(cur.Sequence)
+	}
+	if err := v.agree(q.Roster); err != nil {
+		return nil, err
+	}
+	r := q.Roster
+	err = v.journal.Put(ctx, true, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.founding = &r
+	}, rec(kinds.Roster, rosterRec{Founding: &r}))
+	return &Done{}, err
+}
+
+// Serve adds the voter's calls.
+func (v *Voter) Serve(m *http.ServeMux) {
+	Promise.Handle(m, v.Promise)
+	Accept.Handle(m, v.Accept)
+	Peek.Handle(m, v.Peek)
+	Open.Handle(m, v.Open)
+	Found.Handle(m, v.Found)
+}
--- /dev/null
+++ b/internal/disk/frame/frame.go
@@ -0,0 +1,72 @@
+// Package frame is the header that every record on disk carries.
+package frame
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"postjunction/internal/problem"
+)
+
+// Format is the sequence number of the disk format.
+const Format = 1
+
+// Size is the length of the header.
+const Size = 40
+
+const magic = 0x706a
+
+// Frame is one record: its kind, its place in its line, the last index synced when it was written, and its body.
+type Frame struct {
+	Kind   uint16
+	Index  uint64
+	Mark   uint64
+	Epoch  uint64
+	Offset uint64
+	Body   []byte
+}
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Pack gives the bytes of a frame.
+func Pack(f Frame) []byte {
+	b := make([]byte, Size+len(f.Body))
+	binary.LittleEndian.PutUint16(b[4:], magic)
+	b[6] = Format
+	b[7] = byte(f.Kind)
+	binary.LittleEndian.PutUint64(b[8:], f.Index)
+	binary.LittleEndian.PutUint64(b[16:], f.Mark)
+	binary.LittleEndian.PutUint64(b[24:], f.Epoch)
+	binary.LittleEndian.PutUint64(b[32:], f.Offset)
+	copy(b[Size:], f.Body)
+	binary.LittleEndian.PutUint32(b, crc32.Checksum(b[4:], table))
+	return b
+}
+
+// Unpack reads a frame and checks its sum, its format and its index.
+func Unpack(i uint64, b []byte) (Frame, error) {
+	if len(b) < Size {
+		return Frame{}, problem.New(problem.DiskDamaged, "record %d has %d bytes, fewer than its header", i, len(b))
+	}
+	if binary.LittleEndian.Uint32(b) != crc32.Checksum(b[4:], table) {
+		return Frame{}, problem.New(problem.DiskDamaged, "record %d fails its checksum", i)
+	}
+	if binary.LittleEndian.Uint16(b[4:]) != magic {
+		return Frame{}, problem.New(problem.DiskForeign, "record %d is not one of postjunction's", i)
+	}
+	if b[6] > Format {
+		return Frame{}, problem.New(problem.DiskNewer, "record %d has format %d, this build knows %d", i, b[6], Format)
+	}
+	f := Frame{
+		Kind:   uint16(b[7]),
+		Index:  binary.LittleEndian.Uint64(b[8:]),
+		Mark:   binary.LittleEndian.Uint64(b[16:]),
+		Epoch:  binary.LittleEndian.Uint64(b[24:]),
+		Offset: binary.LittleEndian.Uint64(b[32:]),
+		Body:   b[Size:],
+	}
+	if f.Index != i {
+		return Frame{}, problem.New(problem.DiskDamaged, "record %d says that it is %d", i, f.Index)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,287 @@
+// Package door is the HTTP side towards callers and operators: JSON in, JSON or lines out, every failure typed.
+package door
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"postjunction/internal/description/strict"
+	"postjunction/internal/operator"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/visitor"
+	"postjunction/internal/visitor/token"
+)
+
+// Door serves one node's callers and operators.
+type Door struct {
+	Visitors  *visitor.Service
+	Operators *operator.Service
+	Bounds    options.Bounds
+	Ready     func() error
+	mux       *http.ServeMux
+	paths     map[string]map[string]http.HandlerFunc
+}
+
+const (
+	callBytes  = 2 << 20
+	readShare  = 4
+	writeShare = 4
+)
+
+type call func(w http.ResponseWriter, r *http.Request) (any, error)
+
+// Handler gives the HTTP handler.
+func (d *Door) Handler() http.Handler {
+	d.mux = http.NewServeMux()
+	d.add("/ready", map[string]call{"GET": d.ready})
+	d.add("/live", map[string]call{"GET": func(http.ResponseWriter, *http.Request) (any, error) { return map[string]bool{"live": true}, nil }})
+	d.add("/v1/attach", map[string]call{"POST": d.attach})
+	d.add("/v1/send", map[string]call{"POST": d.send})
+	d.add("/v1/stream", map[string]call{"GET": d.stream})
+	d.add("/v1/ack", map[string]call{"POST": d.ack})
+	d.add("/v1/count", map[string]call{"GET": d.count})
+	d.add("/v1/description", map[string]call{"GET": d.readDescription, "PUT": d.putDescription})
+	d.add("/v1/status", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Status(r.Context()) }})
+	d.add("/v1/counters", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Counters(), nil }})
+	d.add("/v1/drain", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Drains(r.Context()) }, "POST": d.drain})
+	d.add("/v1/partition", map[string]call{"GET": d.partition})
+	d.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		Turn(w, problem.New(problem.UnknownPath, "there is no %s", r.URL.Path))
+	})
+	return d.mux
+}
+
+func (d *Door) add(path string, m map[string]call) {
+	d.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		f, ok := m[r.Method]
+		if !ok {
+			for k := range m {
+				w.Header().Add("Allow", k)
+			}
+			Turn(w, problem.New(problem.WrongMethod, "%s is not a method of %s", r.Method, path))
+			return
+		}
+		a, err := f(w, r)
+		if err != nil {
+			Turn(w, err)
+			return
+		}
+		if a != nil {
+			answer(w, http.StatusOK, a)
+		}
+	})
+}
+
+func answer(w http.ResponseWriter, code int, a any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	b, _ := json.Marshal(a)
+	_, _ = w.Write(append(b, '\n'))
+}
+
+type turned struct {
+	Code    problem.Kind    `json:"code"`
+	Say     string          `json:"say"`
+	Advice  string          `json:"advice"`
+	Faults  []problem.Fault `json:"faults,omitempty"`
+	Current uint64          `json:"current,omitempty"`
+	RetryMS int64           `json:"retry_after_ms,omitempty"`
+}
+
+// Turn writes a problem as the answer.
+func Turn(w http.ResponseWriter, err error) {
+	p := problem.Of(err)
+	if p.RetryMS > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(p.RetryMS)/1000))))
+	}
+	answer(w, p.Status(), turned{p.Kind, p.Say, p.Advice(), p.Faults, p.Current, p.RetryMS})
+}
+
+func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var big *http.MaxBytesError
+	if errors.As(err, &big) {
+		return nil, problem.New(problem.Oversize, "the document is larger than %d bytes", most)
+	}
+	return b, problem.Wrap(problem.Malformed, err, "the document could not be read whole")
+}
+
+func document(w http.ResponseWriter, r *http.Request, s strict.Shape, v any) error {
+	b, err := body(w, r, callBytes)
+	if err != nil {
+		return err
+	}
+	f, err := strict.Check(b, s)
+	if err != nil {
+		return err
+	}
+	if len(f) > 0 {
+		return problem.New(problem.UnknownField, "%d faults, the first at %s: %s", len(f), f[0].Place, f[0].Say).With(f)
+	}
+	return problem.Wrap(problem.Malformed, json.Unmarshal(b, v), "the document could not be read")
+}
+
+func object(needed []string, fields map[string]string) strict.Shape {
+	s := strict.Shape{Kind: strict.Object, Needed: needed, Fields: map[string]strict.Shape{}}
+	for n, k := range fields {
+		s.Fields[n] = strict.Shape{Kind: k}
+	}
+	return s
+}
+
+var (
+	attachShape = object([]string{"visitor"}, map[string]string{"visitor": strict.Text})
+	sendShape   = object([]string{"topic", "call_seq", "body"}, map[string]string{"topic": strict.Text, "call_seq": strict.Count, "body": strict.Any})
+	ackShape    = object([]string{"cursor"}, map[string]string{"cursor": strict.Text})
+	drainShape  = object([]string{"node"}, map[string]string{"node": strict.Text})
+)
+
+func (d *Door) ready(http.ResponseWriter, *http.Request) (any, error) {
+	if err := d.Ready(); err != nil {
+		return nil, err
+	}
+	return map[string]bool{"ready": true}, nil
+}
+
+func (d *Door) attach(w http.ResponseWriter, r *http.Request) (any, error) {
+	var q struct {
+		Visitor string `json:"visitor"`
+	}
+	if err := document(w, r, attachShape, &q); err != nil {
+		return nil, err
+	}
+	return d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbAttach, Visitor: q.Visitor})
+}
+
+func bearer(r *http.Request) (string, error) {
+	t, err := token.Bearer(r.Header.Get("Authorization"))
+	return t.Pack(), err
+}
+
+func (d *Door) send(w http.ResponseWriter, r *http.Request) (any, error) {
+	var q struct {
+		Topic string          `json:"topic"`
+		Call  uint64          `json:"call_seq"`
+		Body  json.RawMessage `json:"body"`
+	}
+	t, err := bearer(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := document(w, r, sendShape, &q); err != nil {
+		return nil, err
+	}
+	return d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbSend, Token: t, Topics: []string{q.Topic}, Call: q.Call, Body: q.Body})
+}
+
+func (d *Door) ack(w http.ResponseWriter, r *http.Request) (any, error) {
+	var q struct {
+		Cursor string `json:"cursor"`
+	}
+	t, err := bearer(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := document(w, r, ackShape, &q); err != nil {
+		return nil, err
+	}
+	return d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbAck, Token: t, Cursor: q.Cursor})
+}
+
+func query(r *http.Request, known ...string) error {
+	ok := map[string]bool{}
+	for _, k := range known {
+		ok[k] = true
+	}
+	for k := range r.URL.Query() {
+		if !ok[k] {
+			return problem.New(problem.UnknownField, "%q is not a parameter of %s", k, r.URL.Path)
+		}
+	}
+	return nil
+}
+
+func (d *Door) count(_ http.ResponseWriter, r *http.Request) (any, error) {
+	t, err := bearer(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := query(r, "topic"); err != nil {
+		return nil, err
+	}
+	return d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbCount, Token: t, Topics: r.URL.Query()["topic"]})
+}
+
+func (d *Door) stream(w http.ResponseWriter, r *http.Request) (any, error) {
+	t, err := bearer(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := query(r, "topic", "cursor"); err != nil {
+		return nil, err
+	}
+	c := http.NewResponseController(w)
+	begun := false
+	emit := func(b []byte) error {
+		if !begun {
+			begun = true
+			w.Header().Set("Content-Type", "application/x-ndjson")
+			w.Header().Set("Cache-Control", "no-store")
+			w.WriteHeader(http.StatusOK)
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(d.Bounds.Recovery / writeShare))
+		if _, err := w.Write(b); err != nil {
+			return problem.Wrap(problem.SlowReader, err, "write a line")
+		}
+		return problem.Wrap(problem.SlowReader, c.Flush(), "flush a line")
+	}
+	_, err = d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbFollow, Token: t, Topics: r.URL.Query()["topic"], Cursor: r.URL.Query().Get("cursor"), Emit: emit})
+	if begun {
+		return nil, nil
+	}
+	return nil, err
+}
+
+func (d *Door) readDescription(_ http.ResponseWriter, r *http.Request) (any, error) {
+	return d.Operators.Description(r.Context())
+}
+
+func (d *Door) putDescription(w http.ResponseWriter, r *http.Request) (any, error) {
+	b, err := body(w, r, callBytes)
+	if err != nil {
+		return nil, err
+	}
+	return d.Operators.Put(r.Context(), b)
+}
+
+func (d *Door) drain(w http.ResponseWriter, r *http.Request) (any, error) {
+	var q struct {
+		Node string `json:"node"`
+	}
+	if err := document(w, r, drainShape, &q); err != nil {
+		return nil, err
+	}
+	return d.Operators.Drain(r.Context(), q.Node)
+}
+
+func (d *Door) partition(_ http.ResponseWriter, r *http.Request) (any, error) {
+	if err := query(r, "n", "topic"); err != nil {
+		return nil, err
+	}
+	return d.Operators.Partition(r.Context(), r.URL.Query().Get("n"), r.URL.Query().Get("topic"))
+}
+
+// Server makes the HTTP server of a door.
+func Server(h http.Handler, b options.Bounds) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: b.Recovery / readShare,
+		IdleTimeout:       b.Keeping,
+	}
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,92 @@
+// Package event numbers what a node logs; docs/events.md is its catalogue.
+package event
+
+import "github.com/hashicorp/go-hclog"
+
+// Event is a numbered line of the log.
+type Event struct {
+	Number int
+	Level  hclog.Level
+	Text   string
+}
+
+var all []Event
+
+func entry(n int, l hclog.Level, s string) Event {
+	e := Event{n, l, s}
+	all = append(all, e)
+	return e
+}
+
+// All lists every event.
+func All() []Event { return all }
+
+// The events, by the part that logs them.
+var (
+	Started       = entry(100, hclog.Info, "node started")
+	Listening     = entry(101, hclog.Info, "listening")
+	Stopping      = entry(102, hclog.Info, "stopping: unready, handing duties over")
+	StoppedClean  = entry(103, hclog.Info, "stopped")
+	OptionsTaken  = entry(104, hclog.Info, "settings file changed: applied")
+	OptionsTurned = entry(105, hclog.Warn, "settings file changed: turned away, nothing applied")
+	ServeFailed   = entry(106, hclog.Error, "serving failed")
+
+	DiskNew     = entry(200, hclog.Info, "disk has a new incarnation")
+	DiskOpened  = entry(201, hclog.Info, "journal opened")
+	DiskTorn    = entry(202, hclog.Warn, "journal ended in a torn tail, cut past the last synced point")
+	DiskDamaged = entry(203, hclog.Error, "journal was damaged before its last synced point; set aside, the disk joins as a new one")
+	DiskTrouble = entry(204, hclog.Warn, "disk did not take a write")
+	DiskHealed  = entry(205, hclog.Info, "disk takes writes again")
+	ScrubBad    = entry(206, hclog.Error, "a record on disk was damaged; the journal was rewritten from memory")
+
+	Joined        = entry(300, hclog.Info, "session opened with a control node")
+	SessionMoved  = entry(301, hclog.Warn, "session lost, looking for another control node")
+	LicenceLost   = entry(302, hclog.Warn, "licence lapsed; serving stops")
+	LicenceBack   = entry(303, hclog.Info, "licence live; serving")
+	Founded       = entry(310, hclog.Info, "fleet founded")
+	FoundingWaits = entry(311, hclog.Info, "fleet not founded yet")
+	RosterOpened  = entry(312, hclog.Info, "roster of voters in force")
+	RosterChange  = entry(313, hclog.Warn, "roster of voters is being changed")
+	RosterTrouble = entry(314, hclog.Warn, "roster change did not finish")
+
+	DescriptionNews  = entry(400, hclog.Info, "description taken up")
+	DescriptionPut   = entry(401, hclog.Info, "description accepted from an operator")
+	DescriptionFault = entry(402, hclog.Warn, "description turned away")
+
+	OwnerTakes   = entry(500, hclog.Info, "taking a partition over")
+	OwnerOpen    = entry(501, hclog.Info, "partition open")
+	OwnerLost    = entry(502, hclog.Info, "partition given up")
+	OwnerTrouble = entry(503, hclog.Warn, "step of a partition's owner is being tried again")
+	OwnerDisk    = entry(504, hclog.Warn, "owner's disk did not take entries")
+	OwnerRenew   = entry(505, hclog.Info, "asking for a new epoch after a restart")
+	Orphan       = entry(506, hclog.Info, "dropped a partition that the record places elsewhere")
+	RepairFound  = entry(507, hclog.Warn, "sweep found a copy that differs")
+	RepairSwept  = entry(508, hclog.Debug, "sweep compared the copies of a partition")
+
+	DutyTaken     = entry(600, hclog.Info, "holding the placement duty")
+	DutyLost      = entry(601, hclog.Info, "placement duty held elsewhere")
+	Placed        = entry(602, hclog.Info, "ownership record changed")
+	PlaceTrouble  = entry(603, hclog.Warn, "ownership record could not be changed")
+	DrainAsked    = entry(604, hclog.Info, "emptying of a machine asked for")
+	DrainDone     = entry(605, hclog.Info, "machine is empty")
+	DrainReturned = entry(606, hclog.Info, "emptied machine returned")
+	HandedOver    = entry(607, hclog.Info, "duties handed over")
+
+	StreamFenced = entry(700, hclog.Debug, "stream ended: a newer attachment took over")
+	StreamSlow   = entry(701, hclog.Info, "stream ended: its reader was too slow")
+	Turned       = entry(702, hclog.Debug, "call turned away")
+)
+
+// Logger writes numbered events.
+type Logger struct{ l hclog.Logger }
+
+// NewLogger wraps a logger.
+func NewLogger(l hclog.Logger) *Logger { return &Logger{l} }
+
+// Say logs an event with pairs of keys and values.
+func (g *Logger) Say(e Event, kv ...any) {
+	g.l.Log(e.Level, e.Text, append([]any{"event", e.Number}, kv...)...)
+}
+
+// Level sets what is logged from now on.
+func (g *Logger) Level(s string) { g.l.SetLevel(hclog.LevelFromString(s)) }
--- /dev/null
+++ b/internal/kinds/kinds.go
@@ -0,0 +1,15 @@
+// Package kinds numbers the records of the disk format.
+package kinds
+
+// The kinds of record.
+const (
+	Identity uint16 = 1 + iota
+	Roster
+	Slot
+	Seal
+	Entry
+	Cut
+	Base
+	Forget
+	Directory
+)
--- /dev/null
+++ b/internal/ledger/desk/desk.go
@@ -0,0 +1,229 @@
+// Package desk takes ledger work in at the owner's node and hands it over from every other.
+package desk
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/partition"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/state"
+	"postjunction/internal/wire"
+)
+
+// AttachTask records an attachment.
+type AttachTask struct {
+	Visitor string `json:"v"`
+	Secret  string `json:"s"`
+}
+
+// AttachAnswer gives the attachment's generation and the cursor that was left.
+type AttachAnswer struct {
+	Generation uint64      `json:"g"`
+	Acked      state.Acked `json:"k"`
+}
+
+// AttachedTask asks which attachment is in force.
+type AttachedTask struct {
+	Visitor string `json:"v"`
+}
+
+// AttachedAnswer says so.
+type AttachedAnswer struct {
+	Attached state.Attached `json:"t"`
+	Acked    state.Acked    `json:"k"`
+}
+
+// AckTask leaves a cursor.
+type AckTask struct {
+	Visitor    string `json:"v"`
+	Generation uint64 `json:"g"`
+	Cursor     string `json:"c"`
+}
+
+// Done is an answer without contents.
+type Done struct{}
+
+// ReadTask reads committed entries.
+type ReadTask struct {
+	Partition int           `json:"p"`
+	From      uint64        `json:"f"`
+	Hold      time.Duration `json:"h"`
+}
+
+// The desk's calls.
+var (
+	Submit   = wire.Name[owner.Task, owner.Decision]("Ledger", "Submit")
+	Attach   = wire.Name[AttachTask, AttachAnswer]("Ledger", "Attach")
+	Attached = wire.Name[AttachedTask, AttachedAnswer]("Ledger", "Attached")
+	Ack      = wire.Name[AckTask, Done]("Ledger", "Ack")
+	Read     = wire.Name[ReadTask, owner.Reading]("Ledger", "Read")
+)
+
+// Owners finds the owner that runs here.
+type Owners interface {
+	Owner(p int) (*owner.Owner, error)
+}
+
+// Desk is one node's.
+type Desk struct {
+	Self   string
+	Net    wire.Network
+	Clock  clock.Clock
+	Bounds options.Bounds
+	Board  *gossip.Board
+	View   *member.View
+	Owners Owners
+}
+
+func (d *Desk) here(p int) (*owner.Owner, error) { return d.Owners.Owner(p) }
+
+func (d *Desk) submit(ctx context.Context, q *owner.Task) (*owner.Decision, error) {
+	s, err := d.Board.Index().Find(q.Topic)
+	if err != nil {
+		return nil, err
+	}
+	o, err := d.here(partition.Of(q.Topic, s.Urgent, d.Board.Roster().Layout))
+	if err != nil {
+		return nil, err
+	}
+	return o.Submit(ctx, q)
+}
+
+func (d *Desk) attach(ctx context.Context, q *AttachTask) (*AttachAnswer, error) {
+	o, err := d.here(partition.OfVisitor(q.Visitor, d.Board.Roster().Layout))
+	if err != nil {
+		return nil, err
+	}
+	g, err := o.Attach(ctx, q.Visitor, q.Secret)
+	if err != nil {
+		return nil, err
+	}
+	_, k, err := o.Attached(q.Visitor)
+	return &AttachAnswer{Generation: g, Acked: k}, err
+}
+
+func (d *Desk) attached(_ context.Context, q *AttachedTask) (*AttachedAnswer, error) {
+	o, err := d.here(partition.OfVisitor(q.Visitor, d.Board.Roster().Layout))
+	if err != nil {
+		return nil, err
+	}
+	t, k, err := o.Attached(q.Visitor)
+	return &AttachedAnswer{Attached: t, Acked: k}, err
+}
+
+func (d *Desk) ack(ctx context.Context, q *AckTask) (*Done, error) {
+	o, err := d.here(partition.OfVisitor(q.Visitor, d.Board.Roster().Layout))
+	if err != nil {
+		return nil, err
+	}
+	return &Done{}, o.Ack(ctx, q.Visitor, q.Generation, q.Cursor)
+}
+
+func (d *Desk) read(ctx context.Context, q *ReadTask) (*owner.Reading, error) {
+	o, err := d.here(q.Partition)
+	if err != nil {
+		return nil, err
+	}
+	return o.Read(ctx, q.From, min(q.Hold, d.Bounds.Hold()))
+}
+
+// Serve adds the desk's calls.
+func (d *Desk) Serve(m *http.ServeMux) {
+	Submit.Handle(m, d.submit)
+	Attach.Handle(m, d.attach)
+	Attached.Handle(m, d.attached)
+	Ack.Handle(m, d.ack)
+	Read.Handle(m, d.read)
+}
+
+var elsewhere = map[problem.Kind]bool{
+	problem.NotOwner: true, problem.NotReady: true, problem.Unreachable: true, problem.OutcomeUnknown: true,
+	problem.Leaving: true, problem.StaleEpoch: true, problem.Unlicensed: true, problem.Stopped: true,
+}
+
+var unclear = map[problem.Kind]bool{problem.Unreachable: true, problem.OutcomeUnknown: true, problem.Internal: true}
+
+var final = map[problem.Kind]bool{problem.CallAltered: true, problem.CallGap: true, problem.CallForgotten: true, problem.TokenFenced: true}
+
+func handOver[Q, A any](ctx context.Context, d *Desk, p int, c *wire.Procedure[Q, A], local func(context.Context, *Q) (*A, error), q *Q) (*A, error) {
+	doubt := false
+	err := error(problem.New(problem.NoOwner, "partition %d has no owner yet", p))
+	for {
+		ch := d.Board.Changed()
+		r := d.Board.Record(p)
+		var a *A
+		if r.Owner != "" {
+			var e error
+			cx, stop := context.WithTimeout(ctx, d.Bounds.Call())
+			if r.Owner == d.Self {
+				a, e = local(cx, q)
+			} else if i, ok := d.View.Get(r.Owner); ok {
+				a, e = c.Call(cx, d.Net, d.Self, i.Fellows, q)
+			} else {
+				e = problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, p)
+			}
+			stop()
+			if e == nil {
+				return a, nil
+			}
+			err = e
+			k := problem.Of(e).Kind
+			doubt = doubt || unclear[k]
+			if !elsewhere[k] && k != problem.NoOwner {
+				if doubt && !final[k] {
+					return nil, problem.Wrap(problem.OutcomeUnknown, problem.New(problem.OutcomeUnknown, "%v", e), "partition %d", p)
+				}
+				return nil, e
+			}
+		}
+		cx, stop := context.WithTimeout(ctx, d.Bounds.Retry())
+		select {
+		case <-ch:
+		case <-cx.Done():
+		}
+		stop()
+		if ctx.Err() != nil {
+			if doubt {
+				return nil, problem.New(problem.OutcomeUnknown, "partition %d gave no clear answer in time: %v", p, err)
+			}
+			return nil, problem.New(problem.NoOwner, "partition %d could not decide in time: %v", p, err)
+		}
+	}
+}
+
+// Submit has a message decided by its partition's owner, wherever that is.
+func (d *Desk) Submit(ctx context.Context, p int, q *owner.Task) (*owner.Decision, error) {
+	return handOver(ctx, d, p, Submit, d.submit, q)
+}
+
+// Attach has an attachment recorded.
+func (d *Desk) Attach(ctx context.Context, q *AttachTask) (*AttachAnswer, error) {
+	return handOver(ctx, d, partition.OfVisitor(q.Visitor, d.Board.Roster().Layout), Attach, d.attach, q)
+}
+
+// Attached asks which attachment is in force.
+func (d *Desk) Attached(ctx context.Context, v string) (*AttachedAnswer, error) {
+	return handOver(ctx, d, partition.OfVisitor(v, d.Board.Roster().Layout), Attached, d.attached, &AttachedTask{Visitor: v})
+}
+
+// Ack leaves a cursor.
+func (d *Desk) Ack(ctx context.Context, q *AckTask) error {
+	_, err := handOver(ctx, d, partition.OfVisitor(q.Visitor, d.Board.Roster().Layout), Ack, d.ack, q)
+	return err
+}
+
+// Read reads committed entries of a partition.
+func (d *Desk) Read(ctx context.Context, p int, from uint64, hold time.Duration) (*owner.Reading, error) {
+	return handOver(ctx, d, p, Read, d.read, &ReadTask{Partition: p, From: from, Hold: hold})
+}
+
+// Record gives the newest ownership record known here.
+func (d *Desk) Record(p int) record.Record { return d.Board.Record(p) }
--- /dev/null
+++ b/internal/ledger/line/entry.go
@@ -0,0 +1,99 @@
+// Package line is one append-only, ordered, replayable log of a partition, as one replica holds it.
+package line
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Kind names the two lines of a partition.
+type Kind string
+
+// The lines: the ledger is the partition's input, the changelog that of its state.
+const (
+	Ledger    Kind = "ledger"
+	Changelog Kind = "changelog"
+)
+
+// Kinds lists both.
+var Kinds = []Kind{Ledger, Changelog}
+
+// ID names a line.
+type ID struct {
+	Partition int  `json:"p"`
+	Kind      Kind `json:"k"`
+}
+
+// What an entry records.
+const (
+	Start   = "start"
+	Message = "message"
+	Attach  = "attach"
+	Cursor  = "cursor"
+	Batch   = "batch"
+	Offset  = "offset"
+)
+
+// Entry is one decision: what was taken from whom, where it stands, and under which epoch and description.
+type Entry struct {
+	Offset      uint64 `json:"o"`
+	Epoch       uint64 `json:"e"`
+	What        string `json:"w"`
+	Topic       string `json:"t,omitempty"`
+	Visitor     string `json:"v,omitempty"`
+	Call        uint64 `json:"c,omitempty"`
+	Generation  uint64 `json:"g,omitempty"`
+	Description uint64 `json:"d,omitempty"`
+	Live        bool   `json:"l,omitempty"`
+	Hollow      bool   `json:"h,omitempty"`
+	Digest      string `json:"s,omitempty"`
+	Chain       uint64 `json:"x"`
+	Body        []byte `json:"b,omitempty"`
+}
+
+// Digest gives the name of a body.
+func Digest(b []byte) string {
+	h := sha256.Sum256(b)
+	return hex.EncodeToString(h[:12])
+}
+
+// Link gives the running checksum of a line after e, from the one before it.
+func Link(before uint64, e Entry) uint64 {
+	h := sha256.New()
+	var n [8]byte
+	for _, x := range []uint64{before, e.Offset, e.Epoch, e.Call, e.Generation, e.Description, uint64(len(e.Topic)), uint64(len(e.Visitor))} {
+		binary.LittleEndian.PutUint64(n[:], x)
+		_, _ = h.Write(n[:])
+	}
+	for _, s := range []string{e.What, "\x00", e.Topic, e.Visitor, e.Digest} {
+		_, _ = h.Write([]byte(s))
+	}
+	return binary.LittleEndian.Uint64(h.Sum(nil))
+}
+
+// Point is a place in a line; equal points have equal lines up to them.
+type Point struct {
+	Offset uint64 `json:"o"`
+	Epoch  uint64 `json:"e"`
+	Chain  uint64 `json:"x"`
+}
+
+// Less orders tails: the higher epoch of the last entry, then the higher offset.
+func (p Point) Less(q Point) bool {
+	if p.Epoch != q.Epoch {
+		return p.Epoch < q.Epoch
+	}
+	return p.Offset < q.Offset
+}
+
+// At gives the point of an entry.
+func (e Entry) At() Point { return Point{e.Offset, e.Epoch, e.Chain} }
+
+// Sound tells whether an entry's body and chain are what they say, after a point.
+func (e Entry) Sound(after Point) bool {
+	if !e.Hollow && e.Digest != Digest(e.Body) {
+		return false
+	}
+	return e.Offset == after.Offset+1 && e.Chain == Link(after.Chain, e)
+}
--- /dev/null
+++ b/internal/ledger/line/line.go
@@ -0,0 +1,173 @@
+package line
+
+import (
+	"sync"
+	"time"
+)
+
+// Line holds the synced entries after a base.
+type Line struct {
+	mu     sync.Mutex
+	base   Point
+	es     []Entry
+	at     []time.Time
+	commit uint64
+}
+
+// New makes an empty line.
+func New() *Line { return &Line{} }
+
+// Base gives the point before the first entry held.
+func (l *Line) Base() Point {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.base
+}
+
+// Last gives the point of the last entry.
+func (l *Line) Last() Point {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last()
+}
+
+func (l *Line) last() Point {
+	if len(l.es) == 0 {
+		return l.base
+	}
+	return l.es[len(l.es)-1].At()
+}
+
+// Point gives the point at an offset, if held.
+func (l *Line) Point(o uint64) (Point, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o == l.base.Offset {
+		return l.base, true
+	}
+	if o < l.base.Offset || o > l.last().Offset {
+		return Point{}, false
+	}
+	return l.es[o-l.base.Offset-1].At(), true
+}
+
+// Slice gives entries from an offset on, bounded by a number and by bytes.
+func (l *Line) Slice(from, to uint64, most, bytes int) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from <= l.base.Offset {
+		from = l.base.Offset + 1
+	}
+	to = min(to, l.last().Offset)
+	var r []Entry
+	for o := from; o <= to && len(r) < most && bytes > 0; o++ {
+		e := l.es[o-l.base.Offset-1]
+		bytes -= len(e.Body) + entryCost
+		r = append(r, e)
+	}
+	return r
+}
+
+const entryCost = 128
+
+// Append adds entries after the last one; those at offsets held already replace the line from there.
+func (l *Line) Append(now time.Time, es ...Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range es {
+		if e.Offset <= l.base.Offset {
+			continue
+		}
+		k := int(e.Offset - l.base.Offset - 1)
+		if k < len(l.es) {
+			if l.es[k].Chain == e.Chain {
+				continue
+			}
+			l.es, l.at = l.es[:k], l.at[:k]
+		}
+		if k > len(l.es) {
+			return
+		}
+		l.es, l.at = append(l.es, e), append(l.at, now)
+	}
+}
+
+// Cut drops entries after an offset.
+func (l *Line) Cut(o uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o < l.base.Offset {
+		return
+	}
+	if k := int(o - l.base.Offset); k < len(l.es) {
+		l.es, l.at = l.es[:k], l.at[:k]
+	}
+	l.commit = min(l.commit, o)
+}
+
+// Rebase drops entries up to p; when the line does not hold p it starts anew there.
+func (l *Line) Rebase(p Point) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.Offset > l.base.Offset && p.Offset <= l.last().Offset {
+		k := int(p.Offset - l.base.Offset)
+		if l.es[k-1].At() == p {
+			l.es = append([]Entry(nil), l.es[k:]...)
+			l.at = append([]time.Time(nil), l.at[k:]...)
+			l.base = p
+			return
+		}
+	}
+	if p != l.base {
+		l.base, l.es, l.at = p, nil, nil
+	}
+}
+
+// Commit gives the last offset known to be on a majority.
+func (l *Line) Commit() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(l.commit, l.last().Offset)
+}
+
+// SetCommit raises the commit mark.
+func (l *Line) SetCommit(o uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.commit = max(l.commit, o)
+}
+
+// Older gives the last offset that came before t.
+func (l *Line) Older(t time.Time) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.base.Offset
+	for _, a := range l.at {
+		if !a.Before(t) {
+			break
+		}
+		o++
+	}
+	return o
+}
+
+// Hollow drops the bodies of live entries that came before t.
+func (l *Line) Hollow(t time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, a := range l.at {
+		if !a.Before(t) {
+			return
+		}
+		if e := &l.es[i]; e.Live && !e.Hollow {
+			e.Body, e.Hollow = nil, true
+		}
+	}
+}
+
+// Len gives the number of entries held.
+func (l *Line) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.es)
+}
--- /dev/null
+++ b/internal/ledger/owner/owner.go
@@ -0,0 +1,266 @@
+// Package owner decides for one partition under one epoch: it takes over, orders, replicates and commits.
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/state"
+	"postjunction/internal/wire"
+)
+
+// Log hears what owners go through.
+type Log interface {
+	Disk(partition int, err error)
+	Lost(partition int, epoch uint64, err error)
+	Open(partition int, epoch uint64, how Recovery)
+	Trouble(partition int, epoch uint64, step string, err error)
+}
+
+// Deps are what an owner works with.
+type Deps struct {
+	Self     string
+	Net      wire.Network
+	Clock    clock.Clock
+	Bounds   options.Bounds
+	Batch    func() time.Duration
+	Backlog  func() int
+	Replica  *replica.Replica
+	Addr     func(node string) (string, bool)
+	Licensed func() error
+	Settled  func(ctx context.Context, r record.Record)
+	Renew    func(ctx context.Context, r record.Record)
+	Promote  func(ctx context.Context, r record.Record, l record.Place)
+	Log      Log
+}
+
+// Stages of an owner.
+const (
+	Taking  = "taking over"
+	Open    = "open"
+	Closing = "closing"
+	Lost    = "lost"
+)
+
+// Recovery says how the state was brought back.
+type Recovery struct {
+	Directory   bool          `json:"directory"`
+	Replayed    int           `json:"replayed"`
+	Fetched     int           `json:"fetched"`
+	Reprocessed int           `json:"reprocessed"`
+	Keys        int           `json:"keys"`
+	Took        time.Duration `json:"took"`
+}
+
+// Tally counts an owner's work.
+type Tally struct {
+	Taken, Repeats, Batches, Items, Compactions uint64
+}
+
+// Owner decides for one partition until it is lost.
+type Owner struct {
+	Rec    record.Record
+	Urgent bool
+	d      Deps
+	mu     sync.Mutex
+	stage  string
+	tracks map[line.Kind]*track
+	bases  map[line.Kind]line.Point
+	trims  map[line.Kind]chan struct{}
+	st     *state.State
+	front  map[string]*front
+	input  uint64
+	how    Recovery
+	tally  Tally
+	stop   context.CancelFunc
+	lost   chan struct{}
+	cause  error
+	flush  chan chan struct{}
+
+	ctx     context.Context
+	learner record.Place
+	leave   context.CancelFunc
+}
+
+// New makes an owner for a record that names this node.
+func New(d Deps, r record.Record, urgent bool) *Owner {
+	return &Owner{
+		Rec: r, Urgent: urgent, d: d, stage: Taking, tracks: map[line.Kind]*track{}, bases: map[line.Kind]line.Point{},
+		trims: map[line.Kind]chan struct{}{line.Ledger: make(chan struct{}, 1), line.Changelog: make(chan struct{}, 1)},
+		front: map[string]*front{}, lost: make(chan struct{}), flush: make(chan chan struct{}),
+	}
+}
+
+// Stage tells how far the owner is.
+func (o *Owner) Stage() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stage
+}
+
+// View is what an owner says of itself.
+type View struct {
+	Partition int      `json:"partition"`
+	Epoch     uint64   `json:"epoch"`
+	Stage     string   `json:"stage"`
+	Commit    uint64   `json:"commit"`
+	Last      uint64   `json:"last"`
+	Input     uint64   `json:"input_offset"`
+	Changelog int      `json:"changelog_entries"`
+	Ledger    int      `json:"ledger_entries"`
+	Keys      int      `json:"state_keys"`
+	Recovery  Recovery `json:"recovery"`
+	Tally     Tally    `json:"tally"`
+}
+
+// View gives the owner's figures.
+func (o *Owner) View() View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v := View{Partition: o.Rec.Partition, Epoch: o.Rec.Epoch, Stage: o.stage, Input: o.input, Recovery: o.how, Tally: o.tally}
+	if t := o.tracks[line.Ledger]; t != nil {
+		v.Commit, v.Last, v.Ledger = t.commit, t.last.Offset, t.line.Len()
+		v.Changelog = o.tracks[line.Changelog].line.Len()
+	}
+	if o.st != nil {
+		v.Keys = o.st.Size()
+	}
+	return v
+}
+
+func (o *Owner) target(node string) replica.Target {
+	p, _ := o.Rec.Place(node)
+	return replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}
+}
+
+func (o *Owner) fenced(err error) bool { return problem.Has(err, problem.StaleEpoch) }
+
+func (o *Owner) lose(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.stage == Lost {
+		return
+	}
+	o.stage, o.cause = Lost, err
+	close(o.lost)
+	if o.stop != nil {
+		o.stop()
+	}
+	o.d.Log.Lost(o.Rec.Partition, o.Rec.Epoch, err)
+}
+
+// End gives the partition up; those that wait get their answer at once.
+func (o *Owner) End(err error) { o.lose(err) }
+
+// Done is closed once the owner is lost.
+func (o *Owner) Done() <-chan struct{} { return o.lost }
+
+func (o *Owner) pulse(ctx context.Context) <-chan struct{} {
+	c := make(chan struct{})
+	go func() {
+		_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Pulse())
+		close(c)
+	}()
+	return c
+}
+
+func (o *Owner) trimmed(k line.Kind) <-chan struct{} { return o.trims[k] }
+
+func (o *Owner) trim(k line.Kind, to uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.tracks[k]
+	to = min(to, t.commit)
+	p, ok := t.line.Point(to)
+	if !ok || to <= o.bases[k].Offset || to <= t.line.Base().Offset {
+		return
+	}
+	o.bases[k] = p
+	select {
+	case o.trims[k] <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Owner) settle(t *track) {
+	from := t.commit
+	if !t.settle(o.Rec, o.d.Self) || t.kind != line.Ledger || o.st == nil {
+		return
+	}
+	o.apply(t, from, t.commit)
+}
+
+func (o *Owner) apply(t *track, from, to uint64) {
+	for at := from; at < to; {
+		es := t.after(at)
+		if len(es) == 0 {
+			return
+		}
+		for _, e := range es {
+			if e.Offset > to {
+				return
+			}
+			o.st.Apply(e)
+			o.landed(e)
+			at = e.Offset
+		}
+	}
+}
+
+// Run takes the partition over and serves it until ctx ends or it is lost.
+func (o *Owner) Run(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	o.mu.Lock()
+	o.stop, o.ctx = stop, ctx
+	gone := o.stage == Lost
+	o.mu.Unlock()
+	defer stop()
+	if gone {
+		return
+	}
+	if err := o.takeOver(ctx); err != nil {
+		o.lose(err)
+		return
+	}
+	o.tend(ctx)
+	o.lose(problem.New(problem.Stopped, "the owner was stopped"))
+}
+
+func (o *Owner) await(ctx context.Context, k line.Kind, at uint64) error {
+	for {
+		o.mu.Lock()
+		t := o.tracks[k]
+		ok, moved := t.commit >= at, t.moved
+		o.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-o.lost:
+			return problem.New(problem.OutcomeUnknown, "the owner of partition %d lost it before offset %d was on a majority", o.Rec.Partition, at)
+		case <-ctx.Done():
+			return problem.New(problem.OutcomeUnknown, "offset %d of partition %d was not on a majority in time", at, o.Rec.Partition)
+		}
+	}
+}
+
+func (o *Owner) push(k line.Kind, es ...line.Entry) (uint64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.stage == Lost {
+		return 0, problem.New(problem.NotOwner, "partition %d was lost: %v", o.Rec.Partition, o.cause)
+	}
+	var at uint64
+	for _, e := range es {
+		at = o.tracks[k].push(e, o.Rec.Epoch).Offset
+	}
+	return at, nil
+}
--- /dev/null
+++ b/internal/ledger/owner/takeover.go
@@ -0,0 +1,375 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"postjunction/internal/gather"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/changelog"
+	"postjunction/internal/samza/state"
+)
+
+type sealed = gather.Answer[record.Place, *replica.SealAnswer]
+
+func (o *Owner) takeOver(ctx context.Context) error {
+	begun := o.d.Clock.Now()
+	me, ok := o.Rec.Place(o.d.Self)
+	if !ok || me.Incarnation != o.d.Replica.Incarnation() {
+		return problem.New(problem.WrongDisk, "the record of partition %d names disk %q of this node", o.Rec.Partition, me.Incarnation)
+	}
+	if s := o.d.Replica.Sealed(o.Rec.Partition); s >= o.Rec.Epoch {
+		o.d.Renew(ctx, o.Rec)
+		return problem.New(problem.StaleEpoch, "epoch %d was used before on this disk, sealed at %d", o.Rec.Epoch, s)
+	}
+	var tails []sealed
+	if err := o.insist(ctx, "seal", func() error {
+		if _, err := o.d.Replica.Seal(ctx, &replica.SealTask{Target: o.target(o.d.Self)}); err != nil {
+			return err
+		}
+		var err error
+		tails, err = o.seal(ctx)
+		return err
+	}); err != nil {
+		return err
+	}
+	for _, k := range line.Kinds {
+		if err := o.insist(ctx, "adopt the "+string(k), func() error { return o.adopt(ctx, k, tails) }); err != nil {
+			return err
+		}
+	}
+	o.mu.Lock()
+	for _, k := range line.Kinds {
+		o.tracks[k] = newTrack(k, o.d.Replica.Line(o.Rec.Partition, k))
+		o.bases[k] = o.tracks[k].line.Base()
+	}
+	o.mu.Unlock()
+	starts := map[line.Kind]uint64{}
+	for _, k := range line.Kinds {
+		var err error
+		if starts[k], err = o.push(k, line.Entry{What: line.Start}); err != nil {
+			return err
+		}
+		o.spread(ctx, o.tracks[k], tails)
+	}
+	for _, k := range line.Kinds {
+		if err := o.await(ctx, k, starts[k]); err != nil {
+			return err
+		}
+	}
+	if err := o.recover(); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	if o.stage == Taking {
+		o.stage = Open
+	}
+	o.how.Took = o.d.Clock.Now().Sub(begun)
+	how := o.how
+	o.mu.Unlock()
+	o.d.Log.Open(o.Rec.Partition, o.Rec.Epoch, how)
+	go o.d.Settled(ctx, o.Rec)
+	return nil
+}
+
+func (o *Owner) insist(ctx context.Context, step string, f func() error) error {
+	for {
+		err := f()
+		if err == nil || o.fenced(err) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return problem.Wrap(problem.Stopped, ctx.Err(), "taking over partition %d", o.Rec.Partition)
+		}
+		o.d.Log.Trouble(o.Rec.Partition, o.Rec.Epoch, step, err)
+		_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
+	}
+}
+
+func (o *Owner) spread(ctx context.Context, t *track, tails []sealed) {
+	go o.writer(ctx, t)
+	for _, p := range o.Rec.Replicas {
+		if p.Node == o.d.Self {
+			continue
+		}
+		var tail replica.Tail
+		known := false
+		for _, s := range tails {
+			if s.Err == nil && s.Who.Node == p.Node {
+				tail, known = s.A.Tails[t.kind], true
+			}
+		}
+		go o.replicate(ctx, t, p, tail, known)
+	}
+}
+
+func (o *Owner) seal(ctx context.Context) ([]sealed, error) {
+	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
+	defer stop()
+	as := gather.Ask(cx, o.Rec.Replicas, func(ctx context.Context, p record.Place) (*replica.SealAnswer, error) {
+		q := &replica.SealTask{Target: o.target(p.Node)}
+		if p.Node == o.d.Self {
+			return o.d.Replica.Seal(ctx, q)
+		}
+		a, ok := o.d.Addr(p.Node)
+		if !ok {
+			return nil, problem.New(problem.Unreachable, "%s is not a member", p.Node)
+		}
+		return replica.Seal.Call(ctx, o.d.Net, o.d.Self, a, q)
+	}, func(as []sealed) bool { return len(gather.Good(as)) >= o.Rec.Majority() })
+	for _, a := range as {
+		if o.fenced(a.Err) {
+			return nil, a.Err
+		}
+	}
+	if n := len(gather.Good(as)); n < o.Rec.Majority() {
+		return nil, problem.Wrap(problem.NoMajority, gather.First(as), "%d of %d replicas were sealed", n, len(o.Rec.Replicas))
+	}
+	return gather.Good(as), nil
+}
+
+const fetchMost = 512
+
+func (o *Owner) fetch(ctx context.Context, node string, k line.Kind, from uint64, most int) (*replica.FetchAnswer, error) {
+	p, _ := o.Rec.Place(node)
+	a, ok := o.d.Addr(node)
+	if !ok {
+		return nil, problem.New(problem.Unreachable, "%s is not a member", node)
+	}
+	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
+	defer stop()
+	return replica.Fetch.Call(cx, o.d.Net, o.d.Self, a, &replica.FetchTask{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Kind: k, From: from, Most: most})
+}
+
+func (o *Owner) adopt(ctx context.Context, k line.Kind, tails []sealed) error {
+	best := o.d.Self
+	l := o.d.Replica.Line(o.Rec.Partition, k)
+	top := l.Last()
+	for _, s := range tails {
+		if t := s.A.Tails[k].Last; top.Less(t) {
+			best, top = s.Who.Node, t
+		}
+	}
+	if best == o.d.Self {
+		return nil
+	}
+	at, reset, err := o.common(ctx, best, k, l)
+	if err != nil {
+		return err
+	}
+	for at != top {
+		f, err := o.fetch(ctx, best, k, at.Offset+1, fetchMost)
+		if err != nil {
+			return err
+		}
+		if len(f.Entries) == 0 || f.Tail.Last.Less(top) {
+			return problem.New(problem.Mismatch, "%s ends at %d, short of %d", best, f.Tail.Last.Offset, top.Offset)
+		}
+		a, err := o.d.Replica.Append(ctx, &replica.AppendTask{Target: o.target(o.d.Self), Kind: k, After: at, Entries: f.Entries, Reset: reset, Urgent: o.Urgent})
+		if err != nil {
+			return err
+		}
+		if !a.OK {
+			return problem.New(problem.Mismatch, "the own line does not hold %d", at.Offset)
+		}
+		o.mu.Lock()
+		o.how.Fetched += len(f.Entries)
+		o.mu.Unlock()
+		at, reset = a.Tail.Last, false
+	}
+	if l := o.d.Replica.Line(o.Rec.Partition, k); l.Last().Offset > top.Offset {
+		return o.d.Replica.CutTo(ctx, o.Rec.Partition, k, top.Offset)
+	}
+	return nil
+}
+
+func (o *Owner) common(ctx context.Context, best string, k line.Kind, l *line.Line) (line.Point, bool, error) {
+	f, err := o.fetch(ctx, best, k, l.Last().Offset+1, 1)
+	if err != nil {
+		return line.Point{}, false, err
+	}
+	same := func(at uint64) (bool, error) {
+		mine, ok := l.Point(at)
+		if !ok {
+			return false, nil
+		}
+		g, err := o.fetch(ctx, best, k, at+1, 1)
+		if err != nil {
+			return false, err
+		}
+		return g.Before == mine, nil
+	}
+	lo := max(l.Base().Offset, f.Tail.Base.Offset)
+	hi := min(l.Last().Offset, f.Tail.Last.Offset)
+	if lo > hi {
+		return f.Tail.Base, true, nil
+	}
+	ok, err := same(lo)
+	if err != nil {
+		return line.Point{}, false, err
+	}
+	if !ok {
+		return f.Tail.Base, true, nil
+	}
+	for lo < hi {
+		mid := (lo + hi + 1) / 2
+		if ok, err = same(mid); err != nil {
+			return line.Point{}, false, err
+		}
+		if ok {
+			lo = mid
+		} else {
+			hi = mid - 1
+		}
+	}
+	p, _ := l.Point(lo)
+	return p, false, nil
+}
+
+func (o *Owner) recover() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	cl, led := o.tracks[line.Changelog], o.tracks[line.Ledger]
+	st, input, from := state.New(), uint64(0), cl.line.Base().Offset
+	if d, ok := o.d.Replica.Directory(o.Rec.Partition); ok && d.At.Offset <= cl.commit {
+		if s, err := state.Unpack(d.State); err == nil {
+			st, input, from, o.how.Directory = s, d.Input, d.At.Offset, true
+		}
+	}
+	es := cl.line.Slice(from+1, cl.commit, 1<<30, 1<<30)
+	input, err := changelog.Replay(st, input, es)
+	if err != nil {
+		return err
+	}
+	o.how.Replayed = len(es)
+	if b := led.line.Base().Offset; input < b && b > 0 {
+		return problem.New(problem.DiskDamaged, "the changelog of partition %d ends at input offset %d, the ledger begins after %d", o.Rec.Partition, input, b)
+	}
+	st.Input = input
+	todo := led.line.Slice(input+1, led.commit, 1<<30, 1<<30)
+	for _, e := range todo {
+		st.Apply(e)
+	}
+	o.how.Reprocessed, o.how.Keys = len(todo), st.Size()
+	o.st, o.input = st, input
+	return nil
+}
+
+const (
+	compactAt   = 64
+	compactOver = 4
+)
+
+func (o *Owner) tend(ctx context.Context) {
+	for {
+		cx, stop := context.WithCancel(ctx)
+		due := make(chan struct{})
+		go func() {
+			_ = o.d.Clock.Sleep(cx, o.d.Batch())
+			close(due)
+		}()
+		var done chan struct{}
+		select {
+		case <-due:
+		case done = <-o.flush:
+		case <-ctx.Done():
+		}
+		stop()
+		if ctx.Err() != nil {
+			return
+		}
+		if err := o.batch(ctx, done != nil); err != nil && ctx.Err() == nil {
+			o.d.Log.Trouble(o.Rec.Partition, o.Rec.Epoch, "write a changelog batch", err)
+		}
+		if done != nil {
+			close(done)
+		}
+		o.age()
+	}
+}
+
+func (o *Owner) age() {
+	now := o.d.Clock.Now()
+	l := o.tracks[line.Ledger].line
+	o.mu.Lock()
+	in := o.input
+	o.mu.Unlock()
+	o.trim(line.Ledger, min(l.Older(now.Add(-o.d.Bounds.Kept())), in))
+	l.Hollow(now.Add(-o.d.Bounds.Spread))
+}
+
+func (o *Owner) batch(ctx context.Context, keep bool) error {
+	o.mu.Lock()
+	cl := o.tracks[line.Changelog]
+	whole := cl.line.Len() > compactAt && cl.line.Len() > compactOver*(1+o.st.Size()/compactAt)
+	if whole {
+		o.st.All()
+	}
+	input := o.st.Input
+	if input == o.input && !whole && !keep {
+		o.mu.Unlock()
+		return nil
+	}
+	items := o.st.Dirty()
+	var pack []byte
+	if whole || keep {
+		pack = o.st.Pack()
+	}
+	before := cl.last.Offset
+	o.tally.Batches++
+	o.tally.Items += uint64(len(items))
+	o.mu.Unlock()
+	at, err := o.push(line.Changelog, changelog.Pack(input, items, whole)...)
+	if err == nil && len(items) > 0 {
+		err = o.await(ctx, line.Changelog, at)
+	}
+	if err != nil {
+		return err
+	}
+	c := changelog.Commit{Input: input}
+	if whole {
+		c.Base = before
+	}
+	if at, err = o.push(line.Changelog, changelog.PackCommit(c)); err != nil {
+		return err
+	}
+	if err := o.await(ctx, line.Changelog, at); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	o.input = max(o.input, input)
+	if whole {
+		o.tally.Compactions++
+	}
+	p, _ := cl.point(at)
+	o.mu.Unlock()
+	if pack != nil {
+		_ = o.d.Replica.Keep(ctx, replica.Directory{Partition: o.Rec.Partition, At: p, Input: input, State: pack})
+	}
+	if whole {
+		o.trim(line.Changelog, before)
+	}
+	return nil
+}
+
+// Flush writes the changelog batch that is due and the state directory, before the partition is handed over.
+func (o *Owner) Flush(ctx context.Context, limit time.Duration) {
+	cx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	c := make(chan struct{})
+	select {
+	case o.flush <- c:
+	case <-cx.Done():
+		return
+	case <-o.lost:
+		return
+	}
+	select {
+	case <-c:
+	case <-cx.Done():
+	case <-o.lost:
+	}
+}
--- /dev/null
+++ b/internal/ledger/owner/track.go
@@ -0,0 +1,212 @@
+package owner
+
+import (
+	"context"
+	"sort"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+type track struct {
+	kind    line.Kind
+	line    *line.Line
+	pending []line.Entry
+	last    line.Point
+	durable uint64
+	match   map[string]uint64
+	commit  uint64
+	moved   chan struct{}
+	grown   chan struct{}
+}
+
+func newTrack(k line.Kind, l *line.Line) *track {
+	p := l.Last()
+	return &track{kind: k, line: l, last: p, durable: p.Offset, match: map[string]uint64{}, moved: make(chan struct{}), grown: make(chan struct{})}
+}
+
+func (t *track) push(e line.Entry, epoch uint64) line.Entry {
+	e.Offset, e.Epoch, e.Digest = t.last.Offset+1, epoch, line.Digest(e.Body)
+	e.Chain = line.Link(t.last.Chain, e)
+	t.pending = append(t.pending, e)
+	t.last = e.At()
+	close(t.grown)
+	t.grown = make(chan struct{})
+	return e
+}
+
+func (t *track) point(o uint64) (line.Point, bool) {
+	if k := int(o) - int(t.durable) - 1; k >= 0 && k < len(t.pending) {
+		return t.pending[k].At(), true
+	}
+	return t.line.Point(o)
+}
+
+const (
+	sendMost  = 256
+	sendBytes = 512 << 10
+)
+
+func (t *track) after(o uint64) []line.Entry {
+	es := t.line.Slice(o+1, t.durable, sendMost, sendBytes)
+	if o+uint64(len(es)) < t.durable || len(es) == sendMost {
+		return es
+	}
+	k := 0
+	if o > t.durable {
+		k = int(o - t.durable)
+	}
+	if k < len(t.pending) {
+		rest := t.pending[k:]
+		es = append(es, rest[:min(len(rest), sendMost)]...)
+	}
+	return es
+}
+
+func (t *track) settle(r record.Record, self string) bool {
+	var os []uint64
+	for _, p := range r.Replicas {
+		if p.Node == self {
+			os = append(os, t.durable)
+		} else {
+			os = append(os, t.match[p.Node])
+		}
+	}
+	sort.Slice(os, func(i, k int) bool { return os[i] > os[k] })
+	o := os[r.Majority()-1]
+	if p, ok := t.point(o); o <= t.commit || !ok || p.Epoch != r.Epoch {
+		return false
+	}
+	t.commit = o
+	t.line.SetCommit(o)
+	close(t.moved)
+	t.moved = make(chan struct{})
+	return true
+}
+
+func (o *Owner) writer(ctx context.Context, t *track) {
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		at, _ := t.point(t.durable)
+		es := append([]line.Entry(nil), t.pending[:min(len(t.pending), sendMost)]...)
+		grown := t.grown
+		base := o.bases[t.kind]
+		o.mu.Unlock()
+		if len(es) == 0 && base.Offset <= t.line.Base().Offset {
+			select {
+			case <-grown:
+			case <-o.trimmed(t.kind):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		a, err := o.d.Replica.Append(ctx, &replica.AppendTask{Target: o.target(o.d.Self), Kind: t.kind, After: at, Entries: es, Base: base, Urgent: o.Urgent})
+		if err == nil && !a.OK {
+			err = problem.New(problem.Mismatch, "the own line ends at %d", a.Tail.Last.Offset)
+		}
+		if err != nil {
+			if o.fenced(err) || problem.Has(err, problem.Mismatch) {
+				o.lose(err)
+				return
+			}
+			o.d.Log.Disk(o.Rec.Partition, err)
+			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
+			continue
+		}
+		o.mu.Lock()
+		t.pending = t.pending[len(es):]
+		t.durable += uint64(len(es))
+		o.settle(t)
+		o.mu.Unlock()
+	}
+}
+
+type cursor struct {
+	at    line.Point
+	reset bool
+	step  uint64
+}
+
+func (o *Owner) replicate(ctx context.Context, t *track, p record.Place, tail replica.Tail, known bool) {
+	var c cursor
+	o.mu.Lock()
+	c.at = t.last
+	o.mu.Unlock()
+	if known {
+		o.back(t, &c, tail)
+	}
+	told := false
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		es := t.after(c.at.Offset)
+		grown, commit, base := t.grown, t.commit, o.bases[t.kind]
+		o.mu.Unlock()
+		if len(es) == 0 && told {
+			select {
+			case <-grown:
+				continue
+			case <-o.pulse(ctx):
+			}
+		}
+		addr, ok := o.d.Addr(p.Node)
+		if !ok {
+			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
+			continue
+		}
+		cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
+		a, err := replica.Append.Call(cx, o.d.Net, o.d.Self, addr, &replica.AppendTask{Target: replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}, Kind: t.kind, After: c.at, Entries: es, Commit: commit, Base: base, Reset: c.reset, Urgent: o.Urgent})
+		stop()
+		if err != nil {
+			if o.fenced(err) {
+				o.lose(err)
+				return
+			}
+			if problem.Has(err, problem.Mismatch) {
+				c.reset = false
+			}
+			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
+			continue
+		}
+		if !a.OK {
+			o.back(t, &c, a.Tail)
+			continue
+		}
+		c.reset, c.step, told = false, 0, true
+		if n := len(es); n > 0 {
+			c.at = es[n-1].At()
+		}
+		o.mu.Lock()
+		t.match[p.Node] = max(t.match[p.Node], c.at.Offset)
+		o.settle(t)
+		o.mu.Unlock()
+	}
+}
+
+func (o *Owner) back(t *track, c *cursor, f replica.Tail) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	base := t.line.Base()
+	if p, ok := t.point(f.Last.Offset); ok && p == f.Last {
+		c.at, c.reset = p, false
+		return
+	}
+	floor := max(base.Offset, f.Base.Offset)
+	if f.Last.Offset < base.Offset || c.step > 0 && c.at.Offset <= floor {
+		c.at, c.reset = base, true
+		return
+	}
+	c.step = max(1, c.step*2)
+	to := min(f.Last.Offset, c.at.Offset)
+	if to > floor+c.step {
+		to -= c.step
+	} else {
+		to = floor
+	}
+	if p, ok := t.point(to); ok {
+		c.at, c.reset = p, false
+		return
+	}
+	c.at, c.reset = base, true
+}
--- /dev/null
+++ b/internal/ledger/replica/replica.go
@@ -0,0 +1,400 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/disk/journal"
+	"postjunction/internal/kinds"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/problem"
+	"postjunction/internal/turn"
+)
+
+// Replica is the store of one disk.
+type Replica struct {
+	incarnation string
+	journal     *journal.Journal
+	clk         clock.Clock
+	turns       *turn.Turns
+	mu          sync.Mutex
+	lines       map[line.ID]*line.Line
+	seals       map[int]uint64
+	states      map[int]Directory
+	turned      uint64
+}
+
+// Directory is a partition's state directory: the materialised state at a point of the changelog.
+type Directory struct {
+	Partition int             `json:"p"`
+	At        line.Point      `json:"at"`
+	Input     uint64          `json:"input"`
+	State     json.RawMessage `json:"state"`
+}
+
+const (
+	turnShards = 64
+	sliceBytes = 1 << 20
+	sliceMost  = 4096
+)
+
+// New makes an empty store.
+func New(c clock.Clock) *Replica {
+	return &Replica{clk: c, turns: turn.New(turnShards), lines: map[line.ID]*line.Line{}, seals: map[int]uint64{}, states: map[int]Directory{}}
+}
+
+// Start gives the store its disk.
+func (r *Replica) Start(inc string, j *journal.Journal) { r.incarnation, r.journal = inc, j }
+
+// Incarnation is the random name of the disk.
+func (r *Replica) Incarnation() string { return r.incarnation }
+
+// Line gives a line, made empty if need be.
+func (r *Replica) Line(p int, k line.Kind) *line.Line {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.line(line.ID{Partition: p, Kind: k})
+}
+
+func (r *Replica) line(id line.ID) *line.Line {
+	l, ok := r.lines[id]
+	if !ok {
+		l = line.New()
+		r.lines[id] = l
+	}
+	return l
+}
+
+// Sealed gives the epoch below which a partition turns owners away.
+func (r *Replica) Sealed(p int) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seals[p]
+}
+
+// Partitions lists those of which something is held.
+func (r *Replica) Partitions() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := map[int]bool{}
+	for id, l := range r.lines {
+		if l.Last().Offset > 0 {
+			m[id.Partition] = true
+		}
+	}
+	var ps []int
+	for p := range m {
+		ps = append(ps, p)
+	}
+	sort.Ints(ps)
+	return ps
+}
+
+// Turned counts appends and seals that were turned away for a lower epoch.
+func (r *Replica) Turned() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.turned
+}
+
+type sealRec struct {
+	Partition int    `json:"p"`
+	Epoch     uint64 `json:"e"`
+}
+
+type entryRec struct {
+	ID line.ID `json:"id"`
+	line.Entry
+}
+
+type baseRec struct {
+	ID    line.ID    `json:"id"`
+	Base  line.Point `json:"base"`
+	Fresh bool       `json:"fresh,omitempty"`
+}
+
+type cutRec struct {
+	ID  line.ID `json:"id"`
+	Cut uint64  `json:"cut"`
+}
+
+func rec(k uint16, e, o uint64, x any) journal.Rec {
+	b, _ := json.Marshal(x)
+	return journal.Rec{Kind: k, Epoch: e, Offset: o, Body: b}
+}
+
+var restore = map[uint16]func(*Replica, []byte) error{
+	kinds.Seal: func(r *Replica, b []byte) error {
+		var s sealRec
+		err := json.Unmarshal(b, &s)
+		r.seals[s.Partition] = max(s.Epoch, r.seals[s.Partition])
+		return err
+	},
+	kinds.Entry: func(r *Replica, b []byte) error {
+		var s entryRec
+		err := json.Unmarshal(b, &s)
+		r.line(s.ID).Append(r.clk.Now(), s.Entry)
+		return err
+	},
+	kinds.Base: func(r *Replica, b []byte) error {
+		var s baseRec
+		err := json.Unmarshal(b, &s)
+		if s.Fresh {
+			r.lines[s.ID] = line.New()
+		}
+		r.line(s.ID).Rebase(s.Base)
+		return err
+	},
+	kinds.Cut: func(r *Replica, b []byte) error {
+		var s cutRec
+		err := json.Unmarshal(b, &s)
+		r.line(s.ID).Cut(s.Cut)
+		return err
+	},
+	kinds.Directory: func(r *Replica, b []byte) error {
+		var s Directory
+		err := json.Unmarshal(b, &s)
+		r.states[s.Partition] = s
+		return err
+	},
+	kinds.Forget: func(r *Replica, b []byte) error {
+		var s sealRec
+		err := json.Unmarshal(b, &s)
+		r.forget(s.Partition)
+		return err
+	},
+}
+
+// Kinds lists the records that the store keeps.
+func Kinds() []uint16 {
+	var ks []uint16
+	for k := range restore {
+		ks = append(ks, k)
+	}
+	return ks
+}
+
+// Restore takes back a record.
+func (r *Replica) Restore(x journal.Rec) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return problem.Wrap(problem.DiskDamaged, restore[x.Kind](r, x.Body), "read a record of kind %d", x.Kind)
+}
+
+func (r *Replica) forget(p int) {
+	for _, k := range line.Kinds {
+		delete(r.lines, line.ID{Partition: p, Kind: k})
+	}
+	delete(r.states, p)
+}
+
+// Dump gives the live records.
+func (r *Replica) Dump() []journal.Rec {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rs []journal.Rec
+	for p, e := range r.seals {
+		rs = append(rs, rec(kinds.Seal, e, 0, sealRec{p, e}))
+	}
+	for id, l := range r.lines {
+		b := l.Base()
+		rs = append(rs, rec(kinds.Base, b.Epoch, b.Offset, baseRec{ID: id, Base: b, Fresh: true}))
+		for _, e := range l.Slice(0, ^uint64(0), 1<<30, 1<<30) {
+			rs = append(rs, rec(kinds.Entry, e.Epoch, e.Offset, entryRec{id, e}))
+		}
+	}
+	for _, d := range r.states {
+		rs = append(rs, rec(kinds.Directory, d.At.Epoch, d.At.Offset, d))
+	}
+	return rs
+}
+
+func (r *Replica) tail(p int, k line.Kind) Tail {
+	l := r.Line(p, k)
+	return Tail{Base: l.Base(), Last: l.Last(), Commit: l.Commit()}
+}
+
+func (r *Replica) fence(t Target) error {
+	if t.Incarnation != r.incarnation {
+		return problem.New(problem.WrongDisk, "this disk is %s, not %s", r.incarnation, t.Incarnation)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.seals[t.Partition]; t.Epoch < s {
+		r.turned++
+		return problem.New(problem.StaleEpoch, "partition %d is sealed at epoch %d, the call is under %d", t.Partition, s, t.Epoch).At(s)
+	}
+	return nil
+}
+
+func key(p int) string { return string(rune('0' + p)) }
+
+// Seal turns lower epochs away from now on; it answers once that is synced.
+func (r *Replica) Seal(ctx context.Context, q *SealTask) (*SealAnswer, error) {
+	back, err := r.turns.Take(ctx, key(q.Partition))
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	if err := r.fence(q.Target); err != nil {
+		return nil, err
+	}
+	if r.Sealed(q.Partition) < q.Epoch {
+		if err := r.journal.Put(ctx, true, func() { r.setSeal(q.Partition, q.Epoch) }, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch})); err != nil {
+			return nil, err
+		}
+	}
+	a := &SealAnswer{Tails: map[line.Kind]Tail{}}
+	for _, k := range line.Kinds {
+		a.Tails[k] = r.tail(q.Partition, k)
+	}
+	return a, nil
+}
+
+func (r *Replica) setSeal(p int, e uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seals[p] = max(r.seals[p], e)
+}
+
+// Append extends a line once it is synced, after checking the epoch, the disk and the place.
+func (r *Replica) Append(ctx context.Context, q *AppendTask) (*AppendAnswer, error) {
+	back, err := r.turns.Take(ctx, key(q.Partition))
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	if err := r.fence(q.Target); err != nil {
+		return nil, err
+	}
+	id := line.ID{Partition: q.Partition, Kind: q.Kind}
+	l := r.Line(q.Partition, q.Kind)
+	if !q.Reset {
+		if p, ok := l.Point(q.After.Offset); !ok || p != q.After {
+			return &AppendAnswer{Tail: r.tail(q.Partition, q.Kind)}, nil
+		}
+	}
+	var rs []journal.Rec
+	if r.Sealed(q.Partition) < q.Epoch {
+		rs = append(rs, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch}))
+	}
+	if q.Reset {
+		rs = append(rs, rec(kinds.Base, q.After.Epoch, q.After.Offset, baseRec{ID: id, Base: q.After, Fresh: true}))
+	}
+	at := q.After
+	var fresh []line.Entry
+	for _, e := range q.Entries {
+		if !e.Sound(at) {
+			return nil, problem.New(problem.Mismatch, "entry %d does not follow %d soundly", e.Offset, at.Offset)
+		}
+		at = e.At()
+		if p, ok := l.Point(e.Offset); !q.Reset && ok && p == at {
+			continue
+		}
+		fresh = append(fresh, e)
+		rs = append(rs, rec(kinds.Entry, e.Epoch, e.Offset, entryRec{id, e}))
+	}
+	trim := line.Point{}
+	if p, ok := l.Point(q.Base.Offset); ok && p == q.Base && q.Base.Offset > l.Base().Offset {
+		trim = q.Base
+		rs = append(rs, rec(kinds.Base, trim.Epoch, trim.Offset, baseRec{ID: id, Base: trim}))
+	}
+	if len(rs) > 0 {
+		err := r.journal.Put(ctx, q.Urgent, func() {
+			r.setSeal(q.Partition, q.Epoch)
+			if q.Reset {
+				n := line.New()
+				n.Rebase(q.After)
+				r.mu.Lock()
+				r.lines[id] = n
+				r.mu.Unlock()
+				l = n
+			}
+			l.Append(r.clk.Now(), fresh...)
+			if trim.Offset > 0 {
+				l.Rebase(trim)
+			}
+		}, rs...)
+		if err != nil {
+			return nil, err
+		}
+	}
+	l.SetCommit(min(q.Commit, at.Offset))
+	return &AppendAnswer{OK: true, Tail: Tail{Base: l.Base(), Last: at, Commit: l.Commit()}}, nil
+}
+
+// CutTo drops what follows an offset, when an adopted tail differs.
+func (r *Replica) CutTo(ctx context.Context, p int, k line.Kind, o uint64) error {
+	back, err := r.turns.Take(ctx, key(p))
+	if err != nil {
+		return err
+	}
+	defer back()
+	id := line.ID{Partition: p, Kind: k}
+	return r.journal.Put(ctx, true, func() { r.Line(p, k).Cut(o) }, rec(kinds.Cut, 0, o, cutRec{id, o}))
+}
+
+// Fetch reads entries.
+func (r *Replica) Fetch(_ context.Context, q *FetchTask) (*FetchAnswer, error) {
+	if q.Incarnation != r.incarnation {
+		return nil, problem.New(problem.WrongDisk, "this disk is %s, not %s", r.incarnation, q.Incarnation)
+	}
+	l := r.Line(q.Partition, q.Kind)
+	a := &FetchAnswer{Tail: r.tail(q.Partition, q.Kind)}
+	if q.From > 0 {
+		a.Before, _ = l.Point(q.From - 1)
+	}
+	a.Entries = l.Slice(q.From, ^uint64(0), min(q.Most, sliceMost), sliceBytes)
+	return a, nil
+}
+
+// Drop forgets a partition that the record, at an epoch above the sealed one, no longer places here.
+func (r *Replica) Drop(ctx context.Context, q *DropTask) (*Done, error) {
+	back, err := r.turns.Take(ctx, key(q.Partition))
+	if err != nil {
+		return nil, err
+	}
+	defer back()
+	if err := r.fence(q.Target); err != nil {
+		return nil, err
+	}
+	return &Done{}, r.journal.Put(ctx, false, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.seals[q.Partition] = max(r.seals[q.Partition], q.Epoch)
+		r.forget(q.Partition)
+	}, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch}), rec(kinds.Forget, q.Epoch, 0, sealRec{q.Partition, q.Epoch}))
+}
+
+// Keep saves a state directory.
+func (r *Replica) Keep(ctx context.Context, d Directory) error {
+	return r.journal.Put(ctx, false, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.states[d.Partition] = d
+	}, rec(kinds.Directory, d.At.Epoch, d.At.Offset, d))
+}
+
+// Directory gives the state directory of a partition if its point is on the changelog held.
+func (r *Replica) Directory(p int) (Directory, bool) {
+	r.mu.Lock()
+	d, ok := r.states[p]
+	r.mu.Unlock()
+	if !ok {
+		return d, false
+	}
+	at, ok := r.Line(p, line.Changelog).Point(d.At.Offset)
+	return d, ok && at == d.At
+}
+
+// Serve adds the store's calls.
+func (r *Replica) Serve(m *http.ServeMux) {
+	Seal.Handle(m, r.Seal)
+	Append.Handle(m, r.Append)
+	Fetch.Handle(m, r.Fetch)
+	Drop.Handle(m, r.Drop)
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,181 @@
+// Package member knows the nodes of the fleet: a node is a member while its session with a control node stands.
+package member
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/options"
+	"postjunction/internal/wire"
+)
+
+// Stages of a node.
+const (
+	Serving = "serving"
+	Leaving = "leaving"
+)
+
+// Info is what a node says of itself.
+type Info struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Listen      string `json:"listen"`
+	Fellows     string `json:"fellows"`
+	Disk        string `json:"disk"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Boot        string `json:"boot"`
+	Stage       string `json:"stage"`
+	Description uint64 `json:"description"`
+	Roster      uint64 `json:"roster"`
+	Partitions  int    `json:"partitions"`
+	Fitness     string `json:"fitness,omitempty"`
+	Build       string `json:"build,omitempty"`
+	Wire        int    `json:"wire"`
+}
+
+// Heard is a session: what a node said and how long ago.
+type Heard struct {
+	Info Info          `json:"info"`
+	Age  time.Duration `json:"age"`
+}
+
+// SessionsTask gives a control node another's sessions.
+type SessionsTask struct {
+	From     string  `json:"from"`
+	Sessions []Heard `json:"sessions"`
+}
+
+// SessionsAnswer gives the receiver's sessions back.
+type SessionsAnswer struct {
+	Sessions []Heard `json:"sessions"`
+}
+
+// HelloTask asks a seed who it is.
+type HelloTask struct{}
+
+// HelloAnswer says who a node is and whom it knows.
+type HelloAnswer struct {
+	Info  Info   `json:"info"`
+	Known []Info `json:"known"`
+}
+
+// The calls of membership.
+var (
+	Sessions = wire.Name[SessionsTask, SessionsAnswer]("Member", "Sessions")
+	Hello    = wire.Name[HelloTask, HelloAnswer]("Member", "Hello")
+)
+
+type seen struct {
+	info Info
+	at   time.Time
+}
+
+// Table holds sessions: those of this control node and those that others told of.
+type Table struct {
+	mu     sync.Mutex
+	clk    clock.Clock
+	bounds options.Bounds
+	m      map[string]seen
+}
+
+// NewTable makes an empty table.
+func NewTable(c clock.Clock, b options.Bounds) *Table {
+	return &Table{clk: c, bounds: b, m: map[string]seen{}}
+}
+
+const forgetAfter = 10
+
+// Note takes in what was heard of a node some time ago. News of another run of the
+// same node counts only when it is younger.
+func (t *Table) Note(i Info, age time.Duration) {
+	at := t.clk.Now().Add(-age)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.m[i.Name]
+	if ok && !at.After(s.at) {
+		return
+	}
+	t.m[i.Name] = seen{info: i, at: at}
+}
+
+// Live gives the members by name.
+func (t *Table) Live() []Info {
+	now := t.clk.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var is []Info
+	for n, s := range t.m {
+		age := now.Sub(s.at)
+		if age < t.bounds.Session() {
+			is = append(is, s.info)
+		} else if age > forgetAfter*t.bounds.Session() {
+			delete(t.m, n)
+		}
+	}
+	slices.SortFunc(is, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
+	return is
+}
+
+// Heard gives all live sessions with their ages.
+func (t *Table) Heard() []Heard {
+	now := t.clk.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var hs []Heard
+	for _, s := range t.m {
+		if age := now.Sub(s.at); age < t.bounds.Session() {
+			hs = append(hs, Heard{Info: s.info, Age: age})
+		}
+	}
+	return hs
+}
+
+// View is the list of members as a node was last told.
+type View struct {
+	mu sync.Mutex
+	is []Info
+	by map[string]Info
+}
+
+// NewView makes an empty view.
+func NewView() *View { return &View{by: map[string]Info{}} }
+
+// Set replaces the list.
+func (v *View) Set(is []Info) {
+	by := make(map[string]Info, len(is))
+	for _, i := range is {
+		by[i.Name] = i
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.is, v.by = is, by
+}
+
+// All gives the members.
+func (v *View) All() []Info {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.is
+}
+
+// Get finds a member.
+func (v *View) Get(n string) (Info, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	i, ok := v.by[n]
+	return i, ok
+}
+
+// Pick gives the members that f keeps.
+func Pick(is []Info, f func(Info) bool) []Info {
+	var r []Info
+	for _, i := range is {
+		if f(i) {
+			r = append(r, i)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,466 @@
+// Package node puts the parts of one process together; which parts run follows from its settings.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"sync"
+	"time"
+
+	"postjunction/internal/carrier/feed"
+	"postjunction/internal/carrier/presence"
+	"postjunction/internal/clock"
+	"postjunction/internal/control/client"
+	"postjunction/internal/control/confirm"
+	"postjunction/internal/control/founding"
+	"postjunction/internal/control/holder"
+	"postjunction/internal/control/reform"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/steward"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/disk/identity"
+	"postjunction/internal/disk/journal"
+	"postjunction/internal/door"
+	"postjunction/internal/event"
+	"postjunction/internal/gossip"
+	"postjunction/internal/kinds"
+	"postjunction/internal/ledger/desk"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/member"
+	"postjunction/internal/node/owners"
+	"postjunction/internal/operator"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/duty"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+	"postjunction/internal/session"
+	"postjunction/internal/visitor"
+	"postjunction/internal/visitor/admission"
+	"postjunction/internal/wire"
+)
+
+// Build is the name of the build, set at link time.
+var Build = "dev"
+
+// World is what a node stands on: time, network and disk.
+type World struct {
+	Clock clock.Clock
+	Net   wire.Network
+	Disk  journal.Log
+}
+
+// Node is one process of the fleet.
+type Node struct {
+	w    World
+	log  *event.Logger
+	boot string
+
+	mu      sync.Mutex
+	opts    options.Options
+	stage   string
+	fitness string
+
+	journal *journal.Journal
+	id      *identity.Part
+	voter   *voter.Voter
+	replica *replica.Replica
+
+	Board    *gossip.Board
+	View     *member.View
+	keeper   *session.Keeper
+	host     *session.Host
+	table    *member.Table
+	gossip   *gossip.Gossip
+	holder   *holder.Holder
+	confirm  *confirm.Confirmer
+	client   *client.Client
+	owners   *owners.Keeper
+	desk     *desk.Desk
+	presence *presence.Presence
+	gates    *admission.Gates
+	founder  *founding.Founder
+	steward  *steward.Steward
+	duty     *duty.Duty
+
+	// Visitors and Operators are the services behind the door.
+	Visitors  *visitor.Service
+	Operators *operator.Service
+
+	leaving chan struct{}
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// Start opens the disk and runs all parts until Stop or Kill.
+func Start(ctx context.Context, o options.Options, w World, l *event.Logger) (*Node, error) {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	n := &Node{w: w, log: l, opts: o, boot: hex.EncodeToString(b[:]), stage: member.Serving, leaving: make(chan struct{}), View: member.NewView()}
+	n.Board = gossip.NewBoard(n.heard)
+	ctx, n.stop = context.WithCancel(ctx)
+	if o.Disk != options.DiskNone {
+		if err := n.open(ctx); err != nil {
+			n.stop()
+			return nil, err
+		}
+	}
+	n.build(ctx)
+	n.run(ctx)
+	l.Say(event.Started, "name", o.Name, "zone", o.Zone, "disk", o.Disk, "build", Build, "boot", n.boot)
+	return n, nil
+}
+
+func (n *Node) open(ctx context.Context) error {
+	n.id = &identity.Part{}
+	n.voter, n.replica = voter.New(), replica.New(n.w.Clock)
+	parts := map[uint16]journal.Part{kinds.Identity: n.id, kinds.Slot: n.voter, kinds.Roster: n.voter}
+	for _, k := range replica.Kinds() {
+		parts[k] = n.replica
+	}
+	j, r, err := journal.Open(n.w.Disk, n.w.Clock, parts, []journal.Part{n.id, n.voter, n.replica})
+	if err != nil {
+		return err
+	}
+	n.journal = j
+	n.log.Say(event.DiskOpened, "records", r.Records)
+	if r.Torn > 0 {
+		n.log.Say(event.DiskTorn, "records", r.Torn)
+	}
+	if r.Damaged {
+		n.log.Say(event.DiskDamaged, "problem", r.Cause)
+	}
+	if err := n.id.Check(n.opts.Name); err != nil {
+		return err
+	}
+	n.goes(func() { j.Run(ctx) })
+	fresh, err := n.id.Claim(ctx, j, n.opts.Name)
+	if err != nil {
+		return err
+	}
+	inc := n.id.Get().Incarnation
+	if fresh {
+		n.log.Say(event.DiskNew, "incarnation", inc)
+	}
+	n.replica.Start(inc, j)
+	n.voter.Start(inc, j, n.agree, func(r roster.Roster) { n.Board.Offer(gossip.News{Roster: &r}) })
+	return nil
+}
+
+func (n *Node) agree(r roster.Roster) error {
+	cx, stop := context.WithTimeout(context.Background(), n.bounds().Call())
+	defer stop()
+	return n.founder.Agree(cx, r)
+}
+
+func (n *Node) goes(f func()) { n.wg.Go(f) }
+
+func (n *Node) bounds() options.Bounds { return n.options().Bounds() }
+
+func (n *Node) options() options.Options {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.opts
+}
+
+// Info is what the node says of itself.
+func (n *Node) Info() member.Info {
+	n.mu.Lock()
+	o, st, fit := n.opts, n.stage, n.fitness
+	n.mu.Unlock()
+	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Fellows, Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Roster: n.Board.Roster().Sequence}
+	if n.id != nil {
+		i.Incarnation = n.id.Get().Incarnation
+	}
+	if n.voter != nil && o.Voter() {
+		i.Roster = n.voter.Roster().Sequence
+	}
+	if n.owners != nil {
+		i.Partitions = n.owners.Count()
+	}
+	return i
+}
+
+// Roster gives the newest roster known here.
+func (n *Node) Roster() roster.Roster { return n.Board.Roster() }
+
+// Live finds a control node that has a session.
+func (n *Node) Live(node string) (string, bool) {
+	if n.table != nil {
+		for _, i := range n.table.Live() {
+			if i.Name == node {
+				return i.Fellows, i.Stage == member.Serving
+			}
+		}
+		return "", false
+	}
+	i, ok := n.View.Get(node)
+	return i.Fellows, ok
+}
+
+func (n *Node) addr(node string) (string, bool) {
+	i, ok := n.View.Get(node)
+	return i.Fellows, ok
+}
+
+func (n *Node) members() []member.Info {
+	if n.table != nil {
+		return n.table.Live()
+	}
+	return n.View.All()
+}
+
+func (n *Node) told(k string, v voter.Value) {
+	if p, ok := record.Partition(k); ok && len(v.Body) > 0 {
+		if r, err := record.Parse(v.Body, v.Writes); err == nil {
+			r.Partition = p
+			n.Board.Offer(gossip.News{Records: []record.Record{r}})
+		}
+	}
+	if k == confirm.Key {
+		if d, err := confirm.Parse(v); err == nil && d.Sequence > 0 {
+			n.Board.Offer(gossip.News{Description: &d})
+		}
+	}
+}
+
+func (n *Node) heard(x gossip.News) {
+	if x.Description != nil {
+		n.log.Say(event.DescriptionNews, "sequence", x.Description.Sequence, "spaces", len(x.Description.Spaces))
+	}
+	if x.Roster != nil {
+		n.log.Say(event.RosterOpened, "sequence", x.Roster.Sequence, "fleet", x.Roster.Fleet, "seats", len(x.Roster.Seats))
+	}
+}
+
+func (n *Node) build(ctx context.Context) {
+	o, b := n.opts, n.opts.Bounds()
+	self, net, clk := o.Name, n.w.Net, n.w.Clock
+	if o.Voter() {
+		n.table = member.NewTable(clk, b)
+		n.holder = holder.New(self, net, clk, b, n, n.told)
+		n.confirm = &confirm.Confirmer{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, Holder: n.holder}
+		n.host = &session.Host{Self: self, Seeds: o.Seeds, Clock: clk, Bounds: b, Net: net, Table: n.table, Board: n.Board, Info: n.Info, Latest: n.confirm.Latest}
+		n.founder = founding.New(o, net, n.Info)
+		n.steward = &steward.Steward{Self: self, Clock: clk, Bounds: b, Board: n.Board, Founder: n.founder, Reformer: reform.New(self, net, b), Live: n.table.Live, Log: n.log}
+		if r := n.voter.Roster(); r.Sequence > 0 {
+			n.Board.Offer(gossip.News{Roster: &r})
+		}
+	}
+	n.client = client.New(self, net, b, n.members, n.holder)
+	n.keeper = &session.Keeper{Opts: o, Clock: clk, Net: net, Board: n.Board, View: n.View, Info: n.Info, Local: n.host, Log: n.log}
+	n.gossip = &gossip.Gossip{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View.All}
+	if o.Voter() {
+		n.duty = &duty.Duty{Self: self, Clock: clk, Bounds: b, Holder: n.holder, Client: n.client, Board: n.Board, Live: n.table.Live, Log: n.log}
+	}
+	n.owners = &owners.Keeper{Self: self, Clock: clk, Bounds: b, Board: n.Board, Client: n.client, Replica: n.replica, Log: n.log}
+	n.owners.Deps = owner.Deps{
+		Self: self, Net: net, Clock: clk, Bounds: b, Replica: n.replica, Addr: n.addr, Licensed: n.keeper.Licensed,
+		Batch:   func() time.Duration { return n.options().Batch() },
+		Backlog: func() int { return n.options().Backlog },
+		Settled: n.owners.Settled, Renew: n.owners.Renew, Promote: n.owners.Promote, Log: (*ownerLog)(n),
+	}
+	n.desk = &desk.Desk{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View, Owners: n.owners}
+	n.presence = presence.New(self, net, b, n.View)
+	n.gates = admission.New(o.Backlog)
+	n.Visitors = &visitor.Service{
+		Clock: clk, Bounds: b, Body: o.Body, Board: n.Board, Desk: n.desk, Presence: n.presence, Gates: n.gates,
+		Feeds: feed.New(ctx, n.desk, clk, b), Licensed: n.keeper.Licensed, Leaving: n.leaving,
+		Heard: func(t *visitor.Task, err error) {
+			n.log.Say(event.Turned, "verb", t.Verb, "visitor", t.Visitor, "problem", err)
+		},
+	}
+	n.Operators = &operator.Service{Bounds: b, Client: n.client, Board: n.Board, View: n.View, Info: n.Info, Licensed: n.keeper.Licensed, With: n.keeper.With, Owners: n.owners.Views, Tallies: n.tallies, Log: n.log}
+}
+
+func (n *Node) run(ctx context.Context) {
+	n.goes(func() { n.keeper.Run(ctx) })
+	n.goes(func() { n.gossip.Run(ctx) })
+	if n.opts.Voter() {
+		n.goes(func() { n.host.Run(ctx) })
+		n.goes(func() { n.confirm.Run(ctx) })
+		n.goes(func() { n.steward.Run(ctx) })
+		n.goes(func() { n.duty.Run(ctx) })
+	}
+	if n.replica != nil {
+		n.goes(func() { n.owners.Run(ctx) })
+		n.goes(func() { n.disk(ctx) })
+	}
+}
+
+func (n *Node) setFitness(s string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	was := n.fitness
+	n.fitness = s
+	return was != s
+}
+
+func (n *Node) disk(ctx context.Context) {
+	b := n.bounds()
+	swept := n.w.Clock.Now()
+	for n.w.Clock.Sleep(ctx, b.Tend()) == nil {
+		if f := n.Board.Roster().Fleet; f != "" {
+			if err := n.id.Join(ctx, n.journal, f); problem.Has(err, problem.DiskForeign) {
+				if n.setFitness(string(problem.DiskForeign)) {
+					n.log.Say(event.DiskTrouble, "problem", err)
+				}
+				continue
+			}
+		}
+		err := n.journal.Fault()
+		if err != nil {
+			err = n.journal.Probe(ctx, b.Call())
+		}
+		if err != nil && ctx.Err() == nil {
+			if n.setFitness(string(problem.Of(err).Kind)) {
+				n.log.Say(event.DiskTrouble, "problem", err)
+			}
+			continue
+		}
+		if n.setFitness("") {
+			n.log.Say(event.DiskHealed)
+		}
+		if n.w.Clock.Now().Sub(swept) > b.Sweep() {
+			swept = n.w.Clock.Now()
+			n.owners.Orphans(ctx)
+		}
+	}
+}
+
+// Fellows gives the handler of the other nodes' calls.
+func (n *Node) Fellows() http.Handler {
+	m := http.NewServeMux()
+	member.Hello.Handle(m, n.keeper.Hello)
+	n.gossip.Serve(m)
+	n.desk.Serve(m)
+	n.presence.Serve(m)
+	if n.host != nil {
+		n.host.Serve(m)
+		n.holder.Serve(m)
+		n.voter.Serve(m)
+	}
+	if n.replica != nil {
+		n.replica.Serve(m)
+	}
+	return m
+}
+
+// Door gives the side towards callers and operators.
+func (n *Node) Door() *door.Door {
+	return &door.Door{Visitors: n.Visitors, Operators: n.Operators, Bounds: n.bounds(), Ready: n.Ready}
+}
+
+// Ready tells whether new callers should come here.
+func (n *Node) Ready() error {
+	select {
+	case <-n.leaving:
+		return problem.New(problem.Leaving, "this node is stopping")
+	default:
+	}
+	return n.keeper.Licensed()
+}
+
+// Stop leaves in good order: unready at once, duties handed over, streams ended with a hint.
+func (n *Node) Stop() {
+	b := n.bounds()
+	n.log.Say(event.Stopping)
+	n.mu.Lock()
+	if n.stage == member.Leaving {
+		n.mu.Unlock()
+		return
+	}
+	n.stage = member.Leaving
+	n.mu.Unlock()
+	close(n.leaving)
+	ctx, stop := context.WithTimeout(context.Background(), b.Stop()*3/4)
+	defer stop()
+	able := func(p record.Place) bool {
+		i, ok := n.View.Get(p.Node)
+		return ok && i.Incarnation == p.Incarnation && i.Fitness == "" && i.Stage == member.Serving
+	}
+	k := 0
+	if n.replica != nil {
+		k = n.owners.HandOver(ctx, able, b.HandOver())
+	}
+	h := 0
+	if n.holder != nil {
+		var to []string
+		for _, i := range member.Pick(n.table.Live(), func(i member.Info) bool {
+			return i.Disk == options.DiskControl && i.Name != n.opts.Name && i.Stage == member.Serving
+		}) {
+			to = append(to, i.Name)
+		}
+		h = n.holder.HandOver(ctx, to)
+	}
+	n.log.Say(event.HandedOver, "partitions", k, "keys", h)
+	n.Kill()
+	n.log.Say(event.StoppedClean)
+}
+
+// Kill ends all parts at once.
+func (n *Node) Kill() {
+	n.stop()
+	n.wg.Wait()
+}
+
+// Apply takes changed settings, or turns all of them away.
+func (n *Node) Apply(o options.Options) error {
+	cur := n.options()
+	for _, f := range options.Changed(cur, o) {
+		if _, ok := options.Live[f]; !ok {
+			return problem.New(problem.OptionsBad, "field %q can't change under a running node", f)
+		}
+	}
+	n.mu.Lock()
+	for _, f := range options.Live {
+		f(&n.opts, o)
+	}
+	n.mu.Unlock()
+	n.log.Level(o.Level)
+	n.gates.Resize(o.Backlog)
+	return nil
+}
+
+type ownerLog Node
+
+// Disk logs a failed write of an owner.
+func (l *ownerLog) Disk(p int, err error) {
+	l.log.Say(event.OwnerDisk, "partition", p, "problem", err)
+}
+
+// Lost logs the end of an ownership.
+func (l *ownerLog) Lost(p int, e uint64, err error) {
+	l.log.Say(event.OwnerLost, "partition", p, "epoch", e, "problem", err)
+}
+
+// Open logs a finished take-over.
+func (l *ownerLog) Open(p int, e uint64, h owner.Recovery) {
+	l.log.Say(event.OwnerOpen, "partition", p, "epoch", e, "directory", h.Directory, "replayed", h.Replayed, "fetched", h.Fetched, "reprocessed", h.Reprocessed, "keys", h.Keys, "took", h.Took.String())
+}
+
+// Trouble logs a step that is tried again.
+func (l *ownerLog) Trouble(p int, e uint64, step string, err error) {
+	l.log.Say(event.OwnerTrouble, "partition", p, "epoch", e, "step", step, "problem", err)
+}
+
+func (n *Node) tallies() map[string]any {
+	taken, shed := n.gates.Counts()
+	streams, lines := n.Visitors.Streams()
+	sent, mended := n.gossip.Counts()
+	m := map[string]any{
+		"streams": streams, "stream_lines": lines, "admitted": taken, "shed": shed,
+		"gossip_exchanges": sent, "gossip_mended": mended, "owners": n.owners.Views(),
+	}
+	if n.journal != nil {
+		m["journal"] = n.journal.Tally()
+		m["epochs_turned_away"] = n.replica.Turned()
+	}
+	if n.holder != nil {
+		c, a := n.holder.Counts()
+		m["key_claims"], m["key_writes"] = c, a
+	}
+	return m
+}
--- /dev/null
+++ b/internal/node/owners/owners.go
@@ -0,0 +1,262 @@
+// Package owners runs the owners that the ownership records name this node for.
+package owners
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/client"
+	"postjunction/internal/event"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/options"
+	"postjunction/internal/partition"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+// Keeper starts and ends owners as the records change.
+type Keeper struct {
+	Self    string
+	Clock   clock.Clock
+	Bounds  options.Bounds
+	Board   *gossip.Board
+	Client  *client.Client
+	Replica *replica.Replica
+	Deps    owner.Deps
+	Log     *event.Logger
+	mu      sync.Mutex
+	m       map[int]*owner.Owner
+	closed  bool
+	epochs  map[int]uint64
+}
+
+// Owner finds the owner of a partition that runs here.
+func (k *Keeper) Owner(p int) (*owner.Owner, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if o, ok := k.m[p]; ok {
+		return o, nil
+	}
+	return nil, problem.New(problem.NotOwner, "%s does not decide for partition %d", k.Self, p)
+}
+
+// Views gives the figures of all owners.
+func (k *Keeper) Views() []owner.View {
+	vs := []owner.View{}
+	for _, o := range k.all() {
+		vs = append(vs, o.View())
+	}
+	return vs
+}
+
+// Count is how many owners run here.
+func (k *Keeper) Count() int { return len(k.all()) }
+
+func (k *Keeper) all() []*owner.Owner {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var os []*owner.Owner
+	for p := range partitionsMost {
+		if o, ok := k.m[p]; ok {
+			os = append(os, o)
+		}
+	}
+	return os
+}
+
+const partitionsMost = 512
+
+// Run follows the records until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		ch := k.Board.Changed()
+		k.look(ctx)
+		cx, stop := context.WithCancel(ctx)
+		due := make(chan struct{})
+		go func() {
+			_ = k.Clock.Sleep(cx, k.Bounds.Tend())
+			close(due)
+		}()
+		select {
+		case <-ch:
+		case <-due:
+		}
+		stop()
+	}
+}
+
+func (k *Keeper) look(ctx context.Context) {
+	l := k.Board.Roster().Layout
+	for p := range l.Count() {
+		r := k.Board.Record(p)
+		if r.Epoch == 0 {
+			continue
+		}
+		k.mu.Lock()
+		if k.m == nil {
+			k.m, k.epochs = map[int]*owner.Owner{}, map[int]uint64{}
+		}
+		o := k.m[p]
+		switch {
+		case o != nil && o.Rec.Epoch == r.Epoch:
+			k.mu.Unlock()
+			o.Update(ctx, r)
+			continue
+		case r.Owner == k.Self && r.Epoch > k.epochs[p] && !k.closed:
+			k.epochs[p] = r.Epoch
+			n := owner.New(k.Deps, r, partition.Urgent(p, l))
+			k.m[p] = n
+			k.mu.Unlock()
+			if o != nil {
+				o.End(problem.New(problem.StaleEpoch, "epoch %d came", r.Epoch))
+			}
+			k.Log.Say(event.OwnerTakes, "partition", p, "epoch", r.Epoch)
+			go k.serve(ctx, n)
+		default:
+			if o != nil && r.Epoch > o.Rec.Epoch {
+				delete(k.m, p)
+			}
+			k.mu.Unlock()
+			if o != nil && r.Epoch > o.Rec.Epoch {
+				o.End(problem.New(problem.StaleEpoch, "%s decides under epoch %d", r.Owner, r.Epoch))
+			}
+		}
+	}
+}
+
+func (k *Keeper) serve(ctx context.Context, o *owner.Owner) {
+	o.Run(ctx)
+	k.mu.Lock()
+	if k.m[o.Rec.Partition] == o {
+		delete(k.m, o.Rec.Partition)
+	}
+	k.mu.Unlock()
+	if ctx.Err() == nil {
+		k.reread(ctx, o.Rec.Partition)
+	}
+}
+
+func (k *Keeper) reread(ctx context.Context, p int) {
+	cx, stop := context.WithTimeout(ctx, k.Bounds.Settle())
+	defer stop()
+	r, err := k.read(cx, p)
+	if err != nil || r.Owner != k.Self || k.Board.Record(p).Epoch > r.Epoch {
+		return
+	}
+	if k.lastEpoch(p) >= r.Epoch {
+		k.Renew(cx, r)
+	}
+}
+
+func (k *Keeper) lastEpoch(p int) uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.epochs[p]
+}
+
+func (k *Keeper) read(ctx context.Context, p int) (record.Record, error) {
+	v, err := k.Client.Read(ctx, record.Key(p))
+	if err != nil {
+		return record.Record{}, err
+	}
+	r, err := record.Parse(v.Body, v.Writes)
+	if err != nil {
+		return r, problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
+	}
+	k.Board.Offer(gossip.News{Records: []record.Record{r}})
+	return r, nil
+}
+
+// Change rewrites a partition's record while it is still at the given epoch.
+func (k *Keeper) Change(ctx context.Context, p int, epoch uint64, f func(record.Record) (record.Record, bool)) bool {
+	for ctx.Err() == nil {
+		r, err := k.read(ctx, p)
+		if err == nil {
+			n, ok := f(r)
+			if r.Epoch != epoch || !ok {
+				return false
+			}
+			v, e := k.Client.Change(ctx, record.Key(p), r.Writes, client.Name(), n.Pack())
+			if e == nil {
+				n.Writes = v.Writes
+				k.Board.Offer(gossip.News{Records: []record.Record{n}})
+				return true
+			}
+		}
+		_ = k.Clock.Sleep(ctx, k.Bounds.Retry())
+	}
+	return false
+}
+
+// Settled records that a take-over is finished, so that replicas may change.
+func (k *Keeper) Settled(ctx context.Context, r record.Record) {
+	k.Change(ctx, r.Partition, r.Epoch, func(x record.Record) (record.Record, bool) {
+		x.Settled = true
+		return x, true
+	})
+}
+
+// Renew asks for a new epoch, since this disk used the record's in an earlier run.
+func (k *Keeper) Renew(ctx context.Context, r record.Record) {
+	k.Log.Say(event.OwnerRenew, "partition", r.Partition, "epoch", r.Epoch)
+	k.Change(ctx, r.Partition, r.Epoch, func(x record.Record) (record.Record, bool) {
+		return x.Next(k.Self, x.Replicas, "the owner came back on its machine", k.Clock.Now()), x.Owner == k.Self
+	})
+}
+
+// Promote makes the learner, which has caught up, a replica.
+func (k *Keeper) Promote(ctx context.Context, r record.Record, l record.Place) {
+	k.Change(ctx, r.Partition, r.Epoch, func(x record.Record) (record.Record, bool) {
+		ok := x.Learner != nil && *x.Learner == l && x.Owner == k.Self && x.Settled
+		return x.Next(k.Self, append(append([]record.Place(nil), x.Replicas...), l), l.Node+" has caught up and holds a copy", k.Clock.Now()), ok
+	})
+}
+
+// HandOver gives every owned partition to another replica, state flushed first.
+func (k *Keeper) HandOver(ctx context.Context, able func(record.Place) bool, limit time.Duration) int {
+	k.mu.Lock()
+	k.closed = true
+	k.mu.Unlock()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	n := 0
+	for _, o := range k.all() {
+		wg.Go(func() {
+			o.Flush(ctx, limit/2)
+			o.Close()
+			if k.Change(ctx, o.Rec.Partition, o.Rec.Epoch, func(x record.Record) (record.Record, bool) {
+				for i := range x.Replicas {
+					p := x.Replicas[(i+o.Rec.Partition)%len(x.Replicas)]
+					if p.Node != k.Self && able(p) {
+						return x.Next(p.Node, x.Replicas, k.Self+" stops and named its successor", k.Clock.Now()), x.Owner == k.Self
+					}
+				}
+				return x, false
+			}) {
+				mu.Lock()
+				n++
+				mu.Unlock()
+			}
+			o.End(problem.New(problem.Leaving, "this node is stopping"))
+		})
+	}
+	wg.Wait()
+	return n
+}
+
+// Orphans drops partitions that a settled record at a higher epoch places elsewhere.
+func (k *Keeper) Orphans(ctx context.Context) {
+	for _, p := range k.Replica.Partitions() {
+		r, err := k.read(ctx, p)
+		if err != nil || !r.Settled || r.Holds(k.Self) {
+			continue
+		}
+		if _, err := k.Replica.Drop(ctx, &replica.DropTask{Target: replica.Target{Partition: p, Incarnation: k.Replica.Incarnation(), Epoch: r.Epoch}}); err == nil {
+			k.Log.Say(event.Orphan, "partition", p, "epoch", r.Epoch)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,288 @@
+// Package operator is the service to operators: descriptions, the state of the fleet, and the emptying of machines.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strconv"
+	"time"
+
+	"postjunction/internal/control/client"
+	"postjunction/internal/control/confirm"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/description"
+	"postjunction/internal/event"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/partition"
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+
+	"github.com/mailru/easyjson"
+)
+
+// Service serves operators on one node.
+type Service struct {
+	Bounds   options.Bounds
+	Client   *client.Client
+	Board    *gossip.Board
+	View     *member.View
+	Info     func() member.Info
+	Licensed func() error
+	With     func() string
+	Owners   func() []owner.View
+	Tallies  func() map[string]any
+	Log      *event.Logger
+}
+
+// Accepted is the answer to an accepted description.
+type Accepted struct {
+	Sequence uint64 `json:"sequence"`
+}
+
+const deadlineShare = 3
+
+func (s *Service) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, deadlineShare*s.Bounds.Call())
+}
+
+// Description reads the current description back, confirmed by a majority.
+func (s *Service) Description(ctx context.Context) (any, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	v, err := s.Client.Read(ctx, confirm.Key)
+	if err != nil {
+		return nil, err
+	}
+	if len(v.Body) == 0 {
+		return nil, problem.New(problem.DescriptionNone, "no description was put yet")
+	}
+	return json.RawMessage(v.Body), nil
+}
+
+// Put takes a whole description, built on the sequence last seen.
+func (s *Service) Put(ctx context.Context, b []byte) (any, error) {
+	a, err := s.put(ctx, b)
+	if err != nil {
+		s.Log.Say(event.DescriptionFault, "problem", err)
+		return nil, err
+	}
+	s.Log.Say(event.DescriptionPut, "sequence", a.Sequence)
+	return a, nil
+}
+
+func (s *Service) put(ctx context.Context, b []byte) (*Accepted, error) {
+	d, err := description.Parse(b)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	by := client.Name()
+	doubt := false
+	for {
+		v, err := s.Client.Read(ctx, confirm.Key)
+		if err != nil {
+			return nil, outcome(doubt, err)
+		}
+		cur, err := confirm.Parse(v)
+		if err != nil {
+			return nil, problem.Wrap(problem.Internal, err, "read the current description")
+		}
+		if v.By == by {
+			return s.accepted(v.Body)
+		}
+		if cur.Sequence != d.Base {
+			if doubt {
+				return nil, outcome(true, problem.New(problem.OutcomeUnknown, "description %d is current", cur.Sequence).At(cur.Sequence))
+			}
+			return nil, problem.New(problem.DescriptionRaced, "the description builds on %d, current is %d", d.Base, cur.Sequence).At(cur.Sequence)
+		}
+		if err := d.Follows(cur); err != nil {
+			return nil, err
+		}
+		d.Sequence = d.Base + 1
+		w, err := s.Client.Change(ctx, confirm.Key, v.Writes, by, d.Pack())
+		if err == nil {
+			return s.accepted(w.Body)
+		}
+		if problem.Has(err, problem.NoMajority) || problem.Has(err, problem.Unreachable) {
+			doubt = true
+		}
+		if ctx.Err() != nil {
+			return nil, outcome(doubt, err)
+		}
+	}
+}
+
+func outcome(doubt bool, err error) error {
+	if !doubt {
+		return err
+	}
+	p := problem.New(problem.OutcomeUnknown, "the description may or may not have been accepted; read it back to learn which: %v", err)
+	return p.At(problem.Of(err).Current)
+}
+
+func (s *Service) accepted(b []byte) (*Accepted, error) {
+	var d description.Description
+	if err := easyjson.Unmarshal(b, &d); err != nil {
+		return nil, problem.Wrap(problem.Internal, err, "read the accepted description")
+	}
+	s.Board.Offer(gossip.News{Description: &d})
+	return &Accepted{Sequence: d.Sequence}, nil
+}
+
+// Status is what a node knows of the fleet.
+type Status struct {
+	Node        member.Info     `json:"node"`
+	Control     string          `json:"session_with"`
+	Licensed    bool            `json:"licensed"`
+	Fleet       string          `json:"fleet"`
+	Description uint64          `json:"description"`
+	Roster      roster.Roster   `json:"roster"`
+	Members     []member.Info   `json:"members"`
+	Partitions  []record.Record `json:"partitions"`
+	Owned       []owner.View    `json:"owned"`
+}
+
+// Status gives this node's view.
+func (s *Service) Status(context.Context) (any, error) {
+	r := s.Board.Roster()
+	st := Status{Node: s.Info(), Control: s.With(), Licensed: s.Licensed() == nil, Fleet: r.Fleet, Description: s.Board.Description().Sequence, Roster: r, Members: s.View.All(), Owned: s.Owners()}
+	for p := range r.Layout.Count() {
+		x := s.Board.Record(p)
+		x.Partition = p
+		x.History = nil
+		st.Partitions = append(st.Partitions, x)
+	}
+	return st, nil
+}
+
+// Counters gives this node's counts.
+func (s *Service) Counters() any { return s.Tallies() }
+
+// Detail is one partition's record with its history.
+type Detail struct {
+	Topic  string        `json:"topic,omitempty"`
+	Urgent bool          `json:"urgent"`
+	Record record.Record `json:"record"`
+}
+
+// Partition reads one partition's record, named by number or by a topic of it.
+func (s *Service) Partition(ctx context.Context, n, topic string) (any, error) {
+	l := s.Board.Roster().Layout
+	p, err := strconv.Atoi(n)
+	if topic != "" {
+		sp, e := s.Board.Index().Find(topic)
+		if e != nil {
+			return nil, e
+		}
+		p, err = partition.Of(topic, sp.Urgent, l), nil
+	}
+	if err != nil || p < 0 || p >= l.Count() {
+		return nil, problem.New(problem.Malformed, "n must be from 0 to %d, is %q", l.Count()-1, n)
+	}
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	v, err := s.Client.Read(ctx, record.Key(p))
+	if err != nil {
+		return nil, err
+	}
+	r := record.Record{Partition: p}
+	if len(v.Body) > 0 {
+		if r, err = record.Parse(v.Body, v.Writes); err != nil {
+			return nil, problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
+		}
+	}
+	return Detail{Topic: topic, Urgent: partition.Urgent(p, l), Record: r}, nil
+}
+
+// Drains lists the machines that are being or were emptied.
+func (s *Service) Drains(ctx context.Context) (any, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	v, err := s.Client.Read(ctx, drain.Key)
+	if err != nil {
+		return nil, err
+	}
+	ds := []drain.Drain{}
+	for _, d := range drain.Parse(v.Body) {
+		ds = append(ds, d)
+	}
+	sort.Slice(ds, func(a, b int) bool { return ds[a].Node < ds[b].Node })
+	return map[string]any{"drains": ds}, nil
+}
+
+const copies = 3
+
+// Drain asks for a machine to be emptied. The duty is recorded and goes on whoever runs it.
+func (s *Service) Drain(ctx context.Context, node string) (any, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	for {
+		v, err := s.Client.Read(ctx, drain.Key)
+		if err != nil {
+			return nil, err
+		}
+		b := drain.Parse(v.Body)
+		if x, ok := b[node]; ok {
+			if x.Done {
+				return nil, problem.New(problem.AlreadyEmpty, "%s was emptied before", node)
+			}
+			return x, nil
+		}
+		x, err := s.askable(ctx, node, b)
+		if err != nil {
+			return nil, err
+		}
+		b[node] = x
+		if _, err := s.Client.Change(ctx, drain.Key, v.Writes, client.Name(), b.Pack()); err != nil {
+			if problem.Has(err, problem.StaleBase) {
+				continue
+			}
+			return nil, outcome(true, err)
+		}
+		s.Log.Say(event.DrainAsked, "node", node, "partitions", x.Left)
+		return x, nil
+	}
+}
+
+func (s *Service) askable(ctx context.Context, node string, b drain.Book) (drain.Drain, error) {
+	left, known := 0, false
+	for p := range s.Board.Roster().Layout.Count() {
+		v, err := s.Client.Read(ctx, record.Key(p))
+		if err != nil {
+			return drain.Drain{}, err
+		}
+		if r, err := record.Parse(v.Body, v.Writes); err == nil && r.Holds(node) {
+			left++
+			known = true
+		}
+	}
+	rest := 0
+	var me member.Info
+	for _, i := range s.View.All() {
+		if i.Name == node {
+			me, known = i, true
+			continue
+		}
+		if x, out := b[i.Name]; i.Disk == options.DiskNone || i.Fitness != "" || i.Stage != member.Serving || out && x.Boot == i.Boot {
+			continue
+		}
+		rest++
+	}
+	if !known || me.Name != "" && me.Disk == options.DiskNone {
+		return drain.Drain{}, problem.New(problem.UnknownNode, "%q is no machine with a disk of this fleet", node)
+	}
+	if left == 0 {
+		return drain.Drain{}, problem.New(problem.AlreadyEmpty, "%s holds no partition", node)
+	}
+	if rest < copies {
+		return drain.Drain{}, problem.New(problem.DrainUnsafe, "without %s only %d machines with disks serve, %d are needed to bear a loss", node, rest, copies)
+	}
+	return drain.Drain{Node: node, Boot: me.Boot, Asked: time.Now().UTC(), Left: left}, nil
+}
--- /dev/null
+++ b/internal/options/options.go
@@ -0,0 +1,292 @@
+package options
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"sort"
+	"strings"
+	"time"
+
+	"postjunction/internal/problem"
+)
+
+// Fault is one thing wrong with the settings.
+type Fault struct {
+	Field string
+	Say   string
+}
+
+// Options are the settings of one node.
+type Options struct {
+	Name      string   `json:"name"`
+	Zone      string   `json:"zone"`
+	Listen    string   `json:"listen"`
+	Fellows   string   `json:"fellow_listen"`
+	Seeds     []string `json:"seeds"`
+	Disk      string   `json:"disk"`
+	Data      string   `json:"data"`
+	Founders  []string `json:"founders"`
+	Routine   int      `json:"routine_partitions"`
+	Urgent    int      `json:"urgent_partitions"`
+	Keeping   Span     `json:"keeping"`
+	Spread    Span     `json:"spread"`
+	Recovery  Span     `json:"recovery"`
+	Changelog Span     `json:"changelog"`
+	Body      int      `json:"body_limit"`
+	Backlog   int      `json:"backlog"`
+	Level     string   `json:"log_level"`
+}
+
+// Span is a duration written as Go writes it.
+type Span time.Duration
+
+// UnmarshalJSON reads "35s".
+func (s *Span) UnmarshalJSON(b []byte) error {
+	var t string
+	if err := json.Unmarshal(b, &t); err != nil {
+		return problem.New(problem.OptionsBad, "must be a duration in quotes such as \"35s\"")
+	}
+	d, err := time.ParseDuration(t)
+	if err != nil {
+		return problem.New(problem.OptionsBad, "%q is no duration such as \"35s\"", t)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// MarshalJSON writes "35s".
+func (s Span) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(s).String()) }
+
+// Set reads a flag.
+func (s *Span) Set(t string) error {
+	d, err := time.ParseDuration(t)
+	*s = Span(d)
+	return err
+}
+
+// String writes a flag.
+func (s *Span) String() string { return time.Duration(*s).String() }
+
+const foundersMost = 7
+
+// Disks that a machine may have.
+const (
+	DiskNone    = "none"
+	DiskControl = "control"
+	DiskStorage = "storage"
+)
+
+// Default gives the settings before a file and flags are read.
+func Default() Options {
+	return Options{
+		Listen: "127.0.0.1:7400", Fellows: "127.0.0.1:7500", Disk: DiskNone,
+		Routine: 12, Urgent: 4,
+		Keeping: Span(DefaultBounds.Keeping), Spread: Span(DefaultBounds.Spread), Recovery: Span(DefaultBounds.Recovery),
+		Body: 64 << 10, Backlog: 512, Level: "info",
+	}
+}
+
+// Bounds gives the three times.
+func (o Options) Bounds() Bounds {
+	return Bounds{Keeping: time.Duration(o.Keeping), Spread: time.Duration(o.Spread), Recovery: time.Duration(o.Recovery)}
+}
+
+// Batch is the changelog interval.
+func (o Options) Batch() time.Duration {
+	if o.Changelog > 0 {
+		return time.Duration(o.Changelog)
+	}
+	return o.Bounds().Changelog()
+}
+
+// Voter tells whether the node has a small disk for control keys.
+func (o Options) Voter() bool { return o.Disk == DiskControl }
+
+// Store tells whether the node has a storage disk.
+func (o Options) Store() bool { return o.Disk == DiskStorage }
+
+// Flags binds the settings to a flag set.
+func (o *Options) Flags(fs *flag.FlagSet) {
+	fs.StringVar(&o.Name, "name", o.Name, "lasting `name` of this node")
+	fs.StringVar(&o.Zone, "zone", o.Zone, "`zone` that this node stands in")
+	fs.StringVar(&o.Listen, "listen", o.Listen, "`address` for callers and operators")
+	fs.StringVar(&o.Fellows, "fellow-listen", o.Fellows, "`address` for the other nodes")
+	fs.Func("seeds", "three `addresses` of other nodes, with commas between", func(t string) error {
+		o.Seeds = strings.Split(t, ",")
+		return nil
+	})
+	fs.StringVar(&o.Disk, "disk", o.Disk, "`kind` of disk: none, control or storage")
+	fs.StringVar(&o.Data, "data", o.Data, "data `folder`, needed with a disk")
+	fs.Func("founders", "fellow `addresses` of the control disks that found the fleet, with commas between; without it those among this node and its seeds", func(t string) error {
+		o.Founders = strings.Split(t, ",")
+		return nil
+	})
+	fs.IntVar(&o.Routine, "routine-partitions", o.Routine, "`number` of routine partitions, fixed at founding")
+	fs.IntVar(&o.Urgent, "urgent-partitions", o.Urgent, "`number` of urgent partitions, fixed at founding")
+	fs.Var(&o.Keeping, "keeping", "keeping `time`")
+	fs.Var(&o.Spread, "spread", "`time` in which a description reaches every node")
+	fs.Var(&o.Recovery, "recovery", "`time` in which service returns after a loss")
+	fs.Var(&o.Changelog, "changelog", "`interval` of changelog batches, 0 for recovery/6")
+	fs.IntVar(&o.Body, "body-limit", o.Body, "largest message body in `bytes`")
+	fs.IntVar(&o.Backlog, "backlog", o.Backlog, "tasks that may wait in a lane, a `number`")
+	fs.StringVar(&o.Level, "log-level", o.Level, "`level`: trace, debug, info, warn or error")
+}
+
+// Read reads a settings file over o: one JSON object, no unknown, double or trailing things.
+func (o *Options) Read(path string) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return problem.Wrap(problem.OptionsBad, err, "settings file %s can't be read", path)
+	}
+	return o.Parse(path, b)
+}
+
+// Parse reads the text of a settings file over o.
+func (o *Options) Parse(path string, b []byte) error {
+	if n, err := doubled(b); err == nil && n != "" {
+		return problem.New(problem.OptionsBad, "%s: field %q: stands twice", path, n)
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(o); err != nil {
+		return problem.New(problem.OptionsBad, "%s: %s", path, plain(err))
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return problem.New(problem.OptionsBad, "%s: something follows the settings object", path)
+	}
+	return nil
+}
+
+func plain(err error) string {
+	s := strings.TrimPrefix(err.Error(), "json: ")
+	return strings.TrimPrefix(s, string(problem.OptionsBad)+": ")
+}
+
+func doubled(b []byte) (string, error) {
+	d := json.NewDecoder(bytes.NewReader(b))
+	if _, err := d.Token(); err != nil {
+		return "", err
+	}
+	seen := map[string]bool{}
+	for d.More() {
+		t, err := d.Token()
+		if err != nil {
+			return "", err
+		}
+		n, _ := t.(string)
+		if seen[n] {
+			return n, nil
+		}
+		seen[n] = true
+		var v json.RawMessage
+		if err := d.Decode(&v); err != nil {
+			return "", err
+		}
+	}
+	return "", nil
+}
+
+var (
+	nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	levels   = map[string]bool{"trace": true, "debug": true, "info": true, "warn": true, "error": true}
+	disks    = map[string]bool{DiskNone: true, DiskControl: true, DiskStorage: true}
+)
+
+// Check gives all that is wrong with the settings, by field.
+func (o Options) Check() []Fault {
+	var f []Fault
+	add := func(ok bool, field, say string, a ...any) {
+		if !ok {
+			f = append(f, Fault{Field: field, Say: fmt.Sprintf(say, a...)})
+		}
+	}
+	span := func(field string, v, lo, hi int) {
+		add(v >= lo && v <= hi, field, "must be from %d to %d, is %d", lo, hi, v)
+	}
+	add(nameRule.MatchString(o.Name), "name", "must be 1 to 63 of a-z, 0-9 and -, is %q", o.Name)
+	add(nameRule.MatchString(o.Zone), "zone", "must be 1 to 63 of a-z, 0-9 and -, is %q", o.Zone)
+	add(address(o.Listen), "listen", "must be an IP number and a port from 1 to 65535, is %q", o.Listen)
+	add(address(o.Fellows), "fellow_listen", "must be an IP number and a port from 1 to 65535, is %q", o.Fellows)
+	add(o.Listen != o.Fellows, "fellow_listen", "must differ from listen, is %q too", o.Fellows)
+	add(len(o.Seeds) == 3, "seeds", "must be 3 addresses, are %d", len(o.Seeds))
+	for i, s := range o.Seeds {
+		add(address(s), fmt.Sprintf("seeds[%d]", i), "must be an IP number and a port from 1 to 65535, is %q", s)
+	}
+	add(disks[o.Disk], "disk", "must be none, control or storage, is %q", o.Disk)
+	add(o.Disk == DiskNone || o.Data != "", "data", "must name a folder when disk is %q", o.Disk)
+	add(len(o.Founders) <= foundersMost, "founders", "must be at most %d addresses, are %d", foundersMost, len(o.Founders))
+	for i, s := range o.Founders {
+		add(address(s), fmt.Sprintf("founders[%d]", i), "must be an IP number and a port from 1 to 65535, is %q", s)
+	}
+	span("routine_partitions", o.Routine, 1, 256)
+	span("urgent_partitions", o.Urgent, 1, 64)
+	span("body_limit", o.Body, 1, 1<<20)
+	span("backlog", o.Backlog, 8, 1<<16)
+	add(levels[o.Level], "log_level", "must be trace, debug, info, warn or error, is %q", o.Level)
+	for _, b := range o.Bounds().check() {
+		f = append(f, b)
+	}
+	c := o.Batch()
+	add(c >= 50*time.Millisecond && c <= o.Bounds().Keeping/changelogAtMost, "changelog", "must be from 50ms to half of keeping (%s), is %s", o.Bounds().Keeping/changelogAtMost, c)
+	sort.SliceStable(f, func(i, k int) bool { return f[i].Field < f[k].Field })
+	return f
+}
+
+func address(s string) bool {
+	h, p, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(h) == nil {
+		return false
+	}
+	var n int
+	if _, err := fmt.Sscanf(p, "%d", &n); err != nil || fmt.Sprint(n) != p {
+		return false
+	}
+	return n >= 1 && n <= 65535
+}
+
+// Problem makes one problem of the faults, nil when there are none.
+func Problem(where string, f []Fault) error {
+	if len(f) == 0 {
+		return nil
+	}
+	var s []string
+	var l []problem.Fault
+	for _, x := range f {
+		s = append(s, fmt.Sprintf("%s: field %q: %s", where, x.Field, x.Say))
+		l = append(l, problem.Fault{Place: x.Field, Say: x.Say})
+	}
+	return problem.New(problem.OptionsBad, "%s", strings.Join(s, "; ")).With(l)
+}
+
+// Live lists the fields that may change under a running node.
+var Live = map[string]func(dst *Options, src Options){
+	"log_level": func(d *Options, s Options) { d.Level = s.Level },
+	"backlog":   func(d *Options, s Options) { d.Backlog = s.Backlog },
+	"changelog": func(d *Options, s Options) { d.Changelog = s.Changelog },
+}
+
+// Changed lists the fields in which two settings differ.
+func Changed(a, b Options) []string {
+	x, y := fields(a), fields(b)
+	var s []string
+	for k := range x {
+		if !bytes.Equal(x[k], y[k]) {
+			s = append(s, k)
+		}
+	}
+	sort.Strings(s)
+	return s
+}
+
+func fields(o Options) map[string]json.RawMessage {
+	b, _ := json.Marshal(o)
+	m := map[string]json.RawMessage{}
+	_ = json.Unmarshal(b, &m)
+	return m
+}
--- /dev/null
+++ b/internal/placement/duty/duty.go
@@ -0,0 +1,555 @@
+// Package duty is the placement duty: the node that holds its key gives partitions their disks and owners.
+package duty
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/client"
+	"postjunction/internal/control/holder"
+	"postjunction/internal/event"
+	"postjunction/internal/gossip"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+// Key is the control key whose holder has the duty.
+const Key = "duty/placement"
+
+// Duty runs placement on one control node while it holds the key.
+type Duty struct {
+	Self   string
+	Clock  clock.Clock
+	Bounds options.Bounds
+	Holder *holder.Holder
+	Client *client.Client
+	Board  *gossip.Board
+	Live   func() []member.Info
+	Log    *event.Logger
+
+	held   bool
+	since  time.Time
+	recs   map[int]record.Record
+	gone   map[string]time.Time
+	opened map[int]time.Time
+	epochs map[int]uint64
+	moved  time.Time
+}
+
+const (
+	replicas     = 3
+	learnersMost = 4
+	ownersApart  = 2
+)
+
+// Run tends the partitions until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	for d.Clock.Sleep(ctx, clock.Jitter(d.Bounds.Tend(), 0.2, rand.Float64())) == nil {
+		if d.Board.Roster().Sequence == 0 {
+			continue
+		}
+		cx, stop := context.WithTimeout(ctx, d.Bounds.Recovery)
+		if !d.mine(cx) {
+			if d.held {
+				d.Log.Say(event.DutyLost)
+			}
+			d.held = false
+			stop()
+			continue
+		}
+		if !d.held {
+			d.take(cx)
+		}
+		if d.held {
+			d.round(cx)
+		}
+		stop()
+	}
+}
+
+func (d *Duty) mine(ctx context.Context) bool {
+	if !d.Holder.Holds(Key) {
+		cx, stop := context.WithTimeout(ctx, d.Bounds.Call())
+		defer stop()
+		if err := d.Holder.Claim(cx, Key); err != nil {
+			return false
+		}
+		return d.Holder.Confirmed(cx, Key)
+	}
+	cx, stop := context.WithTimeout(ctx, d.Bounds.Call())
+	defer stop()
+	return d.Holder.Confirmed(cx, Key)
+}
+
+func (d *Duty) take(ctx context.Context) {
+	d.recs, d.gone = map[int]record.Record{}, map[string]time.Time{}
+	d.opened, d.epochs = map[int]time.Time{}, map[int]uint64{}
+	for p := range d.Board.Roster().Layout.Count() {
+		if err := d.read(ctx, p); err != nil {
+			d.Log.Say(event.PlaceTrouble, "partition", p, "problem", err)
+			return
+		}
+	}
+	d.held, d.since, d.moved = true, d.Clock.Now(), d.Clock.Now()
+	d.Log.Say(event.DutyTaken, "partitions", len(d.recs))
+}
+
+func (d *Duty) read(ctx context.Context, p int) error {
+	v, err := d.Client.Read(ctx, record.Key(p))
+	if err != nil {
+		return err
+	}
+	r := record.Record{Partition: p}
+	if len(v.Body) > 0 {
+		if r, err = record.Parse(v.Body, v.Writes); err != nil {
+			return problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
+		}
+	}
+	r.Writes = v.Writes
+	d.recs[p] = r
+	if v.Writes > 0 {
+		d.Board.Offer(gossip.News{Records: []record.Record{r}})
+	}
+	return nil
+}
+
+func (d *Duty) write(ctx context.Context, old, n record.Record) bool {
+	v, err := d.Client.Change(ctx, record.Key(n.Partition), old.Writes, client.Name(), n.Pack())
+	if err != nil {
+		if !problem.Has(err, problem.StaleBase) {
+			d.Log.Say(event.PlaceTrouble, "partition", n.Partition, "problem", err)
+		}
+		_ = d.read(ctx, n.Partition)
+		return false
+	}
+	n.Writes = v.Writes
+	d.recs[n.Partition] = n
+	d.Board.Offer(gossip.News{Records: []record.Record{n}})
+	if n.Epoch != old.Epoch {
+		h := n.History[len(n.History)-1]
+		d.Log.Say(event.Placed, "partition", n.Partition, "epoch", n.Epoch, "owner", n.Owner, "replicas", strings.Join(h.Replicas, ","), "reason", h.Reason)
+	}
+	return true
+}
+
+type machine struct {
+	member.Info
+	holds, owns int
+	out         bool
+}
+
+type scene struct {
+	now    time.Time
+	m      map[string]*machine
+	stores int
+	drains drain.Book
+}
+
+func (s *scene) usable(p record.Place) bool {
+	m, ok := s.m[p.Node]
+	return ok && m.Incarnation == p.Incarnation && m.Fitness == ""
+}
+
+func (s *scene) canOwn(p record.Place) bool {
+	return s.usable(p) && s.m[p.Node].Stage == member.Serving
+}
+
+func (d *Duty) scene(ctx context.Context) (*scene, error) {
+	s := &scene{now: d.Clock.Now(), m: map[string]*machine{}}
+	v, err := d.Client.Read(ctx, drain.Key)
+	if err != nil {
+		return nil, err
+	}
+	s.drains = drain.Parse(v.Body)
+	for _, i := range d.Live() {
+		if i.Disk == options.DiskNone {
+			continue
+		}
+		dr, out := s.drains[i.Name]
+		if out && dr.Done && dr.Boot != i.Boot {
+			out = false
+		}
+		s.m[i.Name] = &machine{Info: i, out: out}
+		if i.Disk == options.DiskStorage && !out && i.Fitness == "" {
+			s.stores++
+		}
+	}
+	for _, r := range d.recs {
+		for _, p := range r.Replicas {
+			if m, ok := s.m[p.Node]; ok {
+				m.holds++
+				if r.Owner == p.Node {
+					m.owns++
+				}
+			}
+		}
+		if r.Learner != nil {
+			if m, ok := s.m[r.Learner.Node]; ok {
+				m.holds++
+			}
+		}
+	}
+	for n := range s.m {
+		delete(d.gone, n)
+	}
+	for _, r := range d.recs {
+		for _, p := range r.Replicas {
+			if _, ok := s.m[p.Node]; !ok && d.gone[p.Node].IsZero() {
+				d.gone[p.Node] = s.now
+			}
+		}
+	}
+	return s, nil
+}
+
+func (d *Duty) refresh(ctx context.Context) {
+	for p, r := range d.recs {
+		if b := d.Board.Record(p); b.Writes > r.Writes {
+			d.recs[p] = b
+		}
+	}
+	for p, r := range d.recs {
+		if !r.Settled && r.Epoch > 0 && d.Clock.Now().Sub(d.opened[p]) > d.Bounds.Settle() {
+			_ = d.read(ctx, p)
+		}
+	}
+}
+
+func (d *Duty) round(ctx context.Context) {
+	d.refresh(ctx)
+	s, err := d.scene(ctx)
+	if err != nil {
+		return
+	}
+	learners := 0
+	var ps []int
+	for p, r := range d.recs {
+		ps = append(ps, p)
+		if r.Learner != nil {
+			learners++
+		}
+	}
+	layout := d.Board.Roster().Layout
+	slices.SortFunc(ps, func(a, b int) int {
+		if (a >= layout.Routine) != (b >= layout.Routine) {
+			return b - a
+		}
+		return a - b
+	})
+	for _, p := range ps {
+		if ctx.Err() != nil {
+			return
+		}
+		r := d.recs[p]
+		if d.epochs[p] != r.Epoch {
+			d.epochs[p], d.opened[p] = r.Epoch, s.now
+		}
+		if r.Epoch == 0 {
+			d.first(ctx, s, r)
+			continue
+		}
+		if d.owner(ctx, s, r) || !r.Settled {
+			continue
+		}
+		d.copies(ctx, s, r, &learners)
+	}
+	d.balance(ctx, s)
+	d.book(ctx, s)
+}
+
+func (d *Duty) first(ctx context.Context, s *scene, r record.Record) {
+	if s.stores < replicas && s.now.Sub(d.since) < d.Bounds.Session() {
+		return
+	}
+	var ps []record.Place
+	for len(ps) < replicas {
+		m := d.candidate(s, ps)
+		if m == nil {
+			break
+		}
+		ps = append(ps, record.Place{Node: m.Name, Incarnation: m.Incarnation})
+	}
+	if len(ps) < replicas {
+		return
+	}
+	o := slices.MinFunc(ps, func(a, b record.Place) int { return s.m[a.Node].owns - s.m[b.Node].owns })
+	if d.write(ctx, r, r.Next(o.Node, ps, "first placement", s.now)) {
+		for _, p := range ps {
+			s.m[p.Node].holds++
+		}
+		s.m[o.Node].owns++
+	}
+}
+
+func (d *Duty) candidate(s *scene, ps []record.Place) *machine {
+	zones, names := map[string]bool{}, map[string]bool{}
+	for _, p := range ps {
+		names[p.Node] = true
+		if m, ok := s.m[p.Node]; ok {
+			zones[m.Zone] = true
+		}
+	}
+	var best *machine
+	rank := func(m *machine) [3]int {
+		k := [3]int{0, 0, m.holds}
+		if m.Disk != options.DiskStorage {
+			k[0] = 1
+		}
+		if zones[m.Zone] {
+			k[1] = 1
+		}
+		return k
+	}
+	for _, m := range s.m {
+		if names[m.Name] || m.out || m.Fitness != "" || m.Stage != member.Serving {
+			continue
+		}
+		if m.Disk != options.DiskStorage && s.stores >= replicas {
+			continue
+		}
+		if best == nil {
+			best = m
+			continue
+		}
+		a, b := rank(m), rank(best)
+		if c := slices.Compare(a[:], b[:]); c < 0 || c == 0 && m.Name < best.Name {
+			best = m
+		}
+	}
+	return best
+}
+
+func (d *Duty) heir(s *scene, r record.Record, not string) (record.Place, bool) {
+	var best record.Place
+	found := false
+	for _, p := range r.Replicas {
+		if p.Node == not || !s.canOwn(p) {
+			continue
+		}
+		if !found || d.better(s, r, p, best) {
+			best, found = p, true
+		}
+	}
+	return best, found
+}
+
+func (d *Duty) better(s *scene, r record.Record, p, q record.Place) bool {
+	a, b := s.m[p.Node], s.m[q.Node]
+	if a.out != b.out {
+		return b.out
+	}
+	if (a.Disk == options.DiskStorage) != (b.Disk == options.DiskStorage) {
+		return a.Disk == options.DiskStorage
+	}
+	if a.owns != b.owns {
+		return a.owns < b.owns
+	}
+	return p.Node < q.Node
+}
+
+func (d *Duty) owner(ctx context.Context, s *scene, r record.Record) bool {
+	me, ok := r.Place(r.Owner)
+	reason := ""
+	switch m := s.m[r.Owner]; {
+	case !ok || m != nil && m.Incarnation != me.Incarnation:
+		reason = "the owner's disk is another one"
+	case m == nil:
+		if s.now.Sub(d.gone[r.Owner]) < d.Bounds.Previous() {
+			return true
+		}
+		reason = "the owner is gone"
+	case m.Fitness != "":
+		reason = "the owner's disk fails: " + m.Fitness
+	case m.Stage != member.Serving:
+		reason = "the owner is stopping"
+	case m.out && len(r.Replicas) <= replicas:
+		if h, ok := d.heir(s, r, r.Owner); !ok || s.m[h.Node].out || !r.Settled {
+			return false
+		}
+		reason = "the owner is being emptied"
+	case !r.Settled && s.now.Sub(d.opened[r.Partition]) > 2*d.Bounds.Settle():
+		reason = "the take-over did not finish in " + (2 * d.Bounds.Settle()).String()
+	default:
+		return false
+	}
+	alive := 0
+	for _, p := range r.Replicas {
+		if s.usable(p) {
+			alive++
+		}
+	}
+	h, ok := d.heir(s, r, r.Owner)
+	if !ok || alive < r.Majority() {
+		return true
+	}
+	if d.write(ctx, r, r.Next(h.Node, r.Replicas, reason, s.now)) {
+		s.m[h.Node].owns++
+	}
+	return true
+}
+
+func (d *Duty) faulty(s *scene, r record.Record, p record.Place) string {
+	m, ok := s.m[p.Node]
+	switch {
+	case !ok && s.now.Sub(d.gone[p.Node]) > d.Bounds.Repair():
+		return "gone for longer than " + d.Bounds.Repair().String()
+	case !ok:
+		return ""
+	case m.Incarnation != p.Incarnation:
+		return "its disk is another one"
+	case m.out:
+		return "it is being emptied"
+	case m.Fitness != "":
+		return "its disk fails"
+	case m.Disk != options.DiskStorage && s.stores >= replicas:
+		return "storage machines suffice again"
+	}
+	return ""
+}
+
+func (d *Duty) copies(ctx context.Context, s *scene, r record.Record, learners *int) {
+	bad, why := -1, ""
+	for i, p := range r.Replicas {
+		if w := d.faulty(s, r, p); w != "" && (bad < 0 || !s.usable(p)) {
+			bad, why = i, w
+		}
+	}
+	if r.Learner != nil {
+		m, ok := s.m[r.Learner.Node]
+		if !ok || m.Incarnation != r.Learner.Incarnation || m.Fitness != "" || m.out || bad < 0 && len(r.Replicas) >= replicas {
+			n := r
+			n.Learner = nil
+			d.write(ctx, r, n)
+		}
+		return
+	}
+	if len(r.Replicas) > replicas {
+		if bad < 0 {
+			bad, why = d.spare(s, r), "one copy more than needed"
+		}
+		rest := slices.Delete(slices.Clone(r.Replicas), bad, bad+1)
+		o := r.Owner
+		if r.Replicas[bad].Node == o {
+			h, ok := d.heir(s, r, o)
+			if !ok {
+				return
+			}
+			o = h.Node
+		}
+		d.write(ctx, r, r.Next(o, rest, fmt.Sprintf("removed %s: %s", r.Replicas[bad].Node, why), s.now))
+		return
+	}
+	if bad < 0 && len(r.Replicas) >= replicas || *learners >= learnersMost {
+		return
+	}
+	keep := slices.Clone(r.Replicas)
+	if bad >= 0 {
+		keep = slices.Delete(keep, bad, bad+1)
+	}
+	m := d.candidate(s, keep)
+	if m == nil {
+		return
+	}
+	if bad >= 0 && m.Name == r.Replicas[bad].Node {
+		d.write(ctx, r, r.Next(r.Owner, keep, fmt.Sprintf("removed the lost disk of %s", m.Name), s.now))
+		return
+	}
+	n := r
+	n.Learner = &record.Place{Node: m.Name, Incarnation: m.Incarnation}
+	if d.write(ctx, r, n) {
+		m.holds++
+		*learners++
+	}
+}
+
+func (d *Duty) spare(s *scene, r record.Record) int {
+	at := 0
+	for i, p := range r.Replicas {
+		if p.Node != r.Owner && s.m[p.Node] != nil && (s.m[r.Replicas[at].Node] == nil || r.Replicas[at].Node == r.Owner || s.m[p.Node].holds > s.m[r.Replicas[at].Node].holds) {
+			at = i
+		}
+	}
+	return at
+}
+
+func (d *Duty) balance(ctx context.Context, s *scene) {
+	if s.now.Sub(d.moved) < d.Bounds.Repair()/2 {
+		return
+	}
+	var most *machine
+	for _, m := range s.m {
+		if most == nil || m.owns > most.owns || m.owns == most.owns && m.Name < most.Name {
+			most = m
+		}
+	}
+	if most == nil {
+		return
+	}
+	for p := range len(d.recs) {
+		r := d.recs[p]
+		if r.Owner != most.Name || !r.Settled || r.Learner != nil || len(r.Replicas) != replicas {
+			continue
+		}
+		for _, q := range r.Replicas {
+			if !s.canOwn(q) {
+				return
+			}
+		}
+		h, ok := d.heir(s, r, r.Owner)
+		if !ok || s.m[h.Node].out || s.m[h.Node].Disk != options.DiskStorage || s.m[h.Node].owns > most.owns-ownersApart {
+			continue
+		}
+		d.moved = s.now
+		d.write(ctx, r, r.Next(h.Node, r.Replicas, "owners were uneven", s.now))
+		return
+	}
+}
+
+func (d *Duty) book(ctx context.Context, s *scene) {
+	if len(s.drains) == 0 {
+		return
+	}
+	v, err := d.Client.Read(ctx, drain.Key)
+	if err != nil {
+		return
+	}
+	b := drain.Parse(v.Body)
+	changed := false
+	for n, x := range b {
+		left := 0
+		for _, r := range d.recs {
+			if r.Holds(n) {
+				left++
+			}
+		}
+		m, live := s.m[n]
+		if x.Done && live && m.Boot != x.Boot {
+			delete(b, n)
+			changed = true
+			d.Log.Say(event.DrainReturned, "node", n)
+			continue
+		}
+		if left != x.Left || (left == 0) != x.Done {
+			if left == 0 && !x.Done {
+				d.Log.Say(event.DrainDone, "node", n)
+			}
+			x.Left, x.Done = left, left == 0
+			if live && !x.Done {
+				x.Boot = m.Boot
+			}
+			b[n] = x
+			changed = true
+		}
+	}
+	if changed {
+		_, _ = d.Client.Change(ctx, drain.Key, v.Writes, client.Name(), b.Pack())
+	}
+}
--- /dev/null
+++ b/internal/proof/caller/caller.go
@@ -0,0 +1,184 @@
+// Package caller is a seeded stand-in for handsets and desk clients: it sends, listens, resumes and notes all it sees.
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/history"
+	"postjunction/internal/proof/port"
+	"postjunction/internal/visitor"
+)
+
+// Caller is one visitor.
+type Caller struct {
+	Name    string
+	Clock   clock.Clock
+	Ports   func() []port.Port
+	History *history.History
+	Follows []string
+	Sends   []string
+	Urgent  map[string]bool
+	Live    map[string]bool
+	Every   time.Duration
+	Rand    *rand.Rand
+	Spread  time.Duration
+
+	mu     sync.Mutex
+	token  string
+	fresh  chan struct{}
+	cursor string
+}
+
+const (
+	patience   = 4
+	bodyLetter = "abcdefghijklmnopqrstuvwxyz"
+	bodyMin    = 60
+	bodyMore   = 300
+)
+
+func (c *Caller) port() port.Port {
+	ps := c.Ports()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ps[c.Rand.IntN(len(ps))]
+}
+
+func (c *Caller) pause(ctx context.Context, d time.Duration) {
+	c.mu.Lock()
+	x := c.Rand.Float64()
+	c.mu.Unlock()
+	_ = c.Clock.Sleep(ctx, clock.Jitter(d, 1, x))
+}
+
+func (c *Caller) attach(ctx context.Context) string {
+	for ctx.Err() == nil {
+		cx, stop := context.WithTimeout(ctx, c.Spread*2)
+		a, err := c.port().Attach(cx, c.Name)
+		stop()
+		if err == nil {
+			c.mu.Lock()
+			c.token = a.Token
+			c.mu.Unlock()
+			return a.Token
+		}
+		c.pause(ctx, c.Spread/10)
+	}
+	return ""
+}
+
+func (c *Caller) current() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.token
+}
+
+// Run listens until ctx ends, and sends until sends ends.
+func (c *Caller) Run(ctx, sends context.Context) {
+	c.attach(ctx)
+	ready := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { c.listen(ctx, ready) })
+	for i, t := range c.Sends {
+		wg.Go(func() {
+			if len(c.Follows) > 0 {
+				select {
+				case <-ready:
+				case <-ctx.Done():
+				}
+			}
+			c.send(sends, t, i)
+		})
+	}
+	wg.Wait()
+}
+
+func (c *Caller) listen(ctx context.Context, ready chan struct{}) {
+	if len(c.Follows) == 0 {
+		return
+	}
+	first := true
+	for ctx.Err() == nil {
+		t := c.current()
+		err := c.port().Follow(ctx, t, c.Follows, c.cursor, func(l visitor.Line) error {
+			now := c.Clock.Now()
+			if first {
+				first = false
+				c.History.Subscribe(c.Name, c.Follows, c.Live, now)
+				close(ready)
+			}
+			c.cursor = l.Cursor
+			if l.Topic != "" {
+				p := 0
+				if l.Partition != nil {
+					p = *l.Partition
+				}
+				c.History.Receive(c.Name, history.Receipt{Message: history.Message{Topic: l.Topic, From: l.From, Call: l.Call}, Body: string(l.Body), Partition: p, Offset: l.Offset, At: now})
+			}
+			return nil
+		})
+		if problem.Has(err, problem.TokenForeign) || problem.Has(err, problem.TokenFenced) {
+			if c.current() == t {
+				c.attach(ctx)
+			}
+		}
+		if problem.Has(err, problem.CursorExpired) || problem.Has(err, problem.CursorBad) {
+			c.History.Violate(history.Missed, "%s could not resume: %v", c.Name, err)
+			c.cursor = ""
+		}
+		c.pause(ctx, c.Spread/20)
+	}
+}
+
+func (c *Caller) body(topic string, n uint64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := bodyMin + c.Rand.IntN(bodyMore)
+	return fmt.Sprintf(`"%s %s %d %s"`, c.Name, topic, n, strings.Repeat(bodyLetter[int(n)%26:int(n)%26+1], k))
+}
+
+var definite = map[problem.Kind]bool{
+	problem.CallGap: true, problem.CallAltered: true, problem.CallForgotten: true, problem.UnknownTopic: true, problem.UnknownSpace: true,
+	problem.TokenFenced: true, problem.TokenForeign: true, problem.TokenMissing: true, problem.Malformed: true, problem.Oversize: true,
+}
+
+func (c *Caller) send(ctx context.Context, topic string, lane int) {
+	c.pause(ctx, c.Every)
+	for n := uint64(1); ctx.Err() == nil; n++ {
+		b := c.body(topic, n)
+		m := history.Message{Topic: topic, From: c.Name, Call: n}
+		c.History.Send(m, b, c.Urgent[topic], c.Clock.Now())
+		for ctx.Err() == nil {
+			t := c.current()
+			cx, stop := context.WithTimeout(ctx, patience*c.Spread)
+			r, err := c.port().Send(cx, t, topic, n, []byte(b))
+			stop()
+			if err == nil {
+				c.History.Take(m, r.Partition, r.Offset, c.Clock.Now())
+				break
+			}
+			p := problem.Of(err)
+			if p.Kind == problem.TokenForeign || p.Kind == problem.TokenFenced {
+				if c.current() == t {
+					c.attach(ctx)
+				}
+				continue
+			}
+			if p.Kind == problem.Internal {
+				c.History.Violate(history.Foreign, "%s got an untyped failure: %v", c.Name, err)
+			}
+			if definite[p.Kind] {
+				c.History.Violate(history.Lost, "%s was told %s for %v, which it sends in order: %v", c.Name, p.Kind, m, err)
+				return
+			}
+			c.pause(ctx, c.Spread/30)
+		}
+		c.pause(ctx, c.Every*2/3)
+	}
+}
--- /dev/null
+++ b/internal/proof/history/history.go
@@ -0,0 +1,336 @@
+// Package history records what callers and operators saw and checks it against the never-list.
+package history
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Outcomes of a call.
+const (
+	Taken   = "taken"
+	Refused = "refused"
+	Unknown = "unknown"
+)
+
+// Message names one numbered message.
+type Message struct {
+	Topic string
+	From  string
+	Call  uint64
+}
+
+// Receipt is one line that a subscriber got.
+type Receipt struct {
+	Message
+	Body      string
+	Partition int
+	Offset    uint64
+	At        time.Time
+}
+
+type sent struct {
+	body      string
+	outcome   string
+	partition int
+	offset    uint64
+	at        time.Time
+	done      time.Time
+	urgent    bool
+}
+
+type sub struct {
+	topics map[string]bool
+	live   map[string]bool
+	since  time.Time
+	got    []Receipt
+	excuse bool
+}
+
+// Violation is one breach of the never-list.
+type Violation struct {
+	Line string
+	Say  string
+}
+
+// History is shared by all stand-in callers of a run.
+type History struct {
+	mu       sync.Mutex
+	sent     map[Message]*sent
+	refused  map[Message]map[string]bool
+	subs     map[string]*sub
+	seen     map[string]uint64
+	accepted map[uint64]time.Time
+	bad      []Violation
+	ok       []time.Time
+	spread   []time.Duration
+	urgent   []time.Duration
+	routine  []time.Duration
+}
+
+// New makes an empty history.
+func New() *History {
+	return &History{sent: map[Message]*sent{}, refused: map[Message]map[string]bool{}, subs: map[string]*sub{}, seen: map[string]uint64{}, accepted: map[uint64]time.Time{}}
+}
+
+// The lines of the never-list, in the order of the brief.
+const (
+	Twice    = "never-1 the same message twice"
+	Order    = "never-2 out of order, or another line"
+	Lost     = "never-3 a taken message lost"
+	Missed   = "never-4 a returning client missed something"
+	Fenced   = "never-5 a fenced owner decided"
+	Disk     = "never-6 a disk trusted beyond the ledger"
+	Foreign  = "never-7 refused, altered, wrong sender or topic, or not asked for"
+	Spread   = "never-8 a description late or slipping back"
+	Invalid  = "never-9 an invalid or raced description applied"
+	Readback = "never-10 the latest description lost"
+	Recovery = "never-11 service returned late"
+	Behind   = "never-12 urgent behind routine"
+)
+
+func (h *History) violate(l, f string, a ...any) {
+	h.bad = append(h.bad, Violation{l, fmt.Sprintf(f, a...)})
+}
+
+// Violate notes a breach that a driver saw itself.
+func (h *History) Violate(l, f string, a ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.violate(l, f, a...)
+}
+
+// Send notes that a message is about to be sent; repeats of it are one message.
+func (h *History) Send(m Message, body string, urgent bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.sent[m]; !ok {
+		h.sent[m] = &sent{body: body, outcome: Unknown, at: now, urgent: urgent}
+	}
+}
+
+// Take notes that a message was told to be taken, and where.
+func (h *History) Take(m Message, p int, o uint64, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.sent[m]
+	if s.outcome == Taken && (s.partition != p || s.offset != o) {
+		h.violate(Order, "%v was first answered with %d/%d, then with %d/%d", m, s.partition, s.offset, p, o)
+	}
+	if s.outcome != Taken {
+		h.ok = append(h.ok, now)
+		d := now.Sub(s.at)
+		if s.urgent {
+			h.urgent = append(h.urgent, d)
+		} else {
+			h.routine = append(h.routine, d)
+		}
+	}
+	s.outcome, s.partition, s.offset, s.done = Taken, p, o, now
+}
+
+// Refuse notes that a message with this body was told to be refused for good.
+func (h *History) Refuse(m Message, body string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.refused[m] == nil {
+		h.refused[m] = map[string]bool{}
+	}
+	h.refused[m][body] = true
+}
+
+// Subscribe notes that a visitor follows topics from now on; live ones need not be complete.
+func (h *History) Subscribe(visitor string, topics []string, live map[string]bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.subs[visitor]; ok {
+		return
+	}
+	s := &sub{topics: map[string]bool{}, live: live, since: now}
+	for _, t := range topics {
+		s.topics[t] = true
+	}
+	h.subs[visitor] = s
+}
+
+// Excuse notes that a visitor was away for longer than the keeping time.
+func (h *History) Excuse(visitor string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.subs[visitor].excuse = true
+}
+
+// Receive notes a line.
+func (h *History) Receive(visitor string, r Receipt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.subs[visitor].got = append(h.subs[visitor].got, r)
+	if s := h.sent[r.Message]; s != nil {
+		h.spread = append(h.spread, r.At.Sub(s.at))
+	}
+}
+
+// Accept notes that an operator was told yes for a sequence.
+func (h *History) Accept(seq uint64, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t, ok := h.accepted[seq]; ok {
+		h.violate(Invalid, "description %d was accepted twice, at %s and %s", seq, t, now)
+	}
+	h.accepted[seq] = now
+}
+
+// Show notes which description a serving node showed at some moment after asked, in one run of the node.
+func (h *History) Show(node string, seq uint64, asked time.Time, bound time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if seq < h.seen[node] {
+		h.violate(Spread, "%s showed description %d after %d", node, seq, h.seen[node])
+	}
+	h.seen[node] = max(seq, h.seen[node])
+	for n, t := range h.accepted {
+		if seq < n && asked.Sub(t) > bound {
+			h.violate(Spread, "%s served description %d, %s after %d was accepted", node, seq, asked.Sub(t), n)
+		}
+	}
+}
+
+// Readback notes the description that was read back.
+func (h *History) ReadBack(seq uint64, asked time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for n, t := range h.accepted {
+		if seq < n && t.Before(asked) {
+			h.violate(Readback, "description %d was read back after %d was accepted", seq, n)
+		}
+	}
+}
+
+// Report is the result of a run.
+type Report struct {
+	Sent, Taken, Unknown, Refused int
+	Receipts, Subscribers         int
+	Descriptions                  int
+	Violations                    []Violation
+	Gap                           time.Duration
+	GapAt                         time.Time
+	Spread, Urgent, Routine       Spans
+}
+
+// Spans are the quantiles of a set of durations.
+type Spans struct {
+	Count              int
+	P50, P95, P99, Max time.Duration
+}
+
+func spans(d []time.Duration) Spans {
+	if len(d) == 0 {
+		return Spans{}
+	}
+	sort.Slice(d, func(i, k int) bool { return d[i] < d[k] })
+	at := func(q float64) time.Duration { return d[int(q*float64(len(d)-1))] }
+	return Spans{len(d), at(0.5), at(0.95), at(0.99), d[len(d)-1]}
+}
+
+// Check judges the whole history; settled is when the last fault was over and all callers had caught up,
+// cut is the time up to which taken messages must have arrived.
+func (h *History) Check(cut time.Time) Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := Report{Sent: len(h.sent), Subscribers: len(h.subs), Descriptions: len(h.accepted)}
+	place := map[string]Message{}
+	note := func(m Message, p int, o uint64, how string) {
+		k := fmt.Sprintf("%d/%d", p, o)
+		if x, ok := place[k]; ok && x != m {
+			h.violate(Fenced, "%s holds %v for one and %v for another (%s)", k, x, m, how)
+		}
+		place[k] = m
+	}
+	for m, s := range h.sent {
+		switch s.outcome {
+		case Taken:
+			r.Taken++
+			note(m, s.partition, s.offset, "told to the sender")
+		case Unknown:
+			r.Unknown++
+		}
+	}
+	for _, x := range h.refused {
+		r.Refused += len(x)
+	}
+	for v, s := range h.subs {
+		h.checkSub(v, s, note)
+		r.Receipts += len(s.got)
+	}
+	h.complete(cut)
+	sort.Slice(h.ok, func(i, k int) bool { return h.ok[i].Before(h.ok[k]) })
+	for i := 1; i < len(h.ok); i++ {
+		if d := h.ok[i].Sub(h.ok[i-1]); d > r.Gap {
+			r.Gap, r.GapAt = d, h.ok[i-1]
+		}
+	}
+	r.Spread, r.Urgent, r.Routine = spans(h.spread), spans(h.urgent), spans(h.routine)
+	r.Violations = h.bad
+	return r
+}
+
+func (h *History) checkSub(v string, s *sub, note func(Message, int, uint64, string)) {
+	seen := map[Message]bool{}
+	last := map[string]uint64{}
+	offset := map[string]uint64{}
+	for _, g := range s.got {
+		if !s.topics[g.Topic] {
+			h.violate(Foreign, "%s got %v, a topic it did not ask for", v, g.Message)
+		}
+		if seen[g.Message] {
+			h.violate(Twice, "%s got %v twice", v, g.Message)
+		}
+		k := g.Topic + "\x1f" + g.From
+		if g.Call <= last[k] && !seen[g.Message] {
+			h.violate(Order, "%s got %v after call %d", v, g.Message, last[k])
+		}
+		seen[g.Message] = true
+		if last[k] != 0 && g.Call != last[k]+1 && !s.live[g.Topic] && !s.excuse {
+			h.violate(Missed, "%s got %v after call %d", v, g.Message, last[k])
+		}
+		last[k] = max(last[k], g.Call)
+		if g.Offset <= offset[g.Topic] {
+			h.violate(Order, "%s got %v at offset %d after %d", v, g.Message, g.Offset, offset[g.Topic])
+		}
+		offset[g.Topic] = g.Offset
+		note(g.Message, g.Partition, g.Offset, "given to "+v)
+		w, ok := h.sent[g.Message]
+		if !ok {
+			h.violate(Foreign, "%s got %v, which nobody sent", v, g.Message)
+			continue
+		}
+		if w.body != g.Body {
+			h.violate(Foreign, "%s got %v with another body", v, g.Message)
+		}
+		if h.refused[g.Message][g.Body] && w.outcome != Taken {
+			h.violate(Foreign, "%s got %v, which was refused", v, g.Message)
+		}
+	}
+}
+
+func (h *History) complete(cut time.Time) {
+	for v, s := range h.subs {
+		if s.excuse {
+			continue
+		}
+		have := map[Message]bool{}
+		for _, g := range s.got {
+			have[g.Message] = true
+		}
+		for m, x := range h.sent {
+			if !s.topics[m.Topic] || s.live[m.Topic] || x.outcome != Taken || !x.at.After(s.since) || x.done.After(cut) {
+				continue
+			}
+			if !have[m] {
+				h.violate(Lost, "%s never got %v, told taken at %d/%d on %s", v, m, x.partition, x.offset, x.done.Format("15:04:05.000"))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/port/port.go
@@ -0,0 +1,268 @@
+// Package port is how stand-in callers reach a node: over HTTP, or straight into a simulated one.
+package port
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"postjunction/internal/door"
+	"postjunction/internal/problem"
+	"postjunction/internal/visitor"
+)
+
+// Port is one node as callers see it.
+type Port interface {
+	Attach(ctx context.Context, name string) (visitor.Attachment, error)
+	Send(ctx context.Context, token, topic string, call uint64, body []byte) (visitor.Receipt, error)
+	Follow(ctx context.Context, token string, topics []string, cursor string, f func(visitor.Line) error) error
+	Put(ctx context.Context, doc []byte) (uint64, error)
+	Get(ctx context.Context) (uint64, error)
+	Shows(ctx context.Context) (seq uint64, ready bool, err error)
+}
+
+// HTTP reaches a node by its callers' address.
+type HTTP struct {
+	Base   string
+	Client *http.Client
+}
+
+func (p *HTTP) call(ctx context.Context, method, path, token string, doc []byte, out any) error {
+	r, err := http.NewRequestWithContext(ctx, method, p.Base+path, bytes.NewReader(doc))
+	if err != nil {
+		return problem.Wrap(problem.Usage, err, "%s", path)
+	}
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	a, err := p.Client.Do(r)
+	if err != nil {
+		return problem.Wrap(problem.Unreachable, err, "%s", path)
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return problem.Wrap(problem.Unreachable, err, "%s", path)
+	}
+	if a.StatusCode != http.StatusOK {
+		return failed(a.StatusCode, b)
+	}
+	return problem.Wrap(problem.Malformed, json.Unmarshal(b, out), "%s", path)
+}
+
+func failed(code int, b []byte) error {
+	p := &problem.Problem{}
+	if json.Unmarshal(b, p) != nil || !problem.Known(p.Kind) {
+		return problem.New(problem.Internal, "status %d without a problem: %.80s", code, b)
+	}
+	return p
+}
+
+func must(v any) []byte {
+	b, _ := json.Marshal(v)
+	return b
+}
+
+// Attach attaches.
+func (p *HTTP) Attach(ctx context.Context, name string) (a visitor.Attachment, err error) {
+	return a, p.call(ctx, http.MethodPost, "/v1/attach", "", must(map[string]string{"visitor": name}), &a)
+}
+
+// Send sends.
+func (p *HTTP) Send(ctx context.Context, token, topic string, call uint64, body []byte) (r visitor.Receipt, err error) {
+	return r, p.call(ctx, http.MethodPost, "/v1/send", token, must(map[string]any{"topic": topic, "call_seq": call, "body": json.RawMessage(body)}), &r)
+}
+
+// Put puts a description.
+func (p *HTTP) Put(ctx context.Context, doc []byte) (uint64, error) {
+	var a struct {
+		Sequence uint64 `json:"sequence"`
+	}
+	err := p.call(ctx, http.MethodPut, "/v1/description", "", doc, &a)
+	return a.Sequence, err
+}
+
+// Get reads the description's sequence back.
+func (p *HTTP) Get(ctx context.Context) (uint64, error) {
+	var a struct {
+		Sequence uint64 `json:"sequence"`
+	}
+	err := p.call(ctx, http.MethodGet, "/v1/description", "", nil, &a)
+	return a.Sequence, err
+}
+
+// Shows gives the description that the node shows, and whether it serves.
+func (p *HTTP) Shows(ctx context.Context) (uint64, bool, error) {
+	var a struct {
+		Description uint64 `json:"description"`
+		Licensed    bool   `json:"licensed"`
+	}
+	err := p.call(ctx, http.MethodGet, "/v1/status", "", nil, &a)
+	return a.Description, a.Licensed, err
+}
+
+const lineMost = 4 << 20
+
+// Follow reads a stream until it ends.
+func (p *HTTP) Follow(ctx context.Context, token string, topics []string, cursor string, f func(visitor.Line) error) error {
+	q := url.Values{"topic": topics}
+	if cursor != "" {
+		q.Set("cursor", cursor)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.Base+"/v1/stream?"+q.Encode(), nil)
+	if err != nil {
+		return problem.Wrap(problem.Usage, err, "stream")
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	a, err := p.Client.Do(r)
+	if err != nil {
+		return problem.Wrap(problem.Unreachable, err, "stream")
+	}
+	defer func() { _ = a.Body.Close() }()
+	if a.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(a.Body)
+		return failed(a.StatusCode, b)
+	}
+	sc := bufio.NewScanner(a.Body)
+	sc.Buffer(nil, lineMost)
+	for sc.Scan() {
+		var l visitor.Line
+		if err := json.Unmarshal(sc.Bytes(), &l); err != nil {
+			return problem.Wrap(problem.Malformed, err, "stream line")
+		}
+		if err := f(l); err != nil {
+			return err
+		}
+	}
+	return problem.Wrap(problem.Unreachable, sc.Err(), "stream")
+}
+
+// Direct reaches the services of a node in this process; Door keeps the two alike.
+type Direct struct {
+	Node func() *Services
+}
+
+// Services are what a node offers.
+type Services struct {
+	Visitors *visitor.Service
+	Door     *door.Door
+}
+
+func (p *Direct) do(ctx context.Context, t *visitor.Task) (any, error) {
+	n := p.Node()
+	if n == nil {
+		return nil, problem.New(problem.Unreachable, "the node is down")
+	}
+	type ans struct {
+		a   any
+		err error
+	}
+	c := make(chan ans, 1)
+	go func() {
+		a, err := n.Visitors.Do(ctx, t)
+		c <- ans{a, err}
+	}()
+	select {
+	case x := <-c:
+		if p.Node() != n {
+			return nil, problem.New(problem.Unreachable, "the node went down")
+		}
+		return x.a, x.err
+	case <-ctx.Done():
+		return nil, problem.New(problem.Unreachable, "no answer in time")
+	}
+}
+
+// Attach attaches.
+func (p *Direct) Attach(ctx context.Context, name string) (visitor.Attachment, error) {
+	a, err := p.do(ctx, &visitor.Task{Verb: visitor.VerbAttach, Visitor: name})
+	x, _ := a.(visitor.Attachment)
+	return x, err
+}
+
+// Send sends.
+func (p *Direct) Send(ctx context.Context, token, topic string, call uint64, body []byte) (visitor.Receipt, error) {
+	a, err := p.do(ctx, &visitor.Task{Verb: visitor.VerbSend, Token: token, Topics: []string{topic}, Call: call, Body: body})
+	x, _ := a.(visitor.Receipt)
+	return x, err
+}
+
+// Follow follows.
+func (p *Direct) Follow(ctx context.Context, token string, topics []string, cursor string, f func(visitor.Line) error) error {
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	lines := make(chan visitor.Line)
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.do(cx, &visitor.Task{Verb: visitor.VerbFollow, Token: token, Topics: topics, Cursor: cursor, Emit: func(b []byte) error {
+			var l visitor.Line
+			if err := json.Unmarshal(b, &l); err != nil {
+				return problem.Wrap(problem.Malformed, err, "stream line")
+			}
+			select {
+			case lines <- l:
+				return nil
+			case <-cx.Done():
+				return problem.New(problem.Unreachable, "the reader is gone")
+			}
+		}})
+		done <- err
+	}()
+	for {
+		select {
+		case l := <-lines:
+			if err := f(l); err != nil {
+				return err
+			}
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Put puts a description.
+func (p *Direct) Put(ctx context.Context, doc []byte) (uint64, error) {
+	n := p.Node()
+	if n == nil {
+		return 0, problem.New(problem.Unreachable, "the node is down")
+	}
+	a, err := n.Door.Operators.Put(ctx, doc)
+	if err == nil && p.Node() != n {
+		return 0, problem.New(problem.Unreachable, "the node went down")
+	}
+	var x struct {
+		Sequence uint64 `json:"sequence"`
+	}
+	_ = json.Unmarshal(must(a), &x)
+	return x.Sequence, err
+}
+
+// Get reads the description's sequence back.
+func (p *Direct) Get(ctx context.Context) (uint64, error) {
+	n := p.Node()
+	if n == nil {
+		return 0, problem.New(problem.Unreachable, "the node is down")
+	}
+	a, err := n.Door.Operators.Description(ctx)
+	var x struct {
+		Sequence uint64 `json:"sequence"`
+	}
+	_ = json.Unmarshal(must(a), &x)
+	return x.Sequence, err
+}
+
+// Shows gives the description that the node shows, and whether it serves.
+func (p *Direct) Shows(ctx context.Context) (uint64, bool, error) {
+	n := p.Node()
+	if n == nil {
+		return 0, false, problem.New(problem.Unreachable, "the node is down")
+	}
+	ready := n.Door.Ready() == nil
+	return n.Door.Operators.Board.Description().Sequence, ready, nil
+}
--- /dev/null
+++ b/internal/proof/sim/sim_test.go
@@ -0,0 +1,71 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/proof/history"
+)
+
+var load = Load{Callers: 10, Topics: 6, LiveTopics: 2, Leads: 2, Every: 400 * time.Millisecond}
+
+// play runs a fleet through a script and checks what callers saw.
+func play(t *testing.T, s Site, seed uint64, script func(w *World)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := New(s, seed, Logger())
+		defer w.Close()
+		assert.NilError(t, w.Start(w.Names...))
+		assert.NilError(t, w.Settle(20*time.Second))
+		_, err := w.Put("c1", load.Describe(0))
+		assert.NilError(t, err)
+		time.Sleep(s.Bounds.Spread)
+		w.Watch()
+		w.Callers(load)
+		time.Sleep(5 * time.Second)
+		script(w)
+		w.Heal()
+		for _, n := range w.Names {
+			w.Thaw(n)
+			w.Slow(n, 0)
+			w.Machines[n].Disk.Fill(false)
+			assert.NilError(t, w.Start(n))
+		}
+		time.Sleep(15 * time.Second)
+		cut := w.Quiet(10 * time.Second)
+		report(t, w, cut)
+	})
+}
+
+func report(t *testing.T, w *World, cut time.Time) history.Report {
+	t.Helper()
+	r := w.History.Check(cut)
+	t.Logf("seed %d: sent %d taken %d unknown %d receipts %d gap %s spread %v", w.Seed, r.Sent, r.Taken, r.Unknown, r.Receipts, r.Gap, r.Spread)
+	for i, v := range r.Violations {
+		if i < 10 {
+			t.Errorf("seed %d: %s: %s", w.Seed, v.Line, v.Say)
+		}
+	}
+	assert.Assert(t, r.Taken > 50, "too little was sent to prove anything")
+	assert.Assert(t, r.Gap < w.Site.Bounds.Recovery, "service was away for %s", r.Gap)
+	return r
+}
+
+func TestQuietDay(t *testing.T) {
+	play(t, Armor, 1, func(w *World) { time.Sleep(10 * time.Second) })
+}
+
+func TestOwnerKilled(t *testing.T) {
+	for i := range 3 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			play(t, Armor, uint64(i), func(w *World) {
+				w.Kill(fmt.Sprintf("s%d", i+1))
+				time.Sleep(12 * time.Second)
+			})
+		})
+	}
+}
