--- /dev/null
+++ b/internal/proof/sim/world.go
@@ -0,0 +1,478 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/disk/memlog"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/caller"
+	"postjunction/internal/proof/history"
+	"postjunction/internal/proof/port"
+)
+
+var errGone = problem.New(problem.Stopped, "the process is gone")
+
+// Site says how many machines of each kind stand in how many zones.
+type Site struct {
+	Zones, Control, Access, Stores int
+	Latency                        time.Duration
+	Bounds                         options.Bounds
+	Routine, Urgent                int
+}
+
+// Armor and Traductores are the two deployments with fewer access machines.
+var (
+	Armor       = Site{Zones: 3, Control: 3, Access: 1, Stores: 3, Latency: 500 * time.Microsecond, Bounds: options.DefaultBounds, Routine: 4, Urgent: 2}
+	Traductores = Site{Zones: 4, Control: 4, Access: 1, Stores: 4, Latency: 1500 * time.Microsecond, Bounds: options.DefaultBounds, Routine: 4, Urgent: 2}
+)
+
+// World is a simulated fleet with its callers.
+type World struct {
+	Site     Site
+	Seed     uint64
+	History  *history.History
+	Machines map[string]*Machine
+	Names    []string
+
+	ctx    context.Context
+	stop   context.CancelFunc
+	logger hclog.Logger
+	mu     sync.Mutex
+	rng    *rand.Rand
+	addrs  map[string]served
+	cuts   map[[2]string]bool
+	loss   float64
+	wg     sync.WaitGroup
+	sends  context.CancelFunc
+}
+
+type served struct {
+	m   *Machine
+	run int
+	h   http.Handler
+}
+
+// New makes a world; it must run inside a bubble.
+func New(s Site, seed uint64, log io.Writer) *World {
+	w := &World{Site: s, Seed: seed, History: history.New(), Machines: map[string]*Machine{}, addrs: map[string]served{}, cuts: map[[2]string]bool{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	lv := hclog.Off
+	if log != nil {
+		lv = hclog.Debug
+	}
+	w.logger = hclog.New(&hclog.LoggerOptions{Name: "sim", Level: lv, Output: log, TimeFn: time.Now})
+	var seeds []string
+	add := func(kind, disk string, n int) {
+		for i := range n {
+			name := fmt.Sprintf("%s%d", kind, i+1)
+			o := options.Default()
+			o.Name, o.Zone, o.Disk, o.Data = name, fmt.Sprintf("z%d", i%s.Zones+1), disk, "data"
+			k := len(w.Names) + 1
+			o.Listen, o.Fellows = fmt.Sprintf("127.0.0.1:%d", 20000+k), fmt.Sprintf("127.0.0.1:%d", 30000+k)
+			o.Keeping, o.Spread, o.Recovery = options.Span(s.Bounds.Keeping), options.Span(s.Bounds.Spread), options.Span(s.Bounds.Recovery)
+			o.Routine, o.Urgent = s.Routine, s.Urgent
+			if disk == options.DiskControl && len(seeds) < 3 {
+				seeds = append(seeds, o.Fellows)
+			}
+			w.Machines[name] = &Machine{w: w, Opts: o, Disk: memlog.New()}
+			w.Names = append(w.Names, name)
+		}
+	}
+	add("c", options.DiskControl, s.Control)
+	add("s", options.DiskStorage, s.Stores)
+	add("a", options.DiskNone, s.Access)
+	for _, m := range w.Machines {
+		m.Opts.Seeds = seeds
+	}
+	return w
+}
+
+// Logger gives a log for stderr when PJ_SIM_LOG is set.
+func Logger() io.Writer {
+	if os.Getenv("PJ_SIM_LOG") != "" {
+		return os.Stderr
+	}
+	return nil
+}
+
+func (w *World) float() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64()
+}
+
+// Int draws a seeded number.
+func (w *World) Int(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.IntN(n)
+}
+
+func (w *World) serve(addr string, m *Machine, run int, h http.Handler) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addrs[addr] = served{m, run, h}
+}
+
+func (w *World) at(addr string) (served, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.addrs[addr]
+	return s, ok
+}
+
+func (w *World) isCut(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cuts[[2]string{a, b}] || w.cuts[[2]string{a, "*"}] || w.cuts[[2]string{"*", b}]
+}
+
+type endpoint struct {
+	w   *World
+	m   *Machine
+	run int
+}
+
+const retransmit = 200 * time.Millisecond
+
+func (e *endpoint) hop(ctx context.Context, from, to *Machine) error {
+	w := e.w
+	if w.isCut(from.Opts.Name, to.Opts.Name) && from != to {
+		<-ctx.Done()
+		return problem.Wrap(problem.Unreachable, ctx.Err(), "cut off")
+	}
+	d := w.Site.Latency/2 + time.Duration(w.float()*float64(w.Site.Latency)/4)
+	from.mu.Lock()
+	d += from.slow
+	from.mu.Unlock()
+	w.mu.Lock()
+	loss := w.loss
+	w.mu.Unlock()
+	for k := retransmit; w.float() < loss; k *= 2 {
+		d += k
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return problem.Wrap(problem.Unreachable, ctx.Err(), "in flight")
+	}
+}
+
+func (e *endpoint) alive() bool {
+	_, run := e.m.node()
+	return run == e.run
+}
+
+// Do carries a call to another machine and its answer back.
+func (e *endpoint) Do(r *http.Request) (*http.Response, error) {
+	e.m.gate()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	s, ok := e.w.at(r.URL.Host)
+	if !ok || !e.alive() {
+		return nil, problem.New(problem.Unreachable, "nobody listens at %s", r.URL.Host)
+	}
+	ctx := r.Context()
+	if err := e.hop(ctx, e.m, s.m); err != nil {
+		return nil, err
+	}
+	if _, run := s.m.node(); run != s.run {
+		return nil, problem.New(problem.Unreachable, "connection refused by %s", s.m.Opts.Name)
+	}
+	type ans struct {
+		r   *http.Response
+		err error
+	}
+	c := make(chan ans, 1)
+	go func() {
+		s.m.gate()
+		q, _ := http.NewRequestWithContext(ctx, r.Method, r.URL.String(), bytes.NewReader(b))
+		q.Header = r.Header.Clone()
+		q.ContentLength = int64(len(b))
+		rec := httptest.NewRecorder()
+		s.h.ServeHTTP(rec, q)
+		s.m.gate()
+		if _, run := s.m.node(); run != s.run {
+			c <- ans{nil, problem.New(problem.Unreachable, "connection reset by %s", s.m.Opts.Name)}
+			return
+		}
+		err := e.hop(ctx, s.m, e.m)
+		c <- ans{rec.Result(), err}
+	}()
+	select {
+	case a := <-c:
+		e.m.gate()
+		if !e.alive() {
+			return nil, errGone
+		}
+		return a.r, a.err
+	case <-ctx.Done():
+		e.m.gate()
+		return nil, problem.Wrap(problem.Unreachable, ctx.Err(), "no answer from %s", s.m.Opts.Name)
+	}
+}
+
+// Start starts a machine's process.
+func (w *World) Start(names ...string) error {
+	for _, n := range names {
+		if err := w.Machines[n].start(); err != nil {
+			return problem.Wrap(problem.Internal, err, "start %s", n)
+		}
+	}
+	return nil
+}
+
+// Kill ends a process at once; its disk keeps what was written.
+func (w *World) Kill(n string) { w.Machines[n].kill() }
+
+// LosePower ends a process at once; its disk keeps only what was synced, maybe with a torn tail.
+func (w *World) LosePower(n string, torn bool) {
+	w.Machines[n].kill()
+	w.Machines[n].Disk.LosePower(torn)
+}
+
+// Wipe ends a process and empties its disk.
+func (w *World) Wipe(n string) {
+	w.Machines[n].kill()
+	w.Machines[n].Disk.Wipe()
+}
+
+// Terminate asks a process to stop in good order.
+func (w *World) Terminate(n string) {
+	m := w.Machines[n]
+	if x, _ := m.node(); x != nil {
+		x.Stop()
+		m.kill()
+	}
+}
+
+// Freeze stops a machine in its tracks.
+func (w *World) Freeze(n string) {
+	m := w.Machines[n]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.frozen == nil {
+		m.frozen = make(chan struct{})
+	}
+}
+
+// Thaw lets a frozen machine go on.
+func (w *World) Thaw(n string) {
+	m := w.Machines[n]
+	m.mu.Lock()
+	f := m.frozen
+	m.frozen = nil
+	m.mu.Unlock()
+	if f != nil {
+		close(f)
+	}
+}
+
+// Slow makes all that a machine sends take longer.
+func (w *World) Slow(n string, d time.Duration) {
+	m := w.Machines[n]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.slow = d
+}
+
+// Cut stops what goes from a to b; * stands for all.
+func (w *World) Cut(a, b string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts[[2]string{a, b}] = true
+}
+
+// Isolate cuts a machine off both ways.
+func (w *World) Isolate(n string) {
+	w.Cut(n, "*")
+	w.Cut("*", n)
+}
+
+// Heal mends all links.
+func (w *World) Heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts, w.loss = map[[2]string]bool{}, 0
+}
+
+// Lose makes links drop a share of what they carry.
+func (w *World) Lose(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loss = share
+}
+
+// Port gives a machine as callers see it.
+func (w *World) Port(n string) port.Port {
+	return &port.Direct{Node: w.Machines[n].services}
+}
+
+// Ports gives all machines whose process runs, as the platform's balancing would after asking for readiness.
+func (w *World) Ports() []port.Port {
+	var ps []port.Port
+	for _, n := range w.Names {
+		m := w.Machines[n]
+		m.mu.Lock()
+		ok := m.ports != nil && m.frozen == nil
+		s := m.ports
+		m.mu.Unlock()
+		if ok && s.Door.Ready() == nil {
+			ps = append(ps, w.Port(n))
+		}
+	}
+	if len(ps) == 0 {
+		for _, n := range w.Names {
+			ps = append(ps, w.Port(n))
+		}
+	}
+	return ps
+}
+
+// Load says how many callers there are and how often they send.
+type Load struct {
+	Callers, Topics, LiveTopics, Leads int
+	Every                              time.Duration
+}
+
+// Describe writes the description of a load on a base.
+func (l Load) Describe(base uint64) []byte {
+	list := func(p string, n int) string {
+		s := ""
+		for i := range n {
+			if i > 0 {
+				s += ","
+			}
+			s += fmt.Sprintf(`"%s%d"`, p, i)
+		}
+		return s
+	}
+	return []byte(fmt.Sprintf(`{"base":%d,"spaces":[{"name":"kept","kind":"kept","topics":[%s]},{"name":"stop","kind":"kept","urgent":true,"topics":["line"]},{"name":"live","kind":"live","topics":[%s]}]}`, base, list("t", l.Topics), list("l", l.LiveTopics)))
+}
+
+// Callers starts the stand-in callers.
+func (w *World) Callers(l Load) {
+	sends, stop := context.WithCancel(w.ctx)
+	w.sends = stop
+	for _, c := range Plan(l, w.Seed, w.Site.Bounds.Spread) {
+		c.Clock, c.Ports, c.History = clock.Real{}, w.Ports, w.History
+		w.wg.Go(func() { c.Run(w.ctx, sends) })
+	}
+}
+
+// Plan makes the callers of a load; who sends and follows what depends only on the seed.
+func Plan(l Load, seed uint64, spread time.Duration) []*caller.Caller {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var cs []*caller.Caller
+	for i := range l.Callers {
+		c := &caller.Caller{Name: fmt.Sprintf("v%d", i), Every: l.Every, Rand: rand.New(rand.NewPCG(seed, uint64(i)+10)), Spread: spread, Urgent: map[string]bool{}, Live: map[string]bool{}}
+		a := i % l.Topics
+		c.Follows = []string{fmt.Sprintf("kept/t%d", a), fmt.Sprintf("kept/t%d", (a+1+rng.IntN(max(1, l.Topics-1)))%l.Topics)}
+		c.Sends = []string{fmt.Sprintf("kept/t%d", a)}
+		if l.LiveTopics > 0 && i < 2*l.LiveTopics {
+			t := fmt.Sprintf("live/l%d", i%l.LiveTopics)
+			c.Live[t] = true
+			c.Follows, c.Sends = append(c.Follows, t), append(c.Sends, t)
+		}
+		if i < 2*l.Leads {
+			c.Urgent["stop/line"] = true
+			c.Follows = append(c.Follows, "stop/line")
+			if i < l.Leads {
+				c.Sends = append(c.Sends, "stop/line")
+			}
+		}
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+// Settle waits until some node serves a description, at most limit.
+func (w *World) Settle(limit time.Duration) error {
+	return w.Until(limit, "the fleet serves", func() bool {
+		for _, m := range w.Machines {
+			if s := m.services(); s == nil || s.Door.Ready() != nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Until waits for a condition.
+func (w *World) Until(limit time.Duration, what string, f func() bool) error {
+	end := time.Now().Add(limit)
+	for !f() {
+		if time.Now().After(end) {
+			return problem.New(problem.Internal, "not within %s: %s", limit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+// Quiet stops the senders and waits until callers have caught up.
+func (w *World) Quiet(wait time.Duration) time.Time {
+	w.sends()
+	at := time.Now()
+	time.Sleep(wait)
+	return at
+}
+
+// Put puts a description through a machine and notes the outcome.
+func (w *World) Put(n string, doc []byte) (uint64, error) {
+	ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Recovery)
+	defer stop()
+	seq, err := w.Port(n).Put(ctx, doc)
+	if err == nil {
+		w.History.Accept(seq, time.Now())
+	}
+	return seq, err
+}
+
+// Watch notes every pulse which description each node serves.
+func (w *World) Watch() {
+	w.wg.Go(func() {
+		for w.ctx.Err() == nil {
+			for _, n := range w.Names {
+				m := w.Machines[n]
+				m.mu.Lock()
+				s, run, froz := m.ports, m.run, m.frozen != nil
+				m.mu.Unlock()
+				if s == nil || froz {
+					continue
+				}
+				if s.Door.Ready() == nil {
+					w.History.Show(fmt.Sprintf("%s#%d", n, run), s.Door.Operators.Board.Description().Sequence, time.Now(), w.Site.Bounds.Spread)
+				}
+			}
+			_ = clock.Real{}.Sleep(w.ctx, w.Site.Bounds.Pulse()/3)
+		}
+	})
+}
+
+// Close ends the world.
+func (w *World) Close() {
+	w.stop()
+	for _, m := range w.Machines {
+		m.kill()
+	}
+	w.wg.Wait()
+}
--- /dev/null
+++ b/internal/samza/changelog/changelog.go
@@ -0,0 +1,85 @@
+// Package changelog writes a partition's state to its replicated changelog and reads it back.
+package changelog
+
+import (
+	"encoding/json"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/state"
+)
+
+// Batch is a part of the latest values of changed keys, as of an input offset.
+type Batch struct {
+	Input uint64       `json:"i"`
+	Part  int          `json:"p"`
+	Parts int          `json:"n"`
+	Whole bool         `json:"w,omitempty"`
+	Items []state.Item `json:"s"`
+}
+
+// Commit says that the state up to an input offset is durable; Base is where a compacted changelog starts.
+type Commit struct {
+	Input uint64 `json:"i"`
+	Base  uint64 `json:"b,omitempty"`
+}
+
+const itemsPerPart = 256
+
+// Pack makes the entries of one batch; whole marks a compaction.
+func Pack(input uint64, items []state.Item, whole bool) []line.Entry {
+	n := (len(items) + itemsPerPart - 1) / itemsPerPart
+	var es []line.Entry
+	for i := range n {
+		to := min((i+1)*itemsPerPart, len(items))
+		b, _ := json.Marshal(Batch{Input: input, Part: i, Parts: n, Whole: whole, Items: items[i*itemsPerPart : to]})
+		es = append(es, line.Entry{What: line.Batch, Body: b})
+	}
+	return es
+}
+
+// PackCommit makes the entry that commits an input offset.
+func PackCommit(c Commit) line.Entry {
+	b, _ := json.Marshal(c)
+	return line.Entry{What: line.Offset, Body: b}
+}
+
+// Replay applies changelog entries to a state: batches only when whole, the input offset only by its record.
+// It gives the committed input offset.
+func Replay(s *state.State, input uint64, es []line.Entry) (uint64, error) {
+	var parts []Batch
+	for _, e := range es {
+		switch e.What {
+		case line.Batch:
+			var b Batch
+			if err := json.Unmarshal(e.Body, &b); err != nil {
+				return 0, problem.Wrap(problem.DiskDamaged, err, "read changelog entry %d", e.Offset)
+			}
+			if b.Part == 0 {
+				parts = nil
+			}
+			if b.Part != len(parts) || b.Part > 0 && parts[0].Input != b.Input {
+				parts = nil
+				continue
+			}
+			if parts = append(parts, b); len(parts) < b.Parts {
+				continue
+			}
+			for _, p := range parts {
+				for _, i := range p.Items {
+					if err := s.Set(i); err != nil {
+						return 0, problem.Wrap(problem.DiskDamaged, err, "read changelog key %q", i.Key)
+					}
+				}
+			}
+			parts = nil
+		case line.Offset:
+			var c Commit
+			if err := json.Unmarshal(e.Body, &c); err != nil {
+				return 0, problem.Wrap(problem.DiskDamaged, err, "read changelog entry %d", e.Offset)
+			}
+			input = max(input, c.Input)
+		}
+	}
+	return input, nil
+}
--- /dev/null
+++ b/internal/turn/turn.go
@@ -0,0 +1,63 @@
+// Package turn hands out turns: one worker at a time per shard, waiting in a channel and not on a lock.
+package turn
+
+import (
+	"context"
+	"hash/fnv"
+
+	"postjunction/internal/problem"
+)
+
+// Turns is a row of shards.
+type Turns struct{ s []chan struct{} }
+
+// New makes n shards.
+func New(n int) *Turns {
+	t := &Turns{s: make([]chan struct{}, n)}
+	for i := range t.s {
+		t.s[i] = make(chan struct{}, 1)
+	}
+	return t
+}
+
+func (t *Turns) at(k string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(k))
+	return int(h.Sum32() % uint32(len(t.s)))
+}
+
+func (t *Turns) take(ctx context.Context, i int) error {
+	select {
+	case t.s[i] <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return problem.Wrap(problem.Unreachable, ctx.Err(), "waiting for a turn")
+	}
+}
+
+// Take waits for the turn of a key; the function gives it back.
+func (t *Turns) Take(ctx context.Context, k string) (func(), error) {
+	i := t.at(k)
+	if err := t.take(ctx, i); err != nil {
+		return nil, err
+	}
+	return func() { <-t.s[i] }, nil
+}
+
+// All waits for every shard.
+func (t *Turns) All(ctx context.Context) (func(), error) {
+	n := 0
+	back := func() {
+		for i := range n {
+			<-t.s[i]
+		}
+	}
+	for i := range t.s {
+		if err := t.take(ctx, i); err != nil {
+			back()
+			return nil, err
+		}
+		n++
+	}
+	return back, nil
+}
--- /dev/null
+++ b/internal/visitor/service.go
@@ -0,0 +1,292 @@
+// Package visitor is the service to callers: attach, send, follow, ack and count.
+package visitor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"regexp"
+	"slices"
+	"sync"
+
+	"postjunction/internal/carrier/cursor"
+	"postjunction/internal/carrier/feed"
+	"postjunction/internal/carrier/presence"
+	"postjunction/internal/clock"
+	"postjunction/internal/description"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/desk"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
+	"postjunction/internal/partition"
+	"postjunction/internal/policy"
+	"postjunction/internal/problem"
+	"postjunction/internal/visitor/admission"
+	"postjunction/internal/visitor/token"
+)
+
+// Task is one call on its way through the process.
+type Task struct {
+	Verb    string
+	Token   string
+	Visitor string
+	Topics  []string
+	Call    uint64
+	Body    json.RawMessage
+	Cursor  string
+	Emit    Emit
+
+	who    token.Token
+	spaces []description.Space
+	acked  string
+	at     uint64
+	out    any
+}
+
+// Emit writes one line of a stream.
+type Emit func(line []byte) error
+
+// Service serves the callers of one node.
+type Service struct {
+	Clock    clock.Clock
+	Bounds   options.Bounds
+	Body     int
+	Board    *gossip.Board
+	Desk     *desk.Desk
+	Feeds    *feed.Feeds
+	Presence *presence.Presence
+	Gates    *admission.Gates
+	Licensed func() error
+	Leaving  <-chan struct{}
+	Heard    func(t *Task, err error)
+
+	mu      sync.Mutex
+	ways    map[string]policy.Next[*Task]
+	streams int
+	lines   uint64
+}
+
+// The verbs.
+const (
+	VerbAttach = "attach"
+	VerbSend   = "send"
+	VerbFollow = "follow"
+	VerbAck    = "ack"
+	VerbCount  = "count"
+)
+
+// Attachment is the answer to attach.
+type Attachment struct {
+	Token      string `json:"token"`
+	Visitor    string `json:"visitor"`
+	Generation uint64 `json:"generation"`
+	Cursor     string `json:"cursor,omitempty"`
+}
+
+// Receipt is the answer to send: the decision of the ledger.
+type Receipt struct {
+	Topic     string `json:"topic"`
+	Call      uint64 `json:"call_seq"`
+	Partition int    `json:"partition"`
+	Offset    uint64 `json:"offset"`
+	Repeat    bool   `json:"repeat"`
+}
+
+// Headcount is the answer to count.
+type Headcount struct {
+	Topic  string `json:"topic"`
+	Others int    `json:"others"`
+	Whole  bool   `json:"whole"`
+}
+
+// Left is the answer to ack.
+type Left struct {
+	Cursor string `json:"cursor"`
+}
+
+const (
+	topicsMost = 64
+	callShare  = 2
+)
+
+var nameRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+func (s *Service) way(verb string) policy.Next[*Task] {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ways == nil {
+		stage, licence := policy.Func[*Task](s.stage), policy.Func[*Task](s.licence)
+		interest, gate, identity := policy.Func[*Task](s.interest), policy.Func[*Task](s.gate), policy.Func[*Task](s.identity)
+		limit := policy.Func[*Task](s.limit)
+		s.ways = map[string]policy.Next[*Task]{
+			VerbAttach: policy.Chain[*Task](s.attach, stage, licence, gate, limit),
+			VerbSend:   policy.Chain[*Task](s.send, stage, licence, interest, gate, limit, identity),
+			VerbFollow: policy.Chain[*Task](s.follow, stage, licence, interest, gate, identity),
+			VerbAck:    policy.Chain[*Task](s.ack, stage, licence, gate, limit, identity),
+			VerbCount:  policy.Chain[*Task](s.count, stage, licence, interest, gate, limit, identity),
+		}
+	}
+	return s.ways[verb]
+}
+
+// Do takes a task its way and gives its answer.
+func (s *Service) Do(ctx context.Context, t *Task) (any, error) {
+	err := s.way(t.Verb)(ctx, t)
+	if err != nil && s.Heard != nil {
+		s.Heard(t, err)
+	}
+	return t.out, err
+}
+
+func (s *Service) stage(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+	select {
+	case <-s.Leaving:
+		return problem.New(problem.Leaving, "this node is stopping")
+	default:
+		return next(ctx, t)
+	}
+}
+
+func (s *Service) licence(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+	if err := s.Licensed(); err != nil {
+		return err
+	}
+	return next(ctx, t)
+}
+
+func (s *Service) interest(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+	if len(t.Topics) == 0 || len(t.Topics) > topicsMost {
+		return problem.New(problem.Malformed, "the call must name 1 to %d topics, names %d", topicsMost, len(t.Topics))
+	}
+	x := s.Board.Index()
+	for _, n := range t.Topics {
+		sp, err := x.Find(n)
+		if err != nil {
+			return err
+		}
+		t.spaces = append(t.spaces, sp)
+	}
+	return next(ctx, t)
+}
+
+var lanes = map[string]admission.Lane{
+	VerbAttach: admission.Attach, VerbFollow: admission.Stream, VerbAck: admission.Attach, VerbCount: admission.Routine, VerbSend: admission.Routine,
+}
+
+func (s *Service) gate(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+	l := lanes[t.Verb]
+	if t.Verb == VerbSend && t.spaces[0].Urgent {
+		l = admission.Urgent
+	}
+	leave, err := s.Gates.Enter(l)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	return next(ctx, t)
+}
+
+func (s *Service) limit(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+	cx, stop := context.WithTimeout(ctx, callShare*s.Bounds.Call())
+	defer stop()
+	return next(cx, t)
+}
+
+func (s *Service) identity(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+	k, err := token.Unpack(t.Token)
+	if t.Token == "" {
+		err = problem.New(problem.TokenMissing, "the call has no bearer token")
+	}
+	if err != nil {
+		return err
+	}
+	cx, stop := context.WithTimeout(ctx, callShare*s.Bounds.Call())
+	defer stop()
+	a, err := s.Desk.Attached(cx, k.Visitor)
+	if err != nil {
+		if problem.Has(err, problem.OutcomeUnknown) {
+			err = problem.New(problem.NoOwner, "the attachment could not be checked: %v", err)
+		}
+		return err
+	}
+	switch g := a.Attached.Generation; {
+	case g > k.Generation:
+		return problem.New(problem.TokenFenced, "attachment %d of %s is in force, the token is of %d", g, k.Visitor, k.Generation)
+	case g < k.Generation || !k.Matches(a.Attached.Secret):
+		return problem.New(problem.TokenForeign, "the token is not the one given to %s", k.Visitor)
+	}
+	t.who, t.Visitor, t.acked, t.at = k, k.Visitor, a.Acked.Cursor, a.Attached.Offset
+	return next(ctx, t)
+}
+
+func (s *Service) attach(ctx context.Context, t *Task) error {
+	if !nameRule.MatchString(t.Visitor) {
+		return problem.New(problem.Malformed, "visitor must be 1 to 63 of letters, digits, ., _ and -, is %q", t.Visitor)
+	}
+	sec := token.Secret()
+	a, err := s.Desk.Attach(ctx, &desk.AttachTask{Visitor: t.Visitor, Secret: token.Digest(sec)})
+	if err != nil {
+		return err
+	}
+	t.out = Attachment{Token: token.Token{Visitor: t.Visitor, Generation: a.Generation, Secret: sec}.Pack(), Visitor: t.Visitor, Generation: a.Generation, Cursor: a.Acked.Cursor}
+	return nil
+}
+
+func (s *Service) send(ctx context.Context, t *Task) error {
+	var b bytes.Buffer
+	if err := json.Compact(&b, t.Body); err != nil {
+		return problem.Wrap(problem.Malformed, err, "body is no JSON value")
+	}
+	if b.Len() > s.Body {
+		return problem.New(problem.Oversize, "the body has %d bytes, the limit is %d", b.Len(), s.Body)
+	}
+	x := s.Board.Index()
+	p := partition.Of(t.Topics[0], t.spaces[0].Urgent, s.Board.Roster().Layout)
+	d, err := s.Desk.Submit(ctx, p, &owner.Task{
+		Visitor: t.Visitor, Generation: t.who.Generation, Topic: t.Topics[0], Call: t.Call,
+		Body: b.Bytes(), Live: t.spaces[0].Kind == description.Live, Description: x.Sequence,
+	})
+	if err != nil {
+		return err
+	}
+	t.out = Receipt{Topic: t.Topics[0], Call: t.Call, Partition: d.Partition, Offset: d.Offset, Repeat: d.Repeat}
+	return nil
+}
+
+func (s *Service) ack(ctx context.Context, t *Task) error {
+	r := s.Board.Roster()
+	if _, err := cursor.Unpack(r.Fleet, r.Layout.Count(), t.Cursor); err != nil {
+		return err
+	}
+	if err := s.Desk.Ack(ctx, &desk.AckTask{Visitor: t.Visitor, Generation: t.who.Generation, Cursor: t.Cursor}); err != nil {
+		return err
+	}
+	t.out = Left{Cursor: t.Cursor}
+	return nil
+}
+
+func (s *Service) count(ctx context.Context, t *Task) error {
+	n, whole := s.Presence.Others(ctx, t.Topics[0], t.Visitor)
+	t.out = Headcount{Topic: t.Topics[0], Others: n, Whole: whole}
+	return nil
+}
+
+// Streams gives how many streams are open and how many lines were written.
+func (s *Service) Streams() (int, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.streams, s.lines
+}
+
+func (s *Service) tally(streams int, lines uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams += streams
+	s.lines += lines
+}
+
+func unique(ts []string) []string {
+	c := slices.Clone(ts)
+	slices.Sort(c)
+	return slices.Compact(c)
+}
--- /dev/null
+++ b/internal/visitor/token/token.go
@@ -0,0 +1,81 @@
+// Package token makes and reads the unguessable word that an attachment gives.
+package token
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"postjunction/internal/problem"
+)
+
+// Token names a visitor, the generation of the attachment, and its secret.
+type Token struct {
+	Visitor    string
+	Generation uint64
+	Secret     string
+}
+
+const (
+	prefix      = "pj1."
+	secretBytes = 24
+	bearer      = "Bearer "
+)
+
+// Secret makes a new secret.
+func Secret() string {
+	var b [secretBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Digest is what the ledger keeps of a secret.
+func Digest(s string) string {
+	h := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(h[:])
+}
+
+// Pack writes a token.
+func (t Token) Pack() string {
+	return prefix + base64.RawURLEncoding.EncodeToString([]byte(t.Visitor+"|"+strconv.FormatUint(t.Generation, 10)+"|"+t.Secret))
+}
+
+// Unpack reads a token.
+func Unpack(s string) (Token, error) {
+	foreign := problem.New(problem.TokenForeign, "the token is none of this service's")
+	w, ok := strings.CutPrefix(s, prefix)
+	b, err := base64.RawURLEncoding.DecodeString(w)
+	if !ok || err != nil {
+		return Token{}, foreign
+	}
+	p := strings.Split(string(b), "|")
+	if len(p) != 3 {
+		return Token{}, foreign
+	}
+	g, err := strconv.ParseUint(p[1], 10, 64)
+	if err != nil {
+		return Token{}, foreign
+	}
+	return Token{p[0], g, p[2]}, nil
+}
+
+// Bearer reads the token of an Authorization header.
+func Bearer(h string) (Token, error) {
+	if h == "" {
+		return Token{}, problem.New(problem.TokenMissing, "the call has no Authorization header")
+	}
+	s, ok := strings.CutPrefix(h, bearer)
+	if !ok {
+		return Token{}, problem.New(problem.TokenMissing, "the Authorization header is no bearer token")
+	}
+	return Unpack(s)
+}
+
+// Matches compares a token with the digest kept.
+func (t Token) Matches(digest string) bool {
+	return subtle.ConstantTimeCompare([]byte(Digest(t.Secret)), []byte(digest)) == 1
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,100 @@
+// Package wire carries calls between nodes: connect-go with plain structs.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"postjunction/internal/problem"
+)
+
+// Sequence is the number of the wire format; a node turns away what is newer.
+const Sequence = 1
+
+const (
+	sequenceHeader = "Postjunction-Wire"
+	fromHeader     = "Postjunction-From"
+)
+
+// Network gives the means to reach a fellow's address.
+type Network interface {
+	connect.HTTPClient
+}
+
+// Reply is the envelope of every answer.
+type Reply[T any] struct {
+	Body    *T               `json:"b,omitempty"`
+	Problem *problem.Problem `json:"p,omitempty"`
+}
+
+type codec struct{}
+
+func (codec) Name() string { return "json" }
+
+func (codec) Marshal(v any) ([]byte, error) { return json.Marshal(v) }
+
+func (codec) Unmarshal(b []byte, v any) error { return json.NewDecoder(bytes.NewReader(b)).Decode(v) }
+
+// Procedure names a call and its types.
+type Procedure[Q, A any] struct {
+	Path   string
+	client sync.Map
+}
+
+// Name makes a procedure.
+func Name[Q, A any](part, verb string) *Procedure[Q, A] {
+	return &Procedure[Q, A]{Path: "/postjunction." + part + "/" + verb}
+}
+
+type key struct {
+	net  Network
+	addr string
+}
+
+// Call calls a fellow. A failure of the path between is Unreachable: the outcome is not known.
+func (p *Procedure[Q, A]) Call(ctx context.Context, n Network, from, addr string, q *Q) (*A, error) {
+	k := key{n, addr}
+	v, ok := p.client.Load(k)
+	if !ok {
+		v, _ = p.client.LoadOrStore(k, connect.NewClient[Q, Reply[A]](n, "http://"+addr+p.Path, connect.WithCodec(codec{})))
+	}
+	r := connect.NewRequest(q)
+	r.Header().Set(sequenceHeader, strconv.Itoa(Sequence))
+	r.Header().Set(fromHeader, from)
+	a, err := v.(*connect.Client[Q, Reply[A]]).CallUnary(ctx, r)
+	if err != nil {
+		return nil, problem.Wrap(problem.Unreachable, err, "%s at %s", p.Path, addr)
+	}
+	if a.Msg.Problem != nil {
+		return nil, a.Msg.Problem.After(ms(a.Msg.Problem.RetryMS))
+	}
+	if a.Msg.Body == nil {
+		return nil, problem.New(problem.Unreachable, "%s at %s gave an empty answer", p.Path, addr)
+	}
+	return a.Msg.Body, nil
+}
+
+// Handle serves a procedure.
+func (p *Procedure[Q, A]) Handle(m *http.ServeMux, f func(context.Context, *Q) (*A, error)) {
+	m.Handle(p.Path, connect.NewUnaryHandler(p.Path, func(ctx context.Context, r *connect.Request[Q]) (*connect.Response[Reply[A]], error) {
+		if n, err := strconv.Atoi(r.Header().Get(sequenceHeader)); err != nil || n > Sequence {
+			return connect.NewResponse(&Reply[A]{Problem: problem.New(problem.WireNewer, "wire sequence %q, this build knows %d", r.Header().Get(sequenceHeader), Sequence)}), nil
+		}
+		a, err := f(ctx, r.Msg)
+		if err != nil {
+			q := problem.Of(err)
+			if q.Kind == problem.Internal && (errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)) {
+				q = problem.New(problem.Unreachable, "the call ended before its answer")
+			}
+			return connect.NewResponse(&Reply[A]{Problem: q}), nil
+		}
+		return connect.NewResponse(&Reply[A]{Body: a}), nil
+	}, connect.WithCodec(codec{})))
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,7 @@
+#!/bin/bash
+set -euo pipefail
+cd "$(dirname "$0")"
+bad=$(gofmt -l $(git ls-files '*.go' 2>/dev/null || find . -name '*.go'))
+if [ -n "$bad" ]; then echo "gofmt: $bad"; exit 1; fi
+go vet ./...
+go test -race -count=1 -timeout 14m ./...
