--- /dev/null
+++ b/cmd/fleet/main.go
@@ -0,0 +1,138 @@
+// Command fleet runs deployments as real processes on loopback: for trying postjunction out, and for proof under failure.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/fleet"
+	"postjunction/internal/proof/history"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		_, _ = fmt.Fprintf(os.Stderr, "fleet: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+var verbs = map[string]func(ctx context.Context, f *fleet.Fleet, d *fleet.Day) error{
+	"up":  up,
+	"run": day,
+}
+
+func run(args []string) error {
+	if len(args) == 0 || verbs[args[0]] == nil {
+		return problem.New(problem.Usage, "usage: fleet up|run [flags]; fleet up -h lists the flags")
+	}
+	fs := flag.NewFlagSet("fleet "+args[0], flag.ContinueOnError)
+	bin := fs.String("bin", "", "postjunction `program`; without it one is built")
+	dir := fs.String("dir", "", "`folder` for settings, data and logs; without it a new one")
+	site := fs.String("site", "small", "`site`: small, armor or traductores")
+	base := fs.Int("base", 7400, "first callers' `port` less one; 0 for free ones")
+	d := &fleet.Day{Out: os.Stdout}
+	fs.Uint64Var(&d.Seed, "seed", 1, "`seed` of callers and faults")
+	fs.DurationVar(&d.Length, "length", 2*time.Minute, "`time` under load")
+	fs.DurationVar(&d.Interval, "interval", 15*time.Second, "`time` between faults")
+	list := fs.String("faults", "kill", "`faults`, with commas between: "+strings.Join(fleet.FaultNames(), ", ")+"; empty for none")
+	d.Load = fleet.FullLoad
+	fs.IntVar(&d.Load.Callers, "callers", d.Load.Callers, "`number` of callers")
+	fs.IntVar(&d.Load.Topics, "topics", d.Load.Topics, "`number` of kept topics")
+	fs.IntVar(&d.Load.LiveTopics, "live", d.Load.LiveTopics, "`number` of live topics")
+	fs.DurationVar(&d.Load.Every, "every", d.Load.Every, "`time` between a caller's messages")
+	if err := fs.Parse(args[1:]); err != nil {
+		return problem.Wrap(problem.Usage, err, "fleet")
+	}
+	s, ok := fleet.Sites[*site]
+	if !ok {
+		return problem.New(problem.Usage, "there is no site %q", *site)
+	}
+	for _, n := range strings.Split(*list, ",") {
+		if n != "" && !slices.Contains(fleet.FaultNames(), n) {
+			return problem.New(problem.Usage, "there is no fault %q", n)
+		}
+		if n != "" {
+			d.Faults = append(d.Faults, n)
+		}
+	}
+	if *dir == "" {
+		t, err := os.MkdirTemp("", "postjunction-")
+		if err != nil {
+			return problem.Wrap(problem.Usage, err, "folder")
+		}
+		*dir = t
+	}
+	full, err := filepath.Abs(*dir)
+	if err != nil {
+		return problem.Wrap(problem.Usage, err, "folder %s", *dir)
+	}
+	if err := os.MkdirAll(full, 0o750); err != nil {
+		return problem.Wrap(problem.Usage, err, "folder %s", full)
+	}
+	if *bin == "" {
+		*bin = filepath.Join(full, "postjunction")
+		if out, err := exec.Command("go", "build", "-o", *bin, "./cmd/postjunction").CombinedOutput(); err != nil {
+			return problem.Wrap(problem.Usage, err, "build: %s", out)
+		}
+	}
+	f, err := fleet.New(*bin, full, s, *base, nil)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := f.Start(); err != nil {
+		return err
+	}
+	defer f.Stop()
+	fmt.Printf("%d machines, files under %s\n", len(f.Processes), full)
+	for _, p := range f.Processes {
+		fmt.Printf("  %-4s %-4s %-8s callers %s\n", p.Name, p.Opts.Zone, p.Opts.Disk, p.Opts.Listen)
+	}
+	return verbs[args[0]](ctx, f, d)
+}
+
+func up(ctx context.Context, _ *fleet.Fleet, _ *fleet.Day) error {
+	<-ctx.Done()
+	return nil
+}
+
+const shown = 20
+
+func day(ctx context.Context, f *fleet.Fleet, d *fleet.Day) error {
+	r, err := d.Run(ctx, f)
+	if err != nil {
+		return err
+	}
+	spans := func(n string, s history.Spans) {
+		fmt.Printf("%-22s count %d p50 %s p95 %s p99 %s max %s\n", n, s.Count, s.P50, s.P95, s.P99, s.Max)
+	}
+	fmt.Printf("sent %d taken %d unknown %d receipts %d subscribers %d descriptions %d\n", r.Sent, r.Taken, r.Unknown, r.Receipts, r.Subscribers, r.Descriptions)
+	spans("send to receive", r.Spread)
+	spans("send to taken, urgent", r.Urgent)
+	spans("send to taken, routine", r.Routine)
+	t, err := fleet.Totals(f)
+	if err == nil {
+		fmt.Println(t)
+	}
+	fmt.Printf("violations %d\n", len(r.Violations))
+	for i, v := range r.Violations {
+		if i < shown {
+			fmt.Printf("  %s: %s\n", v.Line, v.Say)
+		}
+	}
+	if len(r.Violations) > 0 {
+		return problem.New(problem.Internal, "%d violations of the never-list", len(r.Violations))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proof/fleet/day.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/history"
+	"postjunction/internal/proof/port"
+	"postjunction/internal/proof/sim"
+)
+
+// Day is a run of a fleet under load and faults.
+type Day struct {
+	Load     sim.Load
+	Seed     uint64
+	Length   time.Duration
+	Faults   []string
+	Interval time.Duration
+	Out      io.Writer
+}
+
+// FullLoad is that of both deployments: about 600 connections, 600 kept topics at 200 messages a second,
+// 30 live topics at 20 a second, and five leads with stop-line calls.
+var FullLoad = sim.Load{Callers: 600, Topics: 600, LiveTopics: 30, Leads: 5, Every: 3 * time.Second}
+
+func (d *Day) say(f string, a ...any) {
+	_, _ = fmt.Fprintf(d.Out, time.Now().Format("15:04:05.000 ")+f+"\n", a...)
+}
+
+type fault func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error
+
+func down(rng *rand.Rand) time.Duration { return time.Duration(2+rng.IntN(12)) * time.Second }
+
+func wait(ctx context.Context, t time.Duration) { _ = clock.Real{}.Sleep(ctx, t) }
+
+var faults = map[string]fault{
+	"kill": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+		p.Kill()
+		wait(ctx, down(rng))
+		return p.Start()
+	},
+	"stop": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+		if t := p.Signal(syscall.SIGTERM, true); t > 6*time.Second {
+			return problem.New(problem.Internal, "%s took %s to stop", p.Name, t)
+		}
+		wait(ctx, down(rng))
+		return p.Start()
+	},
+	"freeze": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+		p.Signal(syscall.SIGSTOP, false)
+		wait(ctx, down(rng))
+		p.Signal(syscall.SIGCONT, false)
+		return nil
+	},
+	"wipe": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+		p.Kill()
+		if p.Opts.Disk != options.DiskNone {
+			if err := p.Wipe(); err != nil {
+				return problem.Wrap(problem.Internal, err, "wipe %s", p.Name)
+			}
+		}
+		wait(ctx, down(rng))
+		return p.Start()
+	},
+}
+
+// FaultNames lists the faults that processes can show.
+func FaultNames() []string {
+	var s []string
+	for n := range faults {
+		s = append(s, n)
+	}
+	slices.Sort(s)
+	return s
+}
+
+// Run lives through the day and reports.
+func (d *Day) Run(ctx context.Context, f *Fleet) (history.Report, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	h := history.New()
+	spread := options.DefaultBounds.Spread
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { f.Watch(ctx) })
+	for t := time.Now(); !f.AllReady(); wait(ctx, 100*time.Millisecond) {
+		if time.Since(t) > 30*time.Second || ctx.Err() != nil {
+			return history.Report{}, problem.New(problem.Internal, "the fleet was not ready in 30 s")
+		}
+	}
+	d.say("all %d machines are ready", len(f.Processes))
+	seq, err := f.Processes[0].Port().Put(ctx, d.Load.Describe(0))
+	if err != nil {
+		return history.Report{}, err
+	}
+	h.Accept(seq, time.Now())
+	wait(ctx, spread)
+	for _, p := range f.Processes {
+		wg.Go(func() { watchDescription(ctx, p, h, spread) })
+	}
+	sends, quiet := context.WithCancel(ctx)
+	defer quiet()
+	for i, c := range sim.Plan(d.Load, d.Seed, spread) {
+		zone := f.Processes[i%len(f.Processes)].Opts.Zone
+		c.Clock, c.History = clock.Real{}, h
+		c.Ports = func() []port.Port { return f.Ports(zone) }
+		wg.Go(func() { c.Run(ctx, sends) })
+	}
+	wg.Go(func() { d.operate(sends, f, h, seq) })
+	rng := rand.New(rand.NewPCG(d.Seed, 3))
+	end := time.Now().Add(d.Length)
+	wait(ctx, min(10*time.Second, d.Length/2))
+	for time.Now().Before(end) && ctx.Err() == nil && len(d.Faults) > 0 {
+		p := f.Processes[rng.IntN(len(f.Processes))]
+		n := d.Faults[rng.IntN(len(d.Faults))]
+		d.say("%s %s", n, p.Name)
+		if err := faults[n](ctx, d, p, rng); err != nil {
+			h.Violate(history.Recovery, "%v", err)
+		}
+		wait(ctx, d.Interval)
+	}
+	wait(ctx, time.Until(end))
+	wait(ctx, options.DefaultBounds.Recovery)
+	quiet()
+	cut := time.Now()
+	wait(ctx, options.DefaultBounds.Recovery)
+	r := h.Check(cut)
+	return r, nil
+}
+
+func (d *Day) operate(ctx context.Context, f *Fleet, h *history.History, seq uint64) {
+	rng := rand.New(rand.NewPCG(d.Seed, 4))
+	for {
+		wait(ctx, 7*time.Second)
+		if ctx.Err() != nil {
+			return
+		}
+		ps := f.Ports("")
+		cx, stop := context.WithTimeout(ctx, options.DefaultBounds.Recovery)
+		asked := time.Now()
+		cur, err := ps[rng.IntN(len(ps))].Get(cx)
+		if err == nil {
+			h.ReadBack(cur, asked)
+			n, e := ps[rng.IntN(len(ps))].Put(cx, d.Load.Describe(cur))
+			if e == nil {
+				h.Accept(n, time.Now())
+			} else if problem.Has(e, problem.DescriptionBad) {
+				h.Violate(history.Invalid, "a sound description was turned away: %v", e)
+			}
+		}
+		stop()
+	}
+}
+
+func watchDescription(ctx context.Context, p *Process, h *history.History, bound time.Duration) {
+	for ctx.Err() == nil {
+		cx, stop := context.WithTimeout(ctx, time.Second)
+		asked := time.Now()
+		p.mu.Lock()
+		run := fmt.Sprintf("%s#%p", p.Name, p.cmd)
+		p.mu.Unlock()
+		seq, ok, err := p.Port().Shows(cx)
+		stop()
+		if err == nil && ok {
+			h.Show(run, seq, asked, bound)
+		}
+		wait(ctx, 500*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/proof/fleet/fleet.go
@@ -0,0 +1,287 @@
+// Package fleet runs deployments as real processes on loopback, for tests only; no node starts a process.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/port"
+)
+
+// Site is a deployment.
+type Site struct {
+	Zones, Control, Access, Stores int
+}
+
+// Sites are the deployments of the brief, and a small one.
+var Sites = map[string]Site{
+	"small":       {Zones: 3, Control: 3, Access: 2, Stores: 3},
+	"armor":       {Zones: 3, Control: 3, Access: 7, Stores: 3},
+	"traductores": {Zones: 4, Control: 4, Access: 6, Stores: 4},
+}
+
+// Process is one machine of the fleet.
+type Process struct {
+	Name string
+	Opts options.Options
+	file string
+	bin  string
+	dir  string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	port *port.HTTP
+}
+
+// Fleet is a deployment on this machine.
+type Fleet struct {
+	Processes []*Process
+	byName    map[string]*Process
+	mu        sync.Mutex
+	ready     map[string]bool
+}
+
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", problem.Wrap(problem.Internal, err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// New writes the settings of a site's machines under dir. With base 0 the ports are free ones,
+// else callers' ports count up from base and fellows' ports from base+100.
+func New(bin, dir string, s Site, base int, edit func(*options.Options)) (*Fleet, error) {
+	f := &Fleet{byName: map[string]*Process{}, ready: map[string]bool{}}
+	var seeds []string
+	k := 0
+	add := func(kind, disk string, n int) error {
+		for i := range n {
+			k++
+			o := options.Default()
+			o.Name, o.Zone, o.Disk = fmt.Sprintf("%s%d", kind, i+1), fmt.Sprintf("z%d", i%s.Zones+1), disk
+			o.Listen, o.Fellows = fmt.Sprintf("127.0.0.1:%d", base+k), fmt.Sprintf("127.0.0.1:%d", base+100+k)
+			if base == 0 {
+				var err error
+				if o.Listen, err = free(); err != nil {
+					return err
+				}
+				if o.Fellows, err = free(); err != nil {
+					return err
+				}
+			}
+			if disk != options.DiskNone {
+				o.Data = filepath.Join(dir, o.Name)
+			}
+			if disk == options.DiskControl && len(seeds) < 3 {
+				seeds = append(seeds, o.Fellows)
+			}
+			if edit != nil {
+				edit(&o)
+			}
+			t := &http.Transport{MaxIdleConnsPerHost: 256, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+			p := &Process{Name: o.Name, Opts: o, bin: bin, dir: dir, file: filepath.Join(dir, o.Name+".json"), port: &port.HTTP{Base: "http://" + o.Listen, Client: &http.Client{Transport: t}}}
+			f.Processes = append(f.Processes, p)
+			f.byName[o.Name] = p
+		}
+		return nil
+	}
+	for _, x := range []struct {
+		kind, disk string
+		n          int
+	}{{"c", options.DiskControl, s.Control}, {"a", options.DiskNone, s.Access}, {"s", options.DiskStorage, s.Stores}} {
+		if err := add(x.kind, x.disk, x.n); err != nil {
+			return nil, err
+		}
+	}
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, problem.Wrap(problem.Usage, err, "folder %s", dir)
+	}
+	for _, p := range f.Processes {
+		p.Opts.Seeds = seeds
+		if err := p.Write(p.Opts); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Write writes the settings file of a machine.
+func (p *Process) Write(o options.Options) error {
+	b, _ := json.MarshalIndent(o, "", "  ")
+	return problem.Wrap(problem.Usage, os.WriteFile(p.file, append(b, '\n'), 0o640), "settings of %s", p.Name)
+}
+
+// Start starts the process.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return problem.Wrap(problem.Usage, err, "log of %s", p.Name)
+	}
+	c := exec.Command(p.bin, "serve", "-options", p.file)
+	c.Stderr = log
+	if err := c.Start(); err != nil {
+		_ = log.Close()
+		return problem.Wrap(problem.Usage, err, "start %s", p.Name)
+	}
+	p.cmd, p.done = c, make(chan struct{})
+	go func(c *exec.Cmd, done chan struct{}) {
+		_ = c.Wait()
+		_ = log.Close()
+		close(done)
+	}(c, p.done)
+	return nil
+}
+
+// Up tells whether the process was started and not ended by us.
+func (p *Process) Up() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
+
+// Signal sends a signal; after one that ends the process it waits for the end and says how long that took.
+func (p *Process) Signal(s syscall.Signal, ends bool) time.Duration {
+	p.mu.Lock()
+	c, done := p.cmd, p.done
+	if ends {
+		p.cmd = nil
+	}
+	p.mu.Unlock()
+	if c == nil {
+		return 0
+	}
+	t := time.Now()
+	_ = c.Process.Signal(s)
+	if ends {
+		<-done
+	}
+	return time.Since(t)
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() { p.Signal(syscall.SIGKILL, true) }
+
+// Wipe empties the machine's data folder.
+func (p *Process) Wipe() error { return os.RemoveAll(p.Opts.Data) }
+
+// Port gives the machine as callers see it.
+func (p *Process) Port() *port.HTTP { return p.port }
+
+// Get finds a machine.
+func (f *Fleet) Get(n string) *Process { return f.byName[n] }
+
+// Start starts all machines.
+func (f *Fleet) Start() error {
+	for _, p := range f.Processes {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop ends all machines.
+func (f *Fleet) Stop() {
+	var wg sync.WaitGroup
+	for _, p := range f.Processes {
+		wg.Go(func() {
+			p.Signal(syscall.SIGCONT, false)
+			p.Signal(syscall.SIGTERM, true)
+		})
+	}
+	wg.Wait()
+}
+
+// Probe asks a machine whether it is ready.
+func (p *Process) Probe(ctx context.Context) bool {
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.port.Base+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	a, err := p.port.Client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = a.Body.Close() }()
+	return a.StatusCode == http.StatusOK
+}
+
+// Watch asks every machine once a second whether it is ready, as the platform does.
+func (f *Fleet) Watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		var wg sync.WaitGroup
+		for _, p := range f.Processes {
+			wg.Go(func() {
+				ok := p.Probe(ctx)
+				f.mu.Lock()
+				f.ready[p.Name] = ok
+				f.mu.Unlock()
+			})
+		}
+		wg.Wait()
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// AllReady tells whether every machine answered that it is ready.
+func (f *Fleet) AllReady() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, ok := range f.ready {
+		if ok {
+			n++
+		}
+	}
+	return n == len(f.Processes)
+}
+
+// Ports gives the access machines of a zone that are ready, or of any zone when none is.
+func (f *Fleet) Ports(zone string) []port.Port {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var near, far []port.Port
+	for _, p := range f.Processes {
+		if !f.ready[p.Name] || strings.HasPrefix(p.Name, "s") {
+			continue
+		}
+		far = append(far, p.port)
+		if p.Opts.Zone == zone {
+			near = append(near, p.port)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	if len(far) > 0 {
+		return far
+	}
+	for _, p := range f.Processes {
+		far = append(far, p.port)
+	}
+	return far
+}
--- /dev/null
+++ b/internal/proof/fleet/totals.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"postjunction/internal/problem"
+)
+
+// Sums are counters added up over the fleet, since each process's start.
+type Sums struct {
+	Records, Batches, Taken, ChangelogBatches, ChangelogItems, Streams uint64
+}
+
+// String writes the sums and their ratios.
+func (s Sums) String() string {
+	ratio := func(a, b uint64) float64 {
+		if b == 0 {
+			return 0
+		}
+		return float64(a) / float64(b)
+	}
+	return fmt.Sprintf("counters since each start: records %d syncs %d taken %d, syncs per message %.2f, records per sync %.2f, changelog batches %d, items per message %.2f, streams %d",
+		s.Records, s.Batches, s.Taken, ratio(s.Batches, s.Taken), ratio(s.Records, s.Batches), s.ChangelogBatches, ratio(s.ChangelogItems, s.Taken), s.Streams)
+}
+
+// Totals adds the counters of all machines up.
+func Totals(f *Fleet) (Sums, error) {
+	var s Sums
+	for _, p := range f.Processes {
+		a, err := p.port.Client.Get(p.port.Base + "/v1/counters")
+		if err != nil {
+			return s, problem.Wrap(problem.Unreachable, err, "%s", p.Name)
+		}
+		var c struct {
+			Streams uint64 `json:"streams"`
+			Journal struct{ Records, Batches uint64 }
+			Owners  []struct {
+				Tally struct{ Taken, Batches, Items uint64 }
+			}
+		}
+		err = json.NewDecoder(a.Body).Decode(&c)
+		_ = a.Body.Close()
+		if a.StatusCode != http.StatusOK || err != nil {
+			return s, problem.Wrap(problem.Malformed, err, "%s", p.Name)
+		}
+		s.Records, s.Batches, s.Streams = s.Records+c.Journal.Records, s.Batches+c.Journal.Batches, s.Streams+c.Streams
+		for _, o := range c.Owners {
+			s.Taken, s.ChangelogBatches, s.ChangelogItems = s.Taken+o.Tally.Taken, s.ChangelogBatches+o.Tally.Batches, s.ChangelogItems+o.Tally.Items
+		}
+	}
+	return s, nil
+}
