--- a/internal/proof/sim/sim_test.go
+++ b/internal/proof/sim/sim_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +14,7 @@
 var load = Load{Callers: 10, Topics: 6, LiveTopics: 2, Leads: 2, Every: 400 * time.Millisecond}
 
 // play runs a fleet through a script and checks what callers saw.
-func play(t *testing.T, s Site, seed uint64, script func(w *World)) {
+func play(t *testing.T, s Site, seed uint64, bound time.Duration, script func(w *World)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := New(s, seed, Logger())
@@ -36,11 +37,27 @@
 		}
 		time.Sleep(15 * time.Second)
 		cut := w.Quiet(10 * time.Second)
-		report(t, w, cut)
+		last(t, w)
+		report(t, w, cut, bound)
 	})
 }
 
-func report(t *testing.T, w *World, cut time.Time) history.Report {
+// last is the fault at the end of every run: one disk machine loses power, and the description must still read back.
+func last(t *testing.T, w *World) {
+	t.Helper()
+	w.LosePower(fmt.Sprintf("c%d", 1+w.Int(w.Site.Control)), true)
+	at := time.Now()
+	for _, n := range w.Names {
+		if w.Machines[n].Up() {
+			seq, err := w.Port(n).Get(w.ctx)
+			assert.NilError(t, err, "seed %d: read back through %s", w.Seed, n)
+			w.History.ReadBack(seq, at)
+			return
+		}
+	}
+}
+
+func report(t *testing.T, w *World, cut time.Time, bound time.Duration) history.Report {
 	t.Helper()
 	r := w.History.Check(cut)
 	t.Logf("seed %d: sent %d taken %d unknown %d receipts %d longest wait %s spread p50 %s p99 %s", w.Seed, r.Sent, r.Taken, r.Unknown, r.Receipts, max(r.Routine.Max, r.Urgent.Max), r.Spread.P50, r.Spread.P99)
@@ -51,10 +68,10 @@
 	}
 	assert.Assert(t, r.Taken > 50, "too little was sent to prove anything")
 	gap := max(r.Routine.Max, r.Urgent.Max)
-	assert.Assert(t, gap < w.Site.Bounds.Recovery, "a caller waited %s", gap)
+	assert.Assert(t, gap < bound, "a caller waited %s", gap)
 	return r
 }
 
 func TestQuietDay(t *testing.T) {
-	play(t, Armor, 1, func(w *World) { time.Sleep(10 * time.Second) })
+	play(t, Armor, 1, time.Second, func(w *World) { time.Sleep(10 * time.Second) })
 }
