--- a/internal/description/description.go
+++ b/internal/description/description.go
@@ -1,6 +1,7 @@
 package description
 
 import (
+	"encoding/json"
 	"fmt"
 	"regexp"
 	"strings"
@@ -53,22 +54,39 @@
 	if err != nil {
 		return d, err
 	}
-	if len(f) == 0 {
-		if err := easyjson.Unmarshal(b, &d); err != nil {
-			f = append(f, problem.Fault{Place: "$", Say: err.Error()})
+	if len(f) > 0 {
+		return d, bad(append(f, lenient(b)...))
+	}
+	if err := easyjson.Unmarshal(b, &d); err != nil {
+		return d, bad([]problem.Fault{{Place: "$", Say: err.Error()}})
+	}
+	return d, bad(d.faults())
+}
+
+func lenient(b []byte) []problem.Fault {
+	var l struct {
+		Sequence, Base uint64
+		Spaces         []struct {
+			Name, Kind string
+			Urgent     bool
+			Topics     []string
 		}
 	}
-	if len(f) == 0 {
-		f = d.faults()
+	if json.Unmarshal(b, &l) != nil {
+		return nil
+	}
+	d := Description{Sequence: l.Sequence, Base: l.Base}
+	for _, s := range l.Spaces {
+		d.Spaces = append(d.Spaces, Space(s))
 	}
-	return d, bad(f)
+	return d.faults()
 }
 
 func bad(f []problem.Fault) error {
 	if len(f) == 0 {
 		return nil
 	}
-	return problem.New(problem.DescriptionBad, "%d faults, the first at %s: %s", len(f), f[0].Place, f[0].Say).With(f)
+	return problem.New(problem.DescriptionBad, "the first fault is at %s: %s", f[0].Place, f[0].Say).With(f)
 }
 
 func (d Description) faults() []problem.Fault {
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -90,7 +90,7 @@
 	Say     string          `json:"say"`
 	Advice  string          `json:"advice"`
 	Faults  []problem.Fault `json:"faults,omitempty"`
-	Current uint64          `json:"current,omitempty"`
+	Current *uint64         `json:"current,omitempty"`
 	RetryMS int64           `json:"retry_after_ms,omitempty"`
 }
 
@@ -122,7 +122,7 @@
 		return err
 	}
 	if len(f) > 0 {
-		return problem.New(problem.UnknownField, "%d faults, the first at %s: %s", len(f), f[0].Place, f[0].Say).With(f)
+		return problem.New(problem.DocumentFaulty, "the first fault is at %s: %s", f[0].Place, f[0].Say).With(f)
 	}
 	return problem.Wrap(problem.Malformed, json.Unmarshal(b, v), "the document could not be read")
 }
@@ -201,7 +201,7 @@
 	}
 	for k := range r.URL.Query() {
 		if !ok[k] {
-			return problem.New(problem.UnknownField, "%q is not a parameter of %s", k, r.URL.Path)
+			return problem.New(problem.DocumentFaulty, "%q is not a parameter of %s", k, r.URL.Path)
 		}
 	}
 	return nil
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -124,7 +124,8 @@
 		return err
 	}
 	p := problem.New(problem.OutcomeUnknown, "the description may or may not have been accepted; read it back to learn which: %v", err)
-	return p.At(problem.Of(err).Current)
+	p.Current = problem.Of(err).Current
+	return p
 }
 
 func (s *Service) accepted(b []byte) (*Accepted, error) {
--- a/internal/problem/catalogue.go
+++ b/internal/problem/catalogue.go
@@ -5,7 +5,7 @@
 // The kinds, by the part that raises them.
 const (
 	Malformed      Kind = "malformed"
-	UnknownField   Kind = "unknown_field"
+	DocumentFaulty Kind = "document_faulty"
 	Oversize       Kind = "oversize"
 	UnknownPath    Kind = "unknown_path"
 	WrongMethod    Kind = "wrong_method"
@@ -68,7 +68,7 @@
 
 var catalogue = map[Kind]spec{
 	Malformed:      {400, 0, "Send one well-formed JSON document with the fields of this call."},
-	UnknownField:   {400, 0, "Remove the named field or spell it as the page of this call does."},
+	DocumentFaulty: {400, 0, "Mend what is listed; the callers' page names the fields and parameters of this call."},
 	Oversize:       {413, 0, "Send a smaller body; the limit is named in the sentence."},
 	UnknownPath:    {404, 0, "Use one of the paths on the callers' page."},
 	WrongMethod:    {405, 0, "Use the method that the callers' page names for this path."},
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -21,7 +21,7 @@
 	Kind    Kind          `json:"code"`
 	Say     string        `json:"say"`
 	Faults  []Fault       `json:"faults,omitempty"`
-	Current uint64        `json:"current,omitempty"`
+	Current *uint64       `json:"current,omitempty"`
 	Retry   time.Duration `json:"-"`
 	RetryMS int64         `json:"retry_after_ms,omitempty"`
 	Cause   error         `json:"-"`
@@ -85,7 +85,7 @@
 
 // At sets the sequence that is current where the problem arose.
 func (p *Problem) At(n uint64) *Problem {
-	p.Current = n
+	p.Current = &n
 	return p
 }
 
--- /dev/null
+++ b/internal/proof/transcript/transcript_test.go
@@ -0,0 +1,187 @@
+// Package transcript holds approved transcripts of whole exchanges with a fleet.
+package transcript
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"postjunction/internal/proof/sim"
+)
+
+type exchange struct {
+	t     *testing.T
+	w     *sim.World
+	out   bytes.Buffer
+	names map[string]string
+}
+
+func (x *exchange) handler(node string) http.Handler {
+	return x.w.Machines[node].Node().Door().Handler()
+}
+
+var masks = []struct {
+	re *regexp.Regexp
+	to string
+}{
+	{regexp.MustCompile(`pj1\.[A-Za-z0-9_-]+`), "TOKEN"},
+	{regexp.MustCompile(`c1\.[A-Za-z0-9_-]+`), "CURSOR"},
+	{regexp.MustCompile(`"retry_after_ms":\d+`), `"retry_after_ms":N`},
+}
+
+func mask(s string) string {
+	for _, m := range masks {
+		s = m.re.ReplaceAllString(s, m.to)
+	}
+	return s
+}
+
+func (x *exchange) do(node, method, path, token, doc string) map[string]any {
+	r := httptest.NewRequest(method, path, strings.NewReader(doc))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	w := httptest.NewRecorder()
+	x.handler(node).ServeHTTP(w, r)
+	if len(doc) > 200 {
+		doc = doc[:60] + fmt.Sprintf("... (%d bytes)", len(doc))
+	}
+	fmt.Fprintf(&x.out, "%s %s %s %s\n  %d %s\n", node, method, mask(path), mask(doc), w.Code, mask(strings.TrimSpace(w.Body.String())))
+	assert.Assert(x.t, w.Code < 500 || strings.Contains(w.Body.String(), "retry_after_ms"), "%s %s: %d %s", method, path, w.Code, w.Body)
+	var m map[string]any
+	_ = json.Unmarshal(w.Body.Bytes(), &m)
+	return m
+}
+
+func (x *exchange) stream(node, path, token string, f func(), d time.Duration) []string {
+	ctx, stop := context.WithCancel(context.Background())
+	r := httptest.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	r.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		x.handler(node).ServeHTTP(w, r)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	f()
+	time.Sleep(d)
+	stop()
+	<-done
+	fmt.Fprintf(&x.out, "%s GET %s\n  %d\n", node, mask(path), w.Code)
+	ls := strings.Split(strings.TrimSpace(w.Body.String()), "\n")
+	for _, l := range ls {
+		fmt.Fprintf(&x.out, "  %s\n", mask(l))
+	}
+	return ls
+}
+
+func run(t *testing.T, file string, f func(x *exchange)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := sim.New(sim.Armor, 1, sim.Logger())
+		defer w.Close()
+		assert.NilError(t, w.Start(w.Names...))
+		assert.NilError(t, w.Settle(20*time.Second))
+		time.Sleep(5 * time.Second)
+		x := &exchange{t: t, w: w}
+		f(x)
+		golden.Assert(t, x.out.String(), file)
+	})
+}
+
+const spaces = `"spaces":[{"name":"aisles","kind":"kept","topics":["a1","a2"]},{"name":"stop-line","kind":"kept","urgent":true,"topics":["line"]},{"name":"pings","kind":"live","topics":["floor"]}]`
+
+func TestDayOfAPicker(t *testing.T) {
+	run(t, "picker.txt", func(x *exchange) {
+		x.do("a1", "GET", "/ready", "", "")
+		x.do("a1", "GET", "/v1/description", "", "")
+		x.do("a1", "PUT", "/v1/description", "", `{"base":0,`+spaces+`}`)
+		time.Sleep(3 * time.Second)
+		x.do("c2", "GET", "/v1/description", "", "")
+		tok := x.do("a1", "POST", "/v1/attach", "", `{"visitor":"picker-7"}`)["token"].(string)
+		lead := x.do("c1", "POST", "/v1/attach", "", `{"visitor":"lead-1"}`)["token"].(string)
+		send := func(topic string, n int, body string) {
+			x.do("c3", "POST", "/v1/send", tok, fmt.Sprintf(`{"topic":%q,"call_seq":%d,"body":%s}`, topic, n, body))
+		}
+		ls := x.stream("c2", "/v1/stream?topic=aisles/a1&topic=stop-line/line&topic=pings/floor", lead, func() {
+			send("aisles/a1", 1, `{"pick": 12}`)
+			send("aisles/a1", 2, `{"pick": 13}`)
+			send("pings/floor", 1, `"here"`)
+			send("stop-line/line", 1, `"stop"`)
+			x.do("a1", "GET", "/v1/count?topic=aisles/a1", tok, "")
+		}, time.Second)
+		send("aisles/a1", 3, `"while away"`)
+		send("pings/floor", 2, `"not offered on resume"`)
+		var l struct{ Cursor string }
+		assert.NilError(t, json.Unmarshal([]byte(ls[len(ls)-1]), &l))
+		x.do("s1", "POST", "/v1/ack", lead, `{"cursor":"`+l.Cursor+`"}`)
+		x.stream("a1", "/v1/stream?topic=aisles/a1&topic=stop-line/line&topic=pings/floor&cursor="+l.Cursor, lead, func() {}, time.Second)
+		fmt.Fprintf(&x.out, "-- a newer attachment fences the older, stream and all\n")
+		x.stream("a1", "/v1/stream?topic=aisles/a1", lead, func() {
+			x.do("c3", "POST", "/v1/attach", "", `{"visitor":"lead-1"}`)
+		}, time.Second)
+		x.do("c1", "POST", "/v1/send", lead, `{"topic":"aisles/a1","call_seq":1,"body":1}`)
+	})
+}
+
+func TestBadInput(t *testing.T) {
+	run(t, "bad.txt", func(x *exchange) {
+		x.do("a1", "PUT", "/v1/description", "", `{"base":0,`+spaces+`}`)
+		time.Sleep(3 * time.Second)
+		tok := x.do("a1", "POST", "/v1/attach", "", `{"visitor":"v"}`)["token"].(string)
+		send := func(doc string) { x.do("a1", "POST", "/v1/send", tok, doc) }
+		x.do("a1", "GET", "/nowhere", "", "")
+		x.do("a1", "DELETE", "/v1/send", "", "")
+		for _, d := range []string{``, `{`, `[]`, `{"visitor":7}`, `{"visitor":"a b"}`, `{"visitor":"v","visitor":"w"}`, `{"visitor":"v","more":1}`, `{"visitor":"v"} 1`} {
+			x.do("a1", "POST", "/v1/attach", "", d)
+		}
+		x.do("a1", "POST", "/v1/send", "", `{"topic":"aisles/a1","call_seq":1,"body":1}`)
+		x.do("a1", "POST", "/v1/send", "nonsense", `{"topic":"aisles/a1","call_seq":1,"body":1}`)
+		x.do("a1", "POST", "/v1/send", "pj1.dnwxfGFhYQ", `{"topic":"aisles/a1","call_seq":1,"body":1}`)
+		send(`{"topic":"aisles/a1","call_seq":1}`)
+		send(`{"topic":"aisles/a1","call_seq":-1,"body":1}`)
+		send(`{"topic":"aisles/a1","call_seq":1.5,"body":1}`)
+		send(`{"topic":"aisles/a1","call_seq":0,"body":1}`)
+		send(`{"topic":"nowhere/a1","call_seq":1,"body":1}`)
+		send(`{"topic":"aisles/a9","call_seq":1,"body":1}`)
+		send(`{"topic":"aisles","call_seq":1,"body":1}`)
+		send(`{"topic":"aisles/a1","call_seq":2,"body":1}`)
+		send(`{"topic":"aisles/a1","call_seq":1,"body":"` + strings.Repeat("x", 70000) + `"}`)
+		send(`{"topic":"aisles/a1","call_seq":1,"body":"first"}`)
+		send(`{"topic":"aisles/a1","call_seq":1,"body":"first"}`)
+		send(`{"topic":"aisles/a1","call_seq":1,"body":"altered"}`)
+		send(`{"topic":"aisles/a1","call_seq":5,"body":"gap"}`)
+		for n := 2; n <= 40; n++ {
+			at := x.out.Len()
+			send(fmt.Sprintf(`{"topic":"aisles/a1","call_seq":%d,"body":%d}`, n, n))
+			x.out.Truncate(at)
+		}
+		send(`{"topic":"aisles/a1","call_seq":3,"body":3}`)
+		send(`{"topic":"aisles/a1","call_seq":39,"body":39}`)
+		for _, q := range []string{"", "?topic=nowhere/x", "?topic=aisles/a1&since=3", "?topic=aisles/a1&cursor=x", "?topic=aisles/a1&cursor=c1.AAAAAAA", "?topic=aisles/a1&cursor=c1.%21%21"} {
+			x.do("a1", "GET", "/v1/stream"+q, tok, "")
+		}
+		x.do("a1", "POST", "/v1/ack", tok, `{"cursor":"x"}`)
+		x.do("a1", "GET", "/v1/count", tok, "")
+		x.do("a1", "GET", "/v1/partition?n=99", "", "")
+		x.do("a1", "GET", "/v1/partition?n=x", "", "")
+		x.do("a1", "POST", "/v1/drain", "", `{"node":"nobody"}`)
+		x.do("a1", "POST", "/v1/drain", "", `{"node":"a1"}`)
+		x.do("a1", "PUT", "/v1/description", "", `{"base":1,"spaces":[{"name":"aisles","kind":"kept","topics":["a1","a1","?"],"colour":1},{"name":"Aisles","kind":"lost","topics":[]}]}`)
+		x.do("a1", "PUT", "/v1/description", "", `{"base":1,"spaces":[{"name":"stop-line","kind":"kept","topics":["line"]},{"name":"x","kind":"lost","topics":["a","a"]}]}`)
+		x.do("a1", "PUT", "/v1/description", "", `{"base":1,"spaces":[{"name":"stop-line","kind":"kept","topics":["line"]}]}`)
+		x.do("a1", "PUT", "/v1/description", "", `{"base":0,`+spaces+`}`)
+		x.do("a1", "GET", "/v1/description", "", "")
+	})
+}
