Partition: a node without a roster turns calls away instead of dividing by zero

Ruled out: a lost roster (the node never had one). Now such calls are not_owner; a test asks a lone node.

--- a/internal/control/confirm/confirm.go
+++ b/internal/control/confirm/confirm.go
@@ -8,6 +8,7 @@
 
 	"postjunction/internal/clock"
 	"postjunction/internal/control/holder"
+	"postjunction/internal/control/repair"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/control/voter"
 	"postjunction/internal/description"
@@ -31,6 +32,7 @@
 	Bounds options.Bounds
 	Board  *gossip.Board
 	Holder *holder.Holder
+	Mender *repair.Mender
 	mu     sync.Mutex
 	c      session.Confirmed
 	at     uint64
@@ -108,6 +110,9 @@
 	if d.Sequence > 0 {
 		f.Board.Offer(gossip.News{Description: &d})
 	}
+	if !same {
+		f.Mender.Keys(cx, r, Key)
+	}
 	top.Value.Writes = v.Writes
 	f.set(at, d.Sequence, top)
 }
--- /dev/null
+++ b/internal/control/repair/repair.go
@@ -0,0 +1,59 @@
+// Package repair mends old copies of control keys: reads mend what they find, and a sweep finds the rest.
+package repair
+
+import (
+	"context"
+
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/gather"
+	"postjunction/internal/options"
+	"postjunction/internal/wire"
+)
+
+// Mender resends what a majority may already hold; it never proposes anything of its own.
+type Mender struct {
+	Self   string
+	Net    wire.Network
+	Bounds options.Bounds
+}
+
+type copies = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+
+// Keys compares the copies of the named keys, all when none are named, and brings old ones up. It gives how many it mended.
+func (m *Mender) Keys(ctx context.Context, r roster.Roster, keys ...string) int {
+	cx, stop := context.WithTimeout(ctx, m.Bounds.Call())
+	defer stop()
+	as := gather.Good(gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
+		return voter.Peek.Call(ctx, m.Net, m.Self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: keys})
+	}, nil))
+	top := map[string]voter.Slot{}
+	for _, a := range as {
+		for k, s := range a.A.Slots {
+			if s.Above(top[k]) {
+				top[k] = s
+			}
+		}
+	}
+	n := 0
+	for k, t := range top {
+		n += m.key(ctx, r, as, k, t)
+	}
+	return n
+}
+
+func (m *Mender) key(ctx context.Context, r roster.Roster, as copies, k string, t voter.Slot) int {
+	n := 0
+	for _, a := range as {
+		if !t.Above(a.A.Slots[k]) {
+			continue
+		}
+		cx, stop := context.WithTimeout(ctx, m.Bounds.Call())
+		b, err := voter.Accept.Call(cx, m.Net, m.Self, a.Who.Addr, &voter.AcceptTask{Ballot: voter.Ballot{Roster: r.Sequence, Incarnation: a.Who.Incarnation, Key: k}, Epoch: t.Accepted, Value: t.Value})
+		stop()
+		if err == nil && b.OK {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/control/steward/steward.go
+++ b/internal/control/steward/steward.go
@@ -4,10 +4,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"postjunction/internal/clock"
 	"postjunction/internal/control/founding"
 	"postjunction/internal/control/reform"
+	"postjunction/internal/control/repair"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/event"
 	"postjunction/internal/gossip"
@@ -26,7 +28,9 @@
 	Reformer *reform.Reformer
 	Live     func() []member.Info
 	Log      *event.Logger
+	Mender   *repair.Mender
 	said     string
+	swept    time.Time
 }
 
 // Run tends the roster until ctx ends.
@@ -72,6 +76,7 @@
 	if first != s.Self {
 		return
 	}
+	s.sweep(ctx, r)
 	for _, x := range r.Seats {
 		i, ok := live[x.Node]
 		if !ok {
@@ -99,6 +104,17 @@
 	}
 }
 
+func (s *Steward) sweep(ctx context.Context, r roster.Roster) {
+	now := s.Clock.Now()
+	if now.Sub(s.swept) < s.Bounds.Sweep() {
+		return
+	}
+	s.swept = now
+	if n := s.Mender.Keys(ctx, r); n > 0 {
+		s.Log.Say(event.RepairFound, "keys", n)
+	}
+}
+
 func seat(i member.Info) roster.Seat {
 	return roster.Seat{Node: i.Name, Addr: i.Fellows, Incarnation: i.Incarnation}
 }
--- a/internal/disk/journal/journal.go
+++ b/internal/disk/journal/journal.go
@@ -41,6 +41,7 @@
 	recs  []Rec
 	apply func()
 	done  chan error
+	scrub bool
 }
 
 // Journal is one log with one writer; urgent puts go first.
@@ -60,8 +61,8 @@
 	tally  Tally
 	fault  error
 	doubt  bool
-	bytes  int
-	limit  int
+
+	scrubbed, rotten int
 }
 
 const (
@@ -217,6 +218,10 @@
 		err = j.commit(rs)
 	}
 	for _, p := range ps {
+		if err == nil && p.scrub {
+			p.done <- j.read()
+			continue
+		}
 		if err == nil && p.apply != nil {
 			p.apply()
 		}
@@ -321,11 +326,14 @@
 
 // Put makes records durable, then runs apply in the order of the log, then returns.
 func (j *Journal) Put(ctx context.Context, urgent bool, apply func(), recs ...Rec) error {
-	p := put{recs: recs, apply: apply, done: make(chan error, 1)}
 	k := 1
 	if urgent {
 		k = 0
 	}
+	return j.put(ctx, put{recs: recs, apply: apply, done: make(chan error, 1)}, k)
+}
+
+func (j *Journal) put(ctx context.Context, p put, k int) error {
 	j.mu.Lock()
 	if j.closed {
 		j.mu.Unlock()
@@ -345,6 +353,40 @@
 	}
 }
 
+func (j *Journal) read() error {
+	first, last, err := j.log.Bounds()
+	if err != nil {
+		return err
+	}
+	j.scrubbed, j.rotten = 0, 0
+	var cause error
+	for i := first; i <= last; i++ {
+		b, err := j.log.Read(i)
+		if err == nil {
+			_, err = frame.Unpack(i, b)
+		}
+		if err != nil {
+			j.rotten++
+			cause = err
+		}
+		j.scrubbed++
+	}
+	if cause == nil {
+		return nil
+	}
+	if err := j.compact(); err != nil {
+		j.spoil(err)
+		return err
+	}
+	return cause
+}
+
+// Scrub reads the whole log through and, when a record is damaged, writes all live ones anew from memory.
+func (j *Journal) Scrub(ctx context.Context) (records, damaged int, cause error) {
+	err := j.put(ctx, put{scrub: true, done: make(chan error, 1)}, 1)
+	return j.scrubbed, j.rotten, err
+}
+
 // Tally gives the counts so far.
 func (j *Journal) Tally() Tally {
 	j.mu.Lock()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,8 +60,8 @@
 	OwnerDisk    = entry(504, hclog.Warn, "owner's disk did not take entries")
 	OwnerRenew   = entry(505, hclog.Info, "asking for a new epoch after a restart")
 	Orphan       = entry(506, hclog.Info, "dropped a partition that the record places elsewhere")
-	RepairFound  = entry(507, hclog.Warn, "sweep found a copy that differs")
-	RepairSwept  = entry(508, hclog.Debug, "sweep compared the copies of a partition")
+	RepairFound  = entry(507, hclog.Warn, "sweep mended control keys that were old on some disk")
+	RepairSwept  = entry(508, hclog.Debug, "sweep read the journal through")
 
 	DutyTaken     = entry(600, hclog.Info, "holding the placement duty")
 	DutyLost      = entry(601, hclog.Info, "placement duty held elsewhere")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"postjunction/internal/control/founding"
 	"postjunction/internal/control/holder"
 	"postjunction/internal/control/reform"
+	"postjunction/internal/control/repair"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/control/steward"
 	"postjunction/internal/control/voter"
@@ -241,10 +242,11 @@
 	if o.Voter() {
 		n.table = member.NewTable(clk, b)
 		n.holder = holder.New(self, net, clk, b, n, n.told)
-		n.confirm = &confirm.Confirmer{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, Holder: n.holder}
+		mender := &repair.Mender{Self: self, Net: net, Bounds: b}
+		n.confirm = &confirm.Confirmer{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, Holder: n.holder, Mender: mender}
 		n.host = &session.Host{Self: self, Seeds: o.Seeds, Clock: clk, Bounds: b, Net: net, Table: n.table, Board: n.Board, Info: n.Info, Latest: n.confirm.Latest}
 		n.founder = founding.New(o, net, n.Info)
-		n.steward = &steward.Steward{Self: self, Clock: clk, Bounds: b, Board: n.Board, Founder: n.founder, Reformer: reform.New(self, net, b), Live: n.table.Live, Log: n.log}
+		n.steward = &steward.Steward{Self: self, Clock: clk, Bounds: b, Board: n.Board, Founder: n.founder, Reformer: reform.New(self, net, b), Mender: mender, Live: n.table.Live, Log: n.log}
 		if r := n.voter.Roster(); r.Sequence > 0 {
 			n.Board.Offer(gossip.News{Roster: &r})
 		}
@@ -326,10 +328,20 @@
 		if n.w.Clock.Now().Sub(swept) > b.Sweep() {
 			swept = n.w.Clock.Now()
 			n.owners.Orphans(ctx)
+			n.scrub(ctx)
 		}
 	}
 }
 
+func (n *Node) scrub(ctx context.Context) {
+	k, bad, err := n.journal.Scrub(ctx)
+	if bad > 0 {
+		n.log.Say(event.ScrubBad, "records", k, "damaged", bad, "problem", err)
+	} else {
+		n.log.Say(event.RepairSwept, "records", k)
+	}
+}
+
 // Fellows gives the handler of the other nodes' calls.
 func (n *Node) Fellows() http.Handler {
 	m := http.NewServeMux()
@@ -363,6 +375,9 @@
 	return n.keeper.Licensed()
 }
 
+// HoldsDuty tells whether this node has the placement duty as far as it knows.
+func (n *Node) HoldsDuty() bool { return n.holder != nil && n.holder.Holds(duty.Key) }
+
 // Stop leaves in good order: unready at once, duties handed over, streams ended with a hint.
 func (n *Node) Stop() {
 	b := n.bounds()
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -7,18 +7,24 @@
 	"postjunction/internal/control/roster"
 )
 
-func hash(s string) uint32 {
+// None is the partition of everything before the layout is known.
+const None = -1
+
+func pick(s string, from, n int) int {
+	if n <= 0 {
+		return None
+	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s))
-	return h.Sum32()
+	return from + int(h.Sum32()%uint32(n))
 }
 
 // Of gives the partition of a topic.
 func Of(topic string, urgent bool, l roster.Layout) int {
 	if urgent {
-		return l.Routine + int(hash(topic)%uint32(l.Urgent))
+		return pick(topic, l.Routine, l.Urgent)
 	}
-	return int(hash(topic) % uint32(l.Routine))
+	return pick(topic, 0, l.Routine)
 }
 
 // OfVisitor gives the partition that keeps a visitor's attachment.
--- /dev/null
+++ b/internal/proof/sim/drain_test.go
@@ -0,0 +1,73 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/problem"
+)
+
+func (w *World) holdings(n string) int {
+	k := 0
+	ref := w.Machines["a1"].Node()
+	for p := range ref.Roster().Layout.Count() {
+		if ref.Board.Record(p).Holds(n) {
+			k++
+		}
+	}
+	return k
+}
+
+func (w *World) askDrain(n string) error {
+	_, err := w.Machines["a1"].Node().Operators.Drain(w.ctx, n)
+	return err
+}
+
+func (w *World) drained(n string) func() bool {
+	return func() bool {
+		v, err := w.Machines["a1"].Node().Operators.Client.Read(w.ctx, drain.Key)
+		return err == nil && drain.Parse(v.Body)[n].Done
+	}
+}
+
+// At a site of three stores one is emptied under load; small disks fill in, the holder of the duty dies on
+// the way, a second machine with a disk is lost right after, and the emptied one returns without its disk.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	play(t, Armor, 11, Armor.Bounds.Recovery, func(w *World) {
+		assert.Assert(t, problem.Has(w.askDrain("nobody"), problem.UnknownNode))
+		assert.Assert(t, problem.Has(w.askDrain("a1"), problem.UnknownNode))
+		assert.Assert(t, problem.Has(w.askDrain("c1"), problem.AlreadyEmpty))
+		assert.NilError(t, w.askDrain("s1"))
+		assert.NilError(t, w.askDrain("s1"), "asking again is no fault")
+		time.Sleep(700 * time.Millisecond)
+		for i := range 3 {
+			c := fmt.Sprintf("c%d", i+1)
+			if w.Machines[c].Node().HoldsDuty() {
+				w.Kill(c)
+				time.Sleep(5 * time.Second)
+				assert.NilError(t, w.Start(c))
+				break
+			}
+		}
+		assert.NilError(t, w.Until(60*time.Second, "s1 is empty", w.drained("s1")))
+		assert.Equal(t, w.holdings("s1"), 0)
+		for p := range w.Machines["a1"].Node().Roster().Layout.Count() {
+			assert.Equal(t, len(w.Machines["a1"].Node().Board.Record(p).Replicas), 3)
+		}
+		assert.Assert(t, problem.Has(w.askDrain("s1"), problem.AlreadyEmpty))
+		w.Wipe("s1")
+		time.Sleep(2 * time.Second)
+		w.Wipe("s2")
+		time.Sleep(14 * time.Second)
+		assert.NilError(t, w.Start("s2"))
+		assert.NilError(t, w.Start("s1"))
+		assert.NilError(t, w.Until(120*time.Second, "the stores hold everything again", func() bool {
+			return w.whole() && w.holdings("s1") == w.Site.Routine+w.Site.Urgent && w.holdings("s2") == w.Site.Routine+w.Site.Urgent
+		}))
+	})
+}
--- /dev/null
+++ b/internal/proof/sim/early_test.go
@@ -0,0 +1,29 @@
+package sim
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/ledger/desk"
+	"postjunction/internal/problem"
+)
+
+// A node that knows no roster yet was once asked for an attachment and divided by its zero partitions.
+func TestCallsBeforeTheRosterIsKnown(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		w := New(Armor, 1, Logger())
+		defer w.Close()
+		assert.NilError(t, w.Start("s1", "a1"))
+		time.Sleep(time.Second)
+		m := w.Machines["a1"]
+		_, run := m.node()
+		_, err := desk.Attached.Call(w.ctx, &endpoint{w, m, run}, "a1", w.Machines["s1"].Opts.Fellows, &desk.AttachedTask{Visitor: "v"})
+		assert.Assert(t, problem.Has(err, problem.NotOwner), "%v", err)
+		_, err = w.Port("a1").Attach(w.ctx, "v")
+		assert.Assert(t, problem.Has(err, problem.Unlicensed), "%v", err)
+	})
+}
