--- a/internal/disk/frame/frame.go
+++ b/internal/disk/frame/frame.go
@@ -39,6 +39,11 @@
 	binary.LittleEndian.PutUint64(b[24:], f.Epoch)
 	binary.LittleEndian.PutUint64(b[32:], f.Offset)
 	copy(b[Size:], f.Body)
+	return Seal(b)
+}
+
+// Seal writes the checksum of a packed frame.
+func Seal(b []byte) []byte {
 	binary.LittleEndian.PutUint32(b, crc32.Checksum(b[4:], table))
 	return b
 }
