--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -44,6 +44,8 @@
 	fs.Uint64Var(&d.Seed, "seed", 1, "`seed` of callers and faults")
 	fs.DurationVar(&d.Length, "length", 2*time.Minute, "`time` under load")
 	fs.DurationVar(&d.Interval, "interval", 15*time.Second, "`time` between faults")
+	fs.StringVar(&d.Next, "next", "", "`program` of another build, that the fault upgrade restarts machines with")
+	fs.IntVar(&d.Load.Flood, "flood", 0, "`number` of routine senders that send as fast as they can")
 	list := fs.String("faults", "kill", "`faults`, with commas between: "+strings.Join(fleet.FaultNames(), ", ")+"; empty for none")
 	d.Load = fleet.FullLoad
 	fs.IntVar(&d.Load.Callers, "callers", d.Load.Callers, "`number` of callers")
--- a/internal/proof/fleet/day.go
+++ b/internal/proof/fleet/day.go
@@ -25,6 +25,7 @@
 	Length   time.Duration
 	Faults   []string
 	Interval time.Duration
+	Next     string
 	Out      io.Writer
 }
 
@@ -36,32 +37,32 @@
 	_, _ = fmt.Fprintf(d.Out, time.Now().Format("15:04:05.000 ")+f+"\n", a...)
 }
 
-type fault func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error
+type fault func(ctx context.Context, d *Day, f *Fleet, p *Process, rng *rand.Rand) error
 
 func down(rng *rand.Rand) time.Duration { return time.Duration(2+rng.IntN(12)) * time.Second }
 
 func wait(ctx context.Context, t time.Duration) { _ = clock.Real{}.Sleep(ctx, t) }
 
 var faults = map[string]fault{
-	"kill": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+	"kill": func(ctx context.Context, d *Day, _ *Fleet, p *Process, rng *rand.Rand) error {
 		p.Kill()
 		wait(ctx, down(rng))
 		return p.Start()
 	},
-	"stop": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+	"stop": func(ctx context.Context, d *Day, _ *Fleet, p *Process, rng *rand.Rand) error {
 		if t := p.Signal(syscall.SIGTERM, true); t > 6*time.Second {
 			return problem.New(problem.Internal, "%s took %s to stop", p.Name, t)
 		}
 		wait(ctx, down(rng))
 		return p.Start()
 	},
-	"freeze": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+	"freeze": func(ctx context.Context, d *Day, _ *Fleet, p *Process, rng *rand.Rand) error {
 		p.Signal(syscall.SIGSTOP, false)
 		wait(ctx, down(rng))
 		p.Signal(syscall.SIGCONT, false)
 		return nil
 	},
-	"wipe": func(ctx context.Context, d *Day, p *Process, rng *rand.Rand) error {
+	"wipe": func(ctx context.Context, d *Day, _ *Fleet, p *Process, rng *rand.Rand) error {
 		p.Kill()
 		if p.Opts.Disk != options.DiskNone {
 			if err := p.Wipe(); err != nil {
@@ -73,6 +74,85 @@
 	},
 }
 
+func (f *Fleet) choose(rng *rand.Rand, n int, ok func(*Process) bool) []*Process {
+	var ps []*Process
+	for _, p := range f.Processes {
+		if ok(p) {
+			ps = append(ps, p)
+		}
+	}
+	rng.Shuffle(len(ps), func(a, b int) { ps[a], ps[b] = ps[b], ps[a] })
+	return ps[:min(n, len(ps))]
+}
+
+func killAll(ctx context.Context, ps []*Process, pause time.Duration) error {
+	var wg sync.WaitGroup
+	for _, p := range ps {
+		wg.Go(p.Kill)
+	}
+	wg.Wait()
+	wait(ctx, pause)
+	for _, p := range ps {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	slowSteps = 100
+	slowStep  = 50 * time.Millisecond
+)
+
+func init() {
+	faults["many"] = func(ctx context.Context, d *Day, f *Fleet, _ *Process, rng *rand.Rand) error {
+		return killAll(ctx, f.choose(rng, 3+rng.IntN(3), func(*Process) bool { return true }), down(rng)/2)
+	}
+	faults["reset"] = func(ctx context.Context, d *Day, f *Fleet, _ *Process, rng *rand.Rand) error {
+		return killAll(ctx, f.choose(rng, len(f.Processes), func(p *Process) bool { return p.Opts.Disk == options.DiskNone }), time.Second)
+	}
+	faults["fleet"] = func(ctx context.Context, d *Day, f *Fleet, _ *Process, rng *rand.Rand) error {
+		return killAll(ctx, f.Processes, time.Second)
+	}
+	faults["slow"] = func(ctx context.Context, d *Day, _ *Fleet, p *Process, rng *rand.Rand) error {
+		for range slowSteps {
+			p.Signal(syscall.SIGSTOP, false)
+			wait(ctx, slowStep)
+			p.Signal(syscall.SIGCONT, false)
+			wait(ctx, slowStep)
+		}
+		return nil
+	}
+	faults["settings"] = func(ctx context.Context, d *Day, _ *Fleet, p *Process, rng *rand.Rand) error {
+		o := p.Opts
+		o.Backlog = 256 + rng.IntN(512)
+		if rng.IntN(2) == 0 {
+			o.Zone = "elsewhere"
+		}
+		if err := p.Write(o); err != nil {
+			return err
+		}
+		wait(ctx, 3*time.Second)
+		return p.Write(p.Opts)
+	}
+	faults["upgrade"] = func(ctx context.Context, d *Day, f *Fleet, _ *Process, rng *rand.Rand) error {
+		for _, p := range f.choose(rng, len(f.Processes), func(*Process) bool { return true }) {
+			if t := p.Signal(syscall.SIGTERM, true); t > 6*time.Second {
+				return problem.New(problem.Internal, "%s took %s to stop", p.Name, t)
+			}
+			if d.Next != "" {
+				p.bin = d.Next
+			}
+			if err := p.Start(); err != nil {
+				return err
+			}
+			wait(ctx, 3*time.Second)
+		}
+		return nil
+	}
+}
+
 // FaultNames lists the faults that processes can show.
 func FaultNames() []string {
 	var s []string
@@ -117,6 +197,9 @@
 		wg.Go(func() { c.Run(ctx, sends) })
 	}
 	wg.Go(func() { d.operate(sends, f, h, seq) })
+	for i := range d.Load.Flood {
+		wg.Go(func() { d.flood(sends, f, i) })
+	}
 	rng := rand.New(rand.NewPCG(d.Seed, 3))
 	end := time.Now().Add(d.Length)
 	wait(ctx, min(10*time.Second, d.Length/2))
@@ -124,7 +207,7 @@
 		p := f.Processes[rng.IntN(len(f.Processes))]
 		n := d.Faults[rng.IntN(len(d.Faults))]
 		d.say("%s %s", n, p.Name)
-		if err := faults[n](ctx, d, p, rng); err != nil {
+		if err := faults[n](ctx, d, f, p, rng); err != nil {
 			h.Violate(history.Recovery, "%v", err)
 		}
 		wait(ctx, d.Interval)
@@ -162,6 +245,25 @@
 	}
 }
 
+// flood sends on routine topics as fast as answers come, and comes back when told to.
+func (d *Day) flood(ctx context.Context, f *Fleet, i int) {
+	name, topic := fmt.Sprintf("flood%d", i), fmt.Sprintf("flood/f%d", i%d.Load.Flood)
+	for c, tok := uint64(1), ""; ctx.Err() == nil; {
+		ps := f.Ports("")
+		p := ps[i%len(ps)]
+		var err error
+		if tok == "" {
+			a, e := p.Attach(ctx, name)
+			tok, err = a.Token, e
+		} else if _, err = p.Send(ctx, tok, topic, c, []byte(`"flood"`)); err == nil {
+			c++
+		}
+		if err != nil {
+			wait(ctx, time.Duration(max(50, problem.Of(err).RetryMS))*time.Millisecond)
+		}
+	}
+}
+
 func watchDescription(ctx context.Context, p *Process, h *history.History, bound time.Duration) {
 	for ctx.Err() == nil {
 		cx, stop := context.WithTimeout(ctx, time.Second)
--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -350,7 +350,9 @@
 // Load says how many callers there are and how often they send.
 type Load struct {
 	Callers, Topics, LiveTopics, Leads int
-	Every                              time.Duration
+	// Flood is how many topics nobody follows there are for floods.
+	Flood int
+	Every time.Duration
 }
 
 // Describe writes the description of a load on a base.
@@ -365,7 +367,11 @@
 		}
 		return s
 	}
-	return []byte(fmt.Sprintf(`{"base":%d,"spaces":[{"name":"kept","kind":"kept","topics":[%s]},{"name":"stop","kind":"kept","urgent":true,"topics":["line"]},{"name":"live","kind":"live","topics":[%s]}]}`, base, list("t", l.Topics), list("l", l.LiveTopics)))
+	flood := ""
+	if l.Flood > 0 {
+		flood = fmt.Sprintf(`,{"name":"flood","kind":"kept","topics":[%s]}`, list("f", l.Flood))
+	}
+	return []byte(fmt.Sprintf(`{"base":%d,"spaces":[{"name":"kept","kind":"kept","topics":[%s]},{"name":"stop","kind":"kept","urgent":true,"topics":["line"]},{"name":"live","kind":"live","topics":[%s]}%s]}`, base, list("t", l.Topics), list("l", l.LiveTopics), flood))
 }
 
 // Callers starts the stand-in callers.
