--- a/internal/command/caller/caller.go
+++ b/internal/command/caller/caller.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 
+	"postjunction/internal/plain"
 	"postjunction/internal/problem"
 )
 
@@ -132,7 +133,7 @@
 }
 
 func post(ctx context.Context, s Streams, w *want, path string, doc any) error {
-	b, err := json.Marshal(doc)
+	b, err := plain.JSON(doc)
 	if err != nil {
 		return problem.Wrap(problem.Malformed, err, "the body is no JSON value")
 	}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -13,6 +13,7 @@
 	"postjunction/internal/description/strict"
 	"postjunction/internal/operator"
 	"postjunction/internal/options"
+	"postjunction/internal/plain"
 	"postjunction/internal/problem"
 	"postjunction/internal/visitor"
 	"postjunction/internal/visitor/token"
@@ -81,7 +82,7 @@
 func answer(w http.ResponseWriter, code int, a any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
-	b, _ := json.Marshal(a)
+	b, _ := plain.JSON(a)
 	_, _ = w.Write(append(b, '\n'))
 }
 
--- /dev/null
+++ b/internal/plain/plain.go
@@ -0,0 +1,18 @@
+// Package plain writes JSON without rewriting the bytes of strings inside it.
+package plain
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// JSON gives the JSON of v on one line, without its newline.
+func JSON(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), nil
+}
--- a/internal/proof/port/port.go
+++ b/internal/proof/port/port.go
@@ -11,6 +11,7 @@
 	"net/url"
 
 	"postjunction/internal/door"
+	"postjunction/internal/plain"
 	"postjunction/internal/problem"
 	"postjunction/internal/visitor"
 )
@@ -63,7 +64,7 @@
 }
 
 func must(v any) []byte {
-	b, _ := json.Marshal(v)
+	b, _ := plain.JSON(v)
 	return b
 }
 
--- a/internal/proof/transcript/transcript_test.go
+++ b/internal/proof/transcript/transcript_test.go
@@ -116,7 +116,7 @@
 		}
 		ls := x.stream("c2", "/v1/stream?topic=aisles/a1&topic=stop-line/line&topic=pings/floor", lead, func() {
 			send("aisles/a1", 1, `{"pick": 12}`)
-			send("aisles/a1", 2, `{"pick": 13}`)
+			send("aisles/a1", 2, `{"pick": "<13> & more"}`)
 			send("pings/floor", 1, `"here"`)
 			send("stop-line/line", 1, `"stop"`)
 			x.do("a1", "GET", "/v1/count?topic=aisles/a1", tok, "")
--- a/internal/visitor/follow.go
+++ b/internal/visitor/follow.go
@@ -9,6 +9,7 @@
 	"postjunction/internal/carrier/feed"
 	"postjunction/internal/ledger/line"
 	"postjunction/internal/partition"
+	"postjunction/internal/plain"
 	"postjunction/internal/problem"
 )
 
@@ -124,7 +125,7 @@
 
 func (st *stream) emit(l Line) error {
 	l.Cursor = st.cursor()
-	b, err := json.Marshal(l)
+	b, err := plain.JSON(l)
 	if err != nil {
 		return problem.Wrap(problem.Internal, err, "write a stream line")
 	}
