--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -161,10 +161,14 @@
 // Done is closed once the owner is lost.
 func (o *Owner) Done() <-chan struct{} { return o.lost }
 
-func (o *Owner) pulse(ctx context.Context) <-chan struct{} {
+func (o *Owner) pulse(ctx context.Context, k line.Kind) <-chan struct{} {
+	d := o.d.Bounds.Pulse()
+	if k == line.Changelog {
+		d = o.d.Bounds.Session()
+	}
 	c := make(chan struct{})
 	go func() {
-		_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Pulse())
+		_ = o.d.Clock.Sleep(ctx, d)
 		close(c)
 	}()
 	return c
--- a/internal/ledger/owner/track.go
+++ b/internal/ledger/owner/track.go
@@ -147,7 +147,7 @@
 			select {
 			case <-grown:
 				continue
-			case <-o.pulse(ctx):
+			case <-o.pulse(ctx, t.kind):
 			}
 		}
 		addr, ok := o.d.Addr(p.Node)
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -20,7 +20,7 @@
   if (cd "$work/tree" && timeout 300 go test -count=1 -timeout 280s "$pkg" -run "$tests") >"$work/out" 2>&1; then
     echo "MISSED  $name ($tests)"; missed=1
   else
-    echo "caught  $name ($tests): $(grep -m1 -oE 'never-[0-9]+ [a-z ,]+|assertion failed.{0,80}|a caller waited.{0,20}|panic: .{0,60}|not within.{0,60}' "$work/out")"
+    echo "caught  $name ($tests): $(grep -m1 -oE -e '--- FAIL: [A-Za-z/_0-9]+' -e 'build failed' -e 'panic: .{0,60}' "$work/out"); $(grep -m1 -oE -e 'never-[0-9]+ [a-z ,]+' -e 'assertion failed.{0,60}' -e 'a caller waited.{0,20}' -e 'not within.{0,60}' "$work/out")"
   fi
 }
 
