--- a/internal/command/caller/caller.go
+++ b/internal/command/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"postjunction/internal/plain"
 	"postjunction/internal/problem"
+	"postjunction/internal/usage"
 )
 
 // Streams are the command's input and outputs.
@@ -24,9 +25,9 @@
 }
 
 type want struct {
-	at, token, topic, cursor, n, path string
-	call                              uint64
-	lines                             int
+	at, token, topic, cursor, n, format string
+	call                                uint64
+	lines                               int
 }
 
 // Verb is one word of the command line.
@@ -65,7 +66,10 @@
 	"get":      {Help: "read the current description back", run: simple(http.MethodGet, "/v1/description")},
 	"status":   {Help: "show the fleet as one node knows it", run: simple(http.MethodGet, "/v1/status")},
 	"counters": {Help: "show one node's counters", run: simple(http.MethodGet, "/v1/counters")},
-	"drains":   {Help: "list machines that are being or were emptied", run: simple(http.MethodGet, "/v1/drain")},
+	"usage": {Help: "export the use of all topics as csv, parquet, or the csv's schema", set: func(fs *flag.FlagSet, w *want) {
+		fs.StringVar(&w.format, "format", "csv", "`format`: csv, parquet or schema")
+	}, run: export},
+	"drains": {Help: "list machines that are being or were emptied", run: simple(http.MethodGet, "/v1/drain")},
 	"drain": {Help: "ask for a machine to be emptied", Args: "NODE", run: func(ctx context.Context, s Streams, w *want, a []string) error {
 		return post(ctx, s, w, "/v1/drain", map[string]any{"node": a[0]})
 	}},
@@ -195,6 +199,22 @@
 	return problem.Wrap(problem.Usage, err, "write the answer")
 }
 
+func export(ctx context.Context, s Streams, w *want, _ []string) error {
+	var a struct {
+		Usage []usage.Row `json:"usage"`
+	}
+	if w.format != "schema" {
+		var b bytes.Buffer
+		if err := call(ctx, Streams{Out: &b}, w, http.MethodGet, "/v1/usage", nil); err != nil {
+			return err
+		}
+		if err := json.Unmarshal(b.Bytes(), &a); err != nil {
+			return problem.Wrap(problem.Malformed, err, "usage")
+		}
+	}
+	return usage.Write(s.Out, w.format, a.Usage)
+}
+
 func follow(ctx context.Context, s Streams, w *want, _ []string) error {
 	q := url.Values{"topic": strings.Split(w.topic, ",")}
 	if w.cursor != "" {
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -50,6 +50,7 @@
 	d.add("/v1/description", map[string]call{"GET": d.readDescription, "PUT": d.putDescription})
 	d.add("/v1/status", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Status(r.Context()) }})
 	d.add("/v1/counters", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Counters(), nil }})
+	d.add("/v1/usage", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Usage(r.Context()) }})
 	d.add("/v1/drain", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Drains(r.Context()) }, "POST": d.drain})
 	d.add("/v1/partition", map[string]call{"GET": d.partition})
 	d.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -58,12 +58,23 @@
 	Hold      time.Duration `json:"h"`
 }
 
+// UsageTask asks how a partition's topics were used.
+type UsageTask struct {
+	Partition int `json:"p"`
+}
+
+// UsageAnswer says so.
+type UsageAnswer struct {
+	Uses []owner.Use `json:"u"`
+}
+
 // The desk's calls.
 var (
 	Submit   = wire.Name[owner.Task, owner.Decision]("Ledger", "Submit")
 	Attach   = wire.Name[AttachTask, AttachAnswer]("Ledger", "Attach")
 	Attached = wire.Name[AttachedTask, AttachedAnswer]("Ledger", "Attached")
 	Ack      = wire.Name[AckTask, Done]("Ledger", "Ack")
+	Usage    = wire.Name[UsageTask, UsageAnswer]("Ledger", "Usage")
 	Read     = wire.Name[ReadTask, owner.Reading]("Ledger", "Read")
 )
 
@@ -135,6 +146,15 @@
 	return o.Read(ctx, q.From, min(q.Hold, d.Bounds.Hold()))
 }
 
+func (d *Desk) usage(_ context.Context, q *UsageTask) (*UsageAnswer, error) {
+	o, err := d.here(q.Partition)
+	if err != nil {
+		return nil, err
+	}
+	us, err := o.Usage()
+	return &UsageAnswer{Uses: us}, err
+}
+
 // Serve adds the desk's calls.
 func (d *Desk) Serve(m *http.ServeMux) {
 	Submit.Handle(m, d.submit)
@@ -142,6 +162,7 @@
 	Attached.Handle(m, d.attached)
 	Ack.Handle(m, d.ack)
 	Read.Handle(m, d.read)
+	Usage.Handle(m, d.usage)
 }
 
 var elsewhere = map[problem.Kind]bool{
@@ -225,5 +246,14 @@
 	return handOver(ctx, d, p, Read, d.read, &ReadTask{Partition: p, From: from, Hold: hold})
 }
 
+// Usage asks how a partition's topics were used.
+func (d *Desk) Usage(ctx context.Context, p int) ([]owner.Use, error) {
+	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageTask{Partition: p})
+	if err != nil {
+		return nil, err
+	}
+	return a.Uses, nil
+}
+
 // Record gives the newest ownership record known here.
 func (d *Desk) Record(p int) record.Record { return d.Board.Record(p) }
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -252,6 +252,29 @@
 	}
 }
 
+// Use is how a topic was used.
+type Use struct {
+	Topic    string `json:"t"`
+	Messages uint64 `json:"m"`
+	Senders  int    `json:"s"`
+	Offset   uint64 `json:"o"`
+}
+
+// Usage tells how the partition's topics were used.
+func (o *Owner) Usage() ([]Use, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.stage != Open && o.stage != Closing {
+		return nil, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, o.stage)
+	}
+	var us []Use
+	senders := o.st.Senders()
+	for t, p := range o.st.Progress {
+		us = append(us, Use{Topic: t, Messages: p.Count, Senders: senders[t], Offset: p.Offset})
+	}
+	return us, nil
+}
+
 // Close stops taking new work; what is under way is finished.
 func (o *Owner) Close() {
 	o.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,7 +274,7 @@
 			n.log.Say(event.Turned, "verb", t.Verb, "visitor", t.Visitor, "problem", err)
 		},
 	}
-	n.Operators = &operator.Service{Bounds: b, Client: n.client, Board: n.Board, View: n.View, Info: n.Info, Licensed: n.keeper.Licensed, With: n.keeper.With, Owners: n.owners.Views, Tallies: n.tallies, Log: n.log}
+	n.Operators = &operator.Service{Bounds: b, Client: n.client, Board: n.Board, View: n.View, Info: n.Info, Licensed: n.keeper.Licensed, With: n.keeper.With, Owners: n.owners.Views, Uses: n.desk.Usage, Tallies: n.tallies, Log: n.log}
 }
 
 func (n *Node) run(ctx context.Context) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -2,10 +2,13 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"postjunction/internal/control/client"
@@ -13,6 +16,7 @@
 	"postjunction/internal/control/roster"
 	"postjunction/internal/description"
 	"postjunction/internal/event"
+	"postjunction/internal/gather"
 	"postjunction/internal/gossip"
 	"postjunction/internal/ledger/owner"
 	"postjunction/internal/member"
@@ -21,6 +25,7 @@
 	"postjunction/internal/placement/drain"
 	"postjunction/internal/placement/record"
 	"postjunction/internal/problem"
+	"postjunction/internal/usage"
 
 	"github.com/mailru/easyjson"
 )
@@ -35,6 +40,7 @@
 	Licensed func() error
 	With     func() string
 	Owners   func() []owner.View
+	Uses     func(ctx context.Context, p int) ([]owner.Use, error)
 	Tallies  func() map[string]any
 	Log      *event.Logger
 }
@@ -163,6 +169,31 @@
 	return st, nil
 }
 
+// Usage gives the use of every topic, from the owners of all partitions.
+func (s *Service) Usage(ctx context.Context) (any, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	var ps []int
+	for p := range s.Board.Roster().Layout.Count() {
+		ps = append(ps, p)
+	}
+	as := gather.Ask(ctx, ps, s.Uses, nil)
+	if err := gather.First(as); err != nil || len(as) < len(ps) {
+		return nil, problem.Wrap(problem.NoOwner, err, "usage of all partitions")
+	}
+	rows := []usage.Row{}
+	for _, a := range as {
+		for _, u := range a.A {
+			sp, t, _ := strings.Cut(u.Topic, "/")
+			rows = append(rows, usage.Row{Space: sp, Topic: t, Partition: int32(a.Who), Messages: int64(u.Messages), Senders: int32(u.Senders), LastOffset: int64(u.Offset)})
+		}
+	}
+	slices.SortFunc(rows, func(a, b usage.Row) int {
+		return cmp.Or(strings.Compare(a.Space, b.Space), strings.Compare(a.Topic, b.Topic))
+	})
+	return map[string]any{"usage": rows}, nil
+}
+
 // Counters gives this node's counts.
 func (s *Service) Counters() any { return s.Tallies() }
 
--- a/internal/samza/state/state.go
+++ b/internal/samza/state/state.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"postjunction/internal/ledger/line"
 )
@@ -202,6 +203,16 @@
 	return f(s, i.Key[len(accepted):], i.Value)
 }
 
+// Senders counts the visitors that sent on each topic.
+func (s *State) Senders() map[string]int {
+	m := map[string]int{}
+	for k := range s.Accepted {
+		_, t, _ := strings.Cut(k, "\x1f")
+		m[t]++
+	}
+	return m
+}
+
 // Pack writes the whole state.
 func (s *State) Pack() json.RawMessage {
 	b, _ := json.Marshal(s)
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,83 @@
+// Package usage exports what topics were used for, as CSV or Parquet with a schema.
+package usage
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"io"
+	"strconv"
+
+	"github.com/parquet-go/parquet-go"
+
+	"postjunction/internal/problem"
+)
+
+// Row is the use of one topic since the fleet was founded.
+type Row struct {
+	Space      string `json:"space" parquet:"space"`
+	Topic      string `json:"topic" parquet:"topic"`
+	Partition  int32  `json:"partition" parquet:"partition"`
+	Messages   int64  `json:"messages" parquet:"messages"`
+	Senders    int32  `json:"senders" parquet:"senders"`
+	LastOffset int64  `json:"last_offset" parquet:"last_offset"`
+}
+
+// Field is one column of the schema.
+type Field struct {
+	Name string `json:"name"`
+	Type string `json:"type"`
+	Say  string `json:"description"`
+}
+
+// Schema describes the columns, in order.
+var Schema = []Field{
+	{"space", "string", "space of the topic"},
+	{"topic", "string", "topic without its space"},
+	{"partition", "integer", "partition that the topic's line stands in"},
+	{"messages", "integer", "messages taken since the fleet was founded"},
+	{"senders", "integer", "visitors that sent at least one"},
+	{"last_offset", "integer", "place of the last message in the partition's ledger"},
+}
+
+func (r Row) cells() []string {
+	return []string{r.Space, r.Topic, strconv.Itoa(int(r.Partition)), strconv.FormatInt(r.Messages, 10), strconv.Itoa(int(r.Senders)), strconv.FormatInt(r.LastOffset, 10)}
+}
+
+func writeCSV(w io.Writer, rows []Row) error {
+	c := csv.NewWriter(w)
+	var head []string
+	for _, f := range Schema {
+		head = append(head, f.Name)
+	}
+	if err := c.Write(head); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if err := c.Write(r.cells()); err != nil {
+			return err
+		}
+	}
+	c.Flush()
+	return c.Error()
+}
+
+func writeSchema(w io.Writer, _ []Row) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(map[string]any{"fields": Schema})
+}
+
+var formats = map[string]func(io.Writer, []Row) error{
+	"csv":     writeCSV,
+	"parquet": func(w io.Writer, rows []Row) error { return parquet.Write(w, rows) },
+	"schema":  writeSchema,
+}
+
+// Write writes rows in a format: csv, parquet (which holds its schema), or schema (that of the CSV, as JSON).
+func Write(w io.Writer, format string, rows []Row) error {
+	f, ok := formats[format]
+	if !ok {
+		return problem.New(problem.Usage, "format must be csv, parquet or schema, is %q", format)
+	}
+	return problem.Wrap(problem.Usage, f(w, rows), "write usage as %s", format)
+}
