Desk: an owner that lacks the caller's description lets the call be tried again

Ruled out: a licence without the description (the access node had both). A test asks a store without a description.

--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -129,6 +129,26 @@
 	return v.turns.Take(ctx, key)
 }
 
+func (v *Voter) enter(ctx context.Context, b Ballot) (Slot, func(), error) {
+	back, err := v.take(ctx, b.Key)
+	if err != nil {
+		return Slot{}, nil, err
+	}
+	s, err := v.view(b)
+	if err != nil {
+		back()
+		return s, nil, err
+	}
+	return s, back, nil
+}
+
+func (v *Voter) alone(ctx context.Context, inc string) (func(), error) {
+	if err := v.disk(inc); err != nil {
+		return nil, err
+	}
+	return v.turns.All(ctx)
+}
+
 func (v *Voter) store(ctx context.Context, key string, s Slot) error {
 	return v.journal.Put(ctx, true, func() {
 		v.mu.Lock()
@@ -139,15 +159,11 @@
 
 // Promise answers once the promise is synced.
 func (v *Voter) Promise(ctx context.Context, q *PromiseTask) (*SlotAnswer, error) {
-	back, err := v.take(ctx, q.Key)
+	s, back, err := v.enter(ctx, q.Ballot)
 	if err != nil {
 		return nil, err
 	}
 	defer back()
-	s, err := v.view(q.Ballot)
-	if err != nil {
-		return nil, err
-	}
 	if !s.Promised.Less(q.Epoch) {
 		return &SlotAnswer{OK: s.Promised == q.Epoch, Slot: s}, nil
 	}
@@ -160,15 +176,11 @@
 
 // Accept answers once the value is synced.
 func (v *Voter) Accept(ctx context.Context, q *AcceptTask) (*SlotAnswer, error) {
-	back, err := v.take(ctx, q.Key)
+	s, back, err := v.enter(ctx, q.Ballot)
 	if err != nil {
 		return nil, err
 	}
 	defer back()
-	s, err := v.view(q.Ballot)
-	if err != nil {
-		return nil, err
-	}
 	n := Slot{Promised: q.Epoch, Accepted: q.Epoch, Value: q.Value}
 	if q.Epoch.Less(s.Promised) || s.Above(n) {
 		return &SlotAnswer{Slot: s}, nil
@@ -212,14 +224,11 @@
 
 // Open brings the voter under a higher roster; slots accepted under the old one are replaced by the copy.
 func (v *Voter) Open(ctx context.Context, q *OpenTask) (*Done, error) {
-	back, err := v.turns.All(ctx)
+	back, err := v.alone(ctx, q.Incarnation)
 	if err != nil {
 		return nil, err
 	}
 	defer back()
-	if err := v.disk(q.Incarnation); err != nil {
-		return nil, err
-	}
 	v.mu.Lock()
 	cur, f := v.roster, v.founding
 	v.mu.Unlock()
@@ -261,14 +270,11 @@
 
 // Found agrees to a founding roster while the disk is under none.
 func (v *Voter) Found(ctx context.Context, q *FoundTask) (*Done, error) {
-	back, err := v.turns.All(ctx)
+	back, err := v.alone(ctx, q.Incarnation)
 	if err != nil {
 		return nil, err
 	}
 	defer back()
-	if err := v.disk(q.Incarnation); err != nil {
-		return nil, err
-	}
 	if cur := v.Roster(); cur.Sequence > 0 {
 		return nil, problem.New(problem.StaleRoster, "this disk is under roster %d already", cur.Sequence).At(cur.Sequence)
 	}
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -97,7 +97,11 @@
 func (d *Desk) here(p int) (*owner.Owner, error) { return d.Owners.Owner(p) }
 
 func (d *Desk) submit(ctx context.Context, q *owner.Task) (*owner.Decision, error) {
-	s, err := d.Board.Index().Find(q.Topic)
+	x := d.Board.Index()
+	if x.Sequence < q.Description {
+		return nil, problem.New(problem.NotReady, "the call was let in under description %d, this node has %d", q.Description, x.Sequence)
+	}
+	s, err := x.Find(q.Topic)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -231,18 +231,27 @@
 	return nil
 }
 
+func (r *Replica) enter(ctx context.Context, t Target) (func(), error) {
+	back, err := r.turns.Take(ctx, key(t.Partition))
+	if err != nil {
+		return nil, err
+	}
+	if err := r.fence(t); err != nil {
+		back()
+		return nil, err
+	}
+	return back, nil
+}
+
 func key(p int) string { return string(rune('0' + p)) }
 
 // Seal turns lower epochs away from now on; it answers once that is synced.
 func (r *Replica) Seal(ctx context.Context, q *SealTask) (*SealAnswer, error) {
-	back, err := r.turns.Take(ctx, key(q.Partition))
+	back, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
 	}
 	defer back()
-	if err := r.fence(q.Target); err != nil {
-		return nil, err
-	}
 	if r.Sealed(q.Partition) < q.Epoch {
 		if err := r.journal.Put(ctx, true, func() { r.setSeal(q.Partition, q.Epoch) }, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch})); err != nil {
 			return nil, err
@@ -263,14 +272,11 @@
 
 // Append extends a line once it is synced, after checking the epoch, the disk and the place.
 func (r *Replica) Append(ctx context.Context, q *AppendTask) (*AppendAnswer, error) {
-	back, err := r.turns.Take(ctx, key(q.Partition))
+	back, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
 	}
 	defer back()
-	if err := r.fence(q.Target); err != nil {
-		return nil, err
-	}
 	id := line.ID{Partition: q.Partition, Kind: q.Kind}
 	l := r.Line(q.Partition, q.Kind)
 	if !q.Reset {
@@ -354,14 +360,11 @@
 
 // Drop forgets a partition that the record, at an epoch above the sealed one, no longer places here.
 func (r *Replica) Drop(ctx context.Context, q *DropTask) (*Done, error) {
-	back, err := r.turns.Take(ctx, key(q.Partition))
+	back, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
 	}
 	defer back()
-	if err := r.fence(q.Target); err != nil {
-		return nil, err
-	}
 	return &Done{}, r.journal.Put(ctx, false, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/proof/fleet/fleet.go
+++ b/internal/proof/fleet/fleet.go
@@ -151,13 +151,6 @@
 	return nil
 }
 
-// Up tells whether the process was started and not ended by us.
-func (p *Process) Up() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cmd != nil
-}
-
 // Signal sends a signal; after one that ends the process it waits for the end and says how long that took.
 func (p *Process) Signal(s syscall.Signal, ends bool) time.Duration {
 	p.mu.Lock()
--- a/internal/proof/sim/early_test.go
+++ b/internal/proof/sim/early_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"postjunction/internal/ledger/desk"
+	"postjunction/internal/ledger/owner"
 	"postjunction/internal/problem"
 )
 
@@ -23,6 +24,8 @@
 		_, run := m.node()
 		_, err := desk.Attached.Call(w.ctx, &endpoint{w, m, run}, "a1", w.Machines["s1"].Opts.Fellows, &desk.AttachedTask{Visitor: "v"})
 		assert.Assert(t, problem.Has(err, problem.NotOwner), "%v", err)
+		_, err = desk.Submit.Call(w.ctx, &endpoint{w, m, run}, "a1", w.Machines["s1"].Opts.Fellows, &owner.Task{Visitor: "v", Topic: "kept/t0", Call: 1, Body: []byte("1"), Description: 1})
+		assert.Assert(t, problem.Has(err, problem.NotReady), "a store that lacks the description refused for good: %v", err)
 		_, err = w.Port("a1").Attach(w.ctx, "v")
 		assert.Assert(t, problem.Has(err, problem.Unlicensed), "%v", err)
 	})
