--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"postjunction/internal/options"
 	"postjunction/internal/problem"
 	"postjunction/internal/proof/fleet"
 	"postjunction/internal/proof/history"
@@ -46,6 +47,7 @@
 	fs.DurationVar(&d.Interval, "interval", 15*time.Second, "`time` between faults")
 	fs.StringVar(&d.Next, "next", "", "`program` of another build, that the fault upgrade restarts machines with")
 	fs.IntVar(&d.Load.Flood, "flood", 0, "`number` of routine senders that send as fast as they can")
+	backlog := fs.Int("backlog", 0, "`tasks` that may wait in a lane of a node, 0 for the default")
 	list := fs.String("faults", "kill", "`faults`, with commas between: "+strings.Join(fleet.FaultNames(), ", ")+"; empty for none")
 	d.Load = fleet.FullLoad
 	fs.IntVar(&d.Load.Callers, "callers", d.Load.Callers, "`number` of callers")
@@ -87,7 +89,11 @@
 			return problem.Wrap(problem.Usage, err, "build: %s", out)
 		}
 	}
-	f, err := fleet.New(*bin, full, s, *base, nil)
+	f, err := fleet.New(*bin, full, s, *base, func(o *options.Options) {
+		if *backlog > 0 {
+			o.Backlog = *backlog
+		}
+	})
 	if err != nil {
 		return err
 	}
