Take-over: a seal that nobody answered in time no longer passes for a majority

The same shape stood in founding, roster changes and the usage export.

With it: a node that is heard but does not hear (no licence) says so and is not given partitions, and a trim overtaken by a later one can't empty a line.

--- a/internal/control/founding/founding.go
+++ b/internal/control/founding/founding.go
@@ -50,7 +50,7 @@
 		return h.Info, nil
 	}, nil)
 	if err := gather.First(as); err != nil || len(as) < len(addrs) {
-		return roster.Roster{}, problem.Wrap(problem.NotFounded, err, "%d of %d founding addresses answered", len(gather.Good(as)), len(addrs))
+		return roster.Roster{}, problem.Because(problem.NotFounded, err, "%d of %d founding addresses answered", len(gather.Good(as)), len(addrs))
 	}
 	var seats []roster.Seat
 	for _, a := range as {
@@ -105,7 +105,7 @@
 			return do(cx, s)
 		}, nil)
 		if err := gather.First(as); err != nil || len(as) < len(r.Seats) {
-			return problem.Wrap(problem.NotFounded, err, "%d of %d founding disks agreed", len(gather.Good(as)), len(r.Seats))
+			return problem.Because(problem.NotFounded, err, "%d of %d founding disks agreed", len(gather.Good(as)), len(r.Seats))
 		}
 		return nil
 	}
--- a/internal/control/holder/holder.go
+++ b/internal/control/holder/holder.go
@@ -384,7 +384,7 @@
 	case err := <-done:
 		return err
 	case <-ctx.Done():
-		return problem.Wrap(problem.NoMajority, ctx.Err(), "the outcome of writing %s is not known yet", k)
+		return problem.Because(problem.NoMajority, ctx.Err(), "the outcome of writing %s is not known yet", k)
 	}
 }
 
--- a/internal/control/reform/reform.go
+++ b/internal/control/reform/reform.go
@@ -48,7 +48,7 @@
 		return voter.Open.Call(cx, f.net, f.self, s.Addr, &voter.OpenTask{Incarnation: s.Incarnation, Roster: next, Slots: slots})
 	}, nil)
 	if n := len(gather.Good(as)); n < next.Majority() {
-		return roster.Roster{}, problem.Wrap(problem.NoMajority, gather.First(as), "roster %d was opened on %d of %d disks", next.Sequence, n, len(next.Seats))
+		return roster.Roster{}, problem.Because(problem.NoMajority, gather.First(as), "roster %d was opened on %d of %d disks", next.Sequence, n, len(next.Seats))
 	}
 	return next, nil
 }
@@ -110,7 +110,7 @@
 			return a.Err
 		}
 	}
-	return problem.Wrap(problem.NoMajority, gather.First(as), "%d of %d disks %s a change of roster %d", f.ok(as), len(r.Seats), verb, r.Sequence)
+	return problem.Because(problem.NoMajority, gather.First(as), "%d of %d disks %s a change of roster %d", f.ok(as), len(r.Seats), verb, r.Sequence)
 }
 
 func (f *Reformer) copy(ctx context.Context, r roster.Roster) (map[string]voter.Slot, error) {
@@ -122,7 +122,7 @@
 		return voter.Peek.Call(cx, f.net, f.self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Sealed: true})
 	}, enough)
 	if !enough(as) {
-		return nil, problem.Wrap(problem.NoMajority, gather.First(as), "%d of the %d intact disks needed gave their keys", len(gather.Good(as)), r.Intact())
+		return nil, problem.Because(problem.NoMajority, gather.First(as), "%d of the %d intact disks needed gave their keys", len(gather.Good(as)), r.Intact())
 	}
 	m := map[string]voter.Slot{}
 	for _, a := range gather.Good(as) {
--- a/internal/disk/journal/journal.go
+++ b/internal/disk/journal/journal.go
@@ -349,7 +349,7 @@
 	case err := <-p.done:
 		return err
 	case <-ctx.Done():
-		return problem.Wrap(problem.DiskFailed, ctx.Err(), "the disk did not answer in time")
+		return problem.Because(problem.DiskFailed, ctx.Err(), "the disk did not answer in time")
 	}
 }
 
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -1,7 +1,11 @@
 // Package gather asks many at once and stops when enough have answered.
 package gather
 
-import "context"
+import (
+	"context"
+
+	"postjunction/internal/problem"
+)
 
 // Answer is what one of those asked said.
 type Answer[W, A any] struct {
@@ -11,7 +15,7 @@
 }
 
 // Ask calls f on all of ws at once and gives the answers so far when enough says so, or all of them.
-// Calls still under way end with ctx; their answers are dropped.
+// When ctx ends, those that have not answered count as errors, so that there is one answer for each asked.
 func Ask[W, A any](ctx context.Context, ws []W, f func(context.Context, W) (A, error), enough func([]Answer[W, A]) bool) []Answer[W, A] {
 	c := make(chan Answer[W, A], len(ws))
 	for _, w := range ws {
@@ -26,6 +30,9 @@
 		case a := <-c:
 			as = append(as, a)
 		case <-ctx.Done():
+			for range len(ws) - len(as) {
+				as = append(as, Answer[W, A]{Err: problem.Because(problem.Unreachable, ctx.Err(), "no answer in time")})
+			}
 			return as
 		}
 		if enough != nil && enough(as) {
--- /dev/null
+++ b/internal/gather/gather_test.go
@@ -0,0 +1,29 @@
+package gather
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/problem"
+)
+
+// A seal that nobody answered in time once came back as no answers and no error, and passed for a majority.
+func TestThoseWhoDoNotAnswerInTimeAreErrors(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	as := Ask(ctx, []int{1, 2, 3}, func(ctx context.Context, w int) (string, error) {
+		if w == 2 {
+			stop()
+			return "two", nil
+		}
+		<-ctx.Done()
+		<-make(chan int)
+		return "", nil
+	}, nil)
+	assert.Equal(t, len(as), 3)
+	assert.Assert(t, len(Good(as)) <= 1)
+	assert.Assert(t, First(as) != nil)
+	assert.Assert(t, problem.Because(problem.NoMajority, nil, "x") != nil)
+	assert.NilError(t, problem.Wrap(problem.NoMajority, nil, "x"))
+}
--- a/internal/ledger/line/line.go
+++ b/internal/ledger/line/line.go
@@ -105,21 +105,23 @@
 	l.commit = min(l.commit, o)
 }
 
-// Rebase drops entries up to p; when the line does not hold p it starts anew there.
+// Rebase drops entries up to p, or begins an empty line there. A base never goes back, and a line that
+// does not hold p stays as it is.
 func (l *Line) Rebase(p Point) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p.Offset > l.base.Offset && p.Offset <= l.last().Offset {
-		k := int(p.Offset - l.base.Offset)
-		if l.es[k-1].At() == p {
-			l.es = append([]Entry(nil), l.es[k:]...)
-			l.at = append([]time.Time(nil), l.at[k:]...)
-			l.base = p
-			return
-		}
+	if len(l.es) == 0 && l.base == (Point{}) {
+		l.base = p
+		return
+	}
+	if p.Offset <= l.base.Offset || p.Offset > l.last().Offset {
+		return
 	}
-	if p != l.base {
-		l.base, l.es, l.at = p, nil, nil
+	k := int(p.Offset - l.base.Offset)
+	if l.es[k-1].At() == p {
+		l.es = append([]Entry(nil), l.es[k:]...)
+		l.at = append([]time.Time(nil), l.at[k:]...)
+		l.base = p
 	}
 }
 
--- /dev/null
+++ b/internal/ledger/line/line_test.go
@@ -0,0 +1,41 @@
+package line
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func filled(n int) *Line {
+	l := New()
+	p := Point{}
+	for range n {
+		e := Entry{Offset: p.Offset + 1, Epoch: 1, What: Message, Digest: Digest(nil)}
+		e.Chain = Link(p.Chain, e)
+		l.Append(time.Now(), e)
+		p = e.At()
+	}
+	return l
+}
+
+// A trim that was overtaken by a later one once emptied the line.
+func TestBaseNeverGoesBack(t *testing.T) {
+	l := filled(10)
+	at := func(o uint64) Point {
+		p, ok := l.Point(o)
+		assert.Assert(t, ok)
+		return p
+	}
+	early, late := at(3), at(6)
+	l.Rebase(late)
+	l.Rebase(early)
+	l.Rebase(Point{Offset: 8, Epoch: 1, Chain: 1})
+	l.Rebase(Point{Offset: 99, Epoch: 9, Chain: 1})
+	assert.Equal(t, l.Base(), late)
+	assert.Equal(t, l.Last().Offset, uint64(10))
+	assert.Equal(t, l.Len(), 4)
+	n := New()
+	n.Rebase(early)
+	assert.Equal(t, n.Base(), early)
+}
--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -50,6 +50,7 @@
 
 // Recovery says how the state was brought back.
 type Recovery struct {
+	Tails       string        `json:"tails"`
 	Directory   bool          `json:"directory"`
 	Replayed    int           `json:"replayed"`
 	Fetched     int           `json:"fetched"`
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -244,7 +244,7 @@
 			return nil, problem.New(problem.NotOwner, "partition %d was lost", o.Rec.Partition)
 		case <-cx.Done():
 			if ctx.Err() != nil {
-				return nil, problem.Wrap(problem.Unreachable, ctx.Err(), "reading partition %d", o.Rec.Partition)
+				return nil, problem.Because(problem.Unreachable, ctx.Err(), "reading partition %d", o.Rec.Partition)
 			}
 			r.To = max(from, r.Base)
 			return r, nil
--- a/internal/ledger/owner/takeover.go
+++ b/internal/ledger/owner/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"postjunction/internal/gather"
@@ -81,7 +82,7 @@
 			return err
 		}
 		if ctx.Err() != nil {
-			return problem.Wrap(problem.Stopped, ctx.Err(), "taking over partition %d", o.Rec.Partition)
+			return problem.Because(problem.Stopped, ctx.Err(), "taking over partition %d", o.Rec.Partition)
 		}
 		o.d.Log.Trouble(o.Rec.Partition, o.Rec.Epoch, step, err)
 		_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
@@ -125,7 +126,7 @@
 		}
 	}
 	if n := len(gather.Good(as)); n < o.Rec.Majority() {
-		return nil, problem.Wrap(problem.NoMajority, gather.First(as), "%d of %d replicas were sealed", n, len(o.Rec.Replicas))
+		return nil, problem.Because(problem.NoMajority, gather.First(as), "%d of %d replicas were sealed", n, len(o.Rec.Replicas))
 	}
 	return gather.Good(as), nil
 }
@@ -152,6 +153,14 @@
 			best, top = s.Who.Node, t
 		}
 	}
+	o.mu.Lock()
+	o.how.Tails += fmt.Sprintf("%s from %s:", k, best)
+	for _, s := range tails {
+		t := s.A.Tails[k].Last
+		o.how.Tails += fmt.Sprintf(" %s %d/%d", s.Who.Node, t.Epoch, t.Offset)
+	}
+	o.how.Tails += "; "
+	o.mu.Unlock()
 	if best == o.d.Self {
 		return nil
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,6 +32,7 @@
 	Roster      uint64 `json:"roster"`
 	Partitions  int    `json:"partitions"`
 	Fitness     string `json:"fitness,omitempty"`
+	Deaf        bool   `json:"deaf,omitempty"`
 	Build       string `json:"build,omitempty"`
 	Wire        int    `json:"wire"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,6 +172,9 @@
 	o, st, fit := n.opts, n.stage, n.fitness
 	n.mu.Unlock()
 	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Fellows, Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Roster: n.Board.Roster().Sequence}
+	if n.keeper != nil {
+		i.Deaf = n.keeper.Licensed() != nil
+	}
 	if n.id != nil {
 		i.Incarnation = n.id.Get().Incarnation
 	}
@@ -453,7 +456,7 @@
 
 // Open logs a finished take-over.
 func (l *ownerLog) Open(p int, e uint64, h owner.Recovery) {
-	l.log.Say(event.OwnerOpen, "partition", p, "epoch", e, "directory", h.Directory, "replayed", h.Replayed, "fetched", h.Fetched, "reprocessed", h.Reprocessed, "keys", h.Keys, "took", h.Took.String())
+	l.log.Say(event.OwnerOpen, "partition", p, "epoch", e, "tails", h.Tails, "directory", h.Directory, "replayed", h.Replayed, "fetched", h.Fetched, "reprocessed", h.Reprocessed, "keys", h.Keys, "took", h.Took.String())
 }
 
 // Trouble logs a step that is tried again.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -179,7 +179,7 @@
 	}
 	as := gather.Ask(ctx, ps, s.Uses, nil)
 	if err := gather.First(as); err != nil || len(as) < len(ps) {
-		return nil, problem.Wrap(problem.NoOwner, err, "usage of all partitions")
+		return nil, problem.Because(problem.NoOwner, err, "usage of all partitions")
 	}
 	rows := []usage.Row{}
 	for _, a := range as {
--- a/internal/placement/duty/duty.go
+++ b/internal/placement/duty/duty.go
@@ -159,7 +159,7 @@
 }
 
 func (s *scene) canOwn(p record.Place) bool {
-	return s.usable(p) && s.m[p.Node].Stage == member.Serving
+	return s.usable(p) && s.m[p.Node].Stage == member.Serving && !s.m[p.Node].Deaf
 }
 
 func (d *Duty) scene(ctx context.Context) (*scene, error) {
@@ -309,7 +309,7 @@
 		return k
 	}
 	for _, m := range s.m {
-		if names[m.Name] || m.out || m.Fitness != "" || m.Stage != member.Serving {
+		if names[m.Name] || m.out || m.Fitness != "" || m.Deaf || m.Stage != member.Serving {
 			continue
 		}
 		if m.Disk != options.DiskStorage && s.stores >= replicas {
@@ -370,6 +370,8 @@
 		reason = "the owner's disk fails: " + m.Fitness
 	case m.Stage != member.Serving:
 		reason = "the owner is stopping"
+	case m.Deaf:
+		reason = "the owner has no licence: it is heard but does not hear"
 	case m.out && len(r.Replicas) <= replicas:
 		if h, ok := d.heir(s, r, r.Owner); !ok || s.m[h.Node].out || !r.Settled {
 			return false
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -77,6 +77,13 @@
 	return p
 }
 
+// Because makes a problem of a kind with a cause that may be nil; unlike Wrap it never gives nil.
+func Because(k Kind, err error, f string, a ...any) *Problem {
+	p := New(k, f, a...)
+	p.Cause = err
+	return p
+}
+
 // After sets when the visitor is to come back.
 func (p *Problem) After(d time.Duration) *Problem {
 	p.Retry, p.RetryMS = d, d.Milliseconds()
--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -156,7 +156,7 @@
 	w := e.w
 	if w.isCut(from.Opts.Name, to.Opts.Name) && from != to {
 		<-ctx.Done()
-		return problem.Wrap(problem.Unreachable, ctx.Err(), "cut off")
+		return problem.Because(problem.Unreachable, ctx.Err(), "cut off")
 	}
 	d := w.Site.Latency/2 + time.Duration(w.float()*float64(w.Site.Latency)/4)
 	from.mu.Lock()
@@ -174,7 +174,7 @@
 	case <-t.C:
 		return nil
 	case <-ctx.Done():
-		return problem.Wrap(problem.Unreachable, ctx.Err(), "in flight")
+		return problem.Because(problem.Unreachable, ctx.Err(), "in flight")
 	}
 }
 
@@ -231,7 +231,7 @@
 		return a.r, a.err
 	case <-ctx.Done():
 		e.m.gate()
-		return nil, problem.Wrap(problem.Unreachable, ctx.Err(), "no answer from %s", s.m.Opts.Name)
+		return nil, problem.Because(problem.Unreachable, ctx.Err(), "no answer from %s", s.m.Opts.Name)
 	}
 }
 
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -31,7 +31,7 @@
 	case t.s[i] <- struct{}{}:
 		return nil
 	case <-ctx.Done():
-		return problem.Wrap(problem.Unreachable, ctx.Err(), "waiting for a turn")
+		return problem.Because(problem.Unreachable, ctx.Err(), "waiting for a turn")
 	}
 }
 
