--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -34,6 +34,8 @@
 guard repeat-known internal/samza/state/state.go 's/if e.Call <= a.Last \{\n\t\t\treturn/if e.Call <= a.Last {\n\t\t\ta.Last--/' ./internal/samza/changelog 'Replay'
 guard altered-body internal/ledger/owner/submit.go 's/if t.Digest != dig \{/if false \&\& t.Digest != dig {/' ./internal/proof/transcript 'BadInput'
 guard description-known internal/ledger/desk/desk.go 's/if x.Sequence < q.Description \{/if false \&\& x.Sequence < q.Description {/' $S 'Before'
+guard silence-is-no-answer internal/gather/gather.go 's/for range len\(ws\) - len\(as\) \{/for range 0 {/' ./internal/gather 'NotAnswer'
+guard base-not-back internal/ledger/line/line.go 's/if p.Offset <= l.base.Offset \|\| p.Offset > l.last\(\).Offset \{\n\t\treturn/if p.Offset <= l.base.Offset || p.Offset > l.last().Offset {\n\t\tl.base, l.es, l.at = p, nil, nil\n\t\treturn/' ./internal/ledger/line 'Base'
 guard gap internal/ledger/owner/submit.go 's/if q.Call > last\+1 \|\| q.Call == 0 \{/if q.Call == 0 {/' ./internal/proof/transcript 'BadInput'
 guard generation internal/ledger/owner/submit.go 's/if q.Generation < gen \{/if false \&\& q.Generation < gen {/' $S 'OldAttachment'
 guard reprocess internal/ledger/owner/takeover.go 's/todo := led.line.Slice\(input\+1, led.commit/todo := led.line.Slice(led.commit+1, led.commit/' $S 'Faults|Reprocess'
