--- a/internal/proof/port/port.go
+++ b/internal/proof/port/port.go
@@ -142,9 +142,10 @@
 	return problem.Wrap(problem.Unreachable, sc.Err(), "stream")
 }
 
-// Direct reaches the services of a node in this process; Door keeps the two alike.
+// Direct reaches the services of a node in this process. Gate holds calls while the machine is frozen.
 type Direct struct {
 	Node func() *Services
+	Gate func()
 }
 
 // Services are what a node offers.
@@ -155,7 +156,7 @@
 	Gone chan struct{}
 }
 
-func (p *Direct) do(ctx context.Context, t *visitor.Task) (any, error) {
+func (p *Direct) run(ctx context.Context, f func(n *Services) (any, error)) (any, error) {
 	n := p.Node()
 	if n == nil {
 		return nil, problem.New(problem.Unreachable, "the node is down")
@@ -166,7 +167,9 @@
 	}
 	c := make(chan ans, 1)
 	go func() {
-		a, err := n.Visitors.Do(ctx, t)
+		p.Gate()
+		a, err := f(n)
+		p.Gate()
 		c <- ans{a, err}
 	}()
 	select {
@@ -182,6 +185,10 @@
 	}
 }
 
+func (p *Direct) do(ctx context.Context, t *visitor.Task) (any, error) {
+	return p.run(ctx, func(n *Services) (any, error) { return n.Visitors.Do(ctx, t) })
+}
+
 // Attach attaches.
 func (p *Direct) Attach(ctx context.Context, name string) (visitor.Attachment, error) {
 	a, err := p.do(ctx, &visitor.Task{Verb: visitor.VerbAttach, Visitor: name})
@@ -231,16 +238,8 @@
 	}
 }
 
-// Put puts a description.
-func (p *Direct) Put(ctx context.Context, doc []byte) (uint64, error) {
-	n := p.Node()
-	if n == nil {
-		return 0, problem.New(problem.Unreachable, "the node is down")
-	}
-	a, err := n.Door.Operators.Put(ctx, doc)
-	if err == nil && p.Node() != n {
-		return 0, problem.New(problem.Unreachable, "the node went down")
-	}
+func (p *Direct) sequence(ctx context.Context, f func(n *Services) (any, error)) (uint64, error) {
+	a, err := p.run(ctx, f)
 	var x struct {
 		Sequence uint64 `json:"sequence"`
 	}
@@ -248,18 +247,14 @@
 	return x.Sequence, err
 }
 
+// Put puts a description.
+func (p *Direct) Put(ctx context.Context, doc []byte) (uint64, error) {
+	return p.sequence(ctx, func(n *Services) (any, error) { return n.Door.Operators.Put(ctx, doc) })
+}
+
 // Get reads the description's sequence back.
 func (p *Direct) Get(ctx context.Context) (uint64, error) {
-	n := p.Node()
-	if n == nil {
-		return 0, problem.New(problem.Unreachable, "the node is down")
-	}
-	a, err := n.Door.Operators.Description(ctx)
-	var x struct {
-		Sequence uint64 `json:"sequence"`
-	}
-	_ = json.Unmarshal(must(a), &x)
-	return x.Sequence, err
+	return p.sequence(ctx, func(n *Services) (any, error) { return n.Door.Operators.Description(ctx) })
 }
 
 // Shows gives the description that the node shows, and whether it serves.
--- a/internal/proof/sim/chaos_test.go
+++ b/internal/proof/sim/chaos_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"testing"
@@ -127,7 +128,10 @@
 	},
 	"describe": func(_ *testing.T, w *World) func() {
 		for range 2 {
-			if cur, err := w.Port(w.pick("")).Get(w.ctx); err == nil {
+			ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Recovery)
+			cur, err := w.Port(w.pick("")).Get(ctx)
+			stop()
+			if err == nil {
 				_, _ = w.Put(w.pick(""), load.Describe(cur))
 			}
 		}
--- a/internal/proof/sim/machine.go
+++ b/internal/proof/sim/machine.go
@@ -113,7 +113,6 @@
 }
 
 func (m *Machine) services() *port.Services {
-	m.gate()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.ports
--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -354,7 +354,7 @@
 
 // Port gives a machine as callers see it.
 func (w *World) Port(n string) port.Port {
-	return &port.Direct{Node: w.Machines[n].services}
+	return &port.Direct{Node: w.Machines[n].services, Gate: w.Machines[n].gate}
 }
 
 // Ports gives all machines whose process runs, as the platform's balancing would after asking for readiness.
