--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -88,7 +88,7 @@
 		Listen: "127.0.0.1:7400", Fellows: "127.0.0.1:7500", Disk: DiskNone,
 		Routine: 12, Urgent: 4,
 		Keeping: Span(DefaultBounds.Keeping), Spread: Span(DefaultBounds.Spread), Recovery: Span(DefaultBounds.Recovery),
-		Body: 64 << 10, Backlog: 512, Level: "info",
+		Body: 64 << 10, Backlog: 64, Level: "info",
 	}
 }
 
