Placement: a node counts as deaf only after the wait for the previous machine

Ruled out: the session's lapse (it was back after 300 ms). The simulator now waits at its end for calls that outlive their askers, and scripts assert in their own bubble.

--- a/internal/placement/duty/duty.go
+++ b/internal/placement/duty/duty.go
@@ -39,6 +39,7 @@
 	since  time.Time
 	recs   map[int]record.Record
 	gone   map[string]time.Time
+	deaf   map[string]time.Time
 	opened map[int]time.Time
 	epochs map[int]uint64
 	moved  time.Time
@@ -90,7 +91,7 @@
 }
 
 func (d *Duty) take(ctx context.Context) {
-	d.recs, d.gone = map[int]record.Record{}, map[string]time.Time{}
+	d.recs, d.gone, d.deaf = map[int]record.Record{}, map[string]time.Time{}, map[string]time.Time{}
 	d.opened, d.epochs = map[int]time.Time{}, map[int]uint64{}
 	for p := range d.Board.Roster().Layout.Count() {
 		if err := d.read(ctx, p); err != nil {
@@ -197,8 +198,13 @@
 			}
 		}
 	}
-	for n := range s.m {
+	for n, m := range s.m {
 		delete(d.gone, n)
+		if !m.Deaf {
+			delete(d.deaf, n)
+		} else if d.deaf[n].IsZero() {
+			d.deaf[n] = s.now
+		}
 	}
 	for _, r := range d.recs {
 		for _, p := range r.Replicas {
@@ -370,7 +376,7 @@
 		reason = "the owner's disk fails: " + m.Fitness
 	case m.Stage != member.Serving:
 		reason = "the owner is stopping"
-	case m.Deaf:
+	case m.Deaf && s.now.Sub(d.deaf[r.Owner]) >= d.Bounds.Previous():
 		reason = "the owner has no licence: it is heard but does not hear"
 	case m.out && len(r.Replicas) <= replicas:
 		if h, ok := d.heir(s, r, r.Owner); !ok || s.m[h.Node].out || !r.Settled {
--- a/internal/proof/sim/chaos_test.go
+++ b/internal/proof/sim/chaos_test.go
@@ -146,7 +146,7 @@
 	if seed%2 == 1 {
 		s = Traductores
 	}
-	play(t, s, seed, time.Hour, func(w *World) {
+	play(t, s, seed, time.Hour, func(t *testing.T, w *World) {
 		for range 3 + w.Int(3) {
 			a, b := blowNames[w.Int(len(blowNames))], blowNames[w.Int(len(blowNames))]
 			undo := blows[a](t, w)
--- a/internal/proof/sim/faults_test.go
+++ b/internal/proof/sim/faults_test.go
@@ -146,7 +146,7 @@
 			if raced && !underRace[n] {
 				t.Skip("runs without the race detector, which slows simulated fleets too much")
 			}
-			play(t, s.site, 7, s.site.Bounds.Recovery, func(w *World) { s.script(t, w) })
+			play(t, s.site, 7, s.site.Bounds.Recovery, s.script)
 		})
 	}
 }
--- a/internal/proof/sim/owner_test.go
+++ b/internal/proof/sim/owner_test.go
@@ -28,7 +28,7 @@
 // A store that restarts before its session lapses keeps its partitions, under new epochs only.
 func TestUsedEpochIsNeverUsedAgainAndThePreviousMachineIsPreferred(t *testing.T) {
 	t.Parallel()
-	play(t, Armor, 21, Armor.Bounds.Recovery/2, func(w *World) {
+	play(t, Armor, 21, Armor.Bounds.Recovery/2, func(t *testing.T, w *World) {
 		o := busiest(w)
 		before := w.records()
 		w.Kill(o)
@@ -137,7 +137,7 @@
 // An owner cut off with a store that follows it goes on writing to both lines; none of it may count.
 func TestFencedOwnerAndFollowerDecideNothing(t *testing.T) {
 	t.Parallel()
-	play(t, Traductores, 24, Traductores.Bounds.Recovery, func(w *World) {
+	play(t, Traductores, 24, Traductores.Bounds.Recovery, func(_ *testing.T, w *World) {
 		for range 2 {
 			o := busiest(w)
 			for _, n := range w.Names {
--- a/internal/proof/sim/sim_test.go
+++ b/internal/proof/sim/sim_test.go
@@ -14,7 +14,7 @@
 var load = Load{Callers: 10, Topics: 6, LiveTopics: 2, Leads: 2, Every: 400 * time.Millisecond}
 
 // play runs a fleet through a script and checks what callers saw.
-func play(t *testing.T, s Site, seed uint64, bound time.Duration, script func(w *World)) {
+func play(t *testing.T, s Site, seed uint64, bound time.Duration, script func(t *testing.T, w *World)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := New(s, seed, Logger())
@@ -27,7 +27,7 @@
 		w.Watch()
 		w.Callers(load)
 		time.Sleep(5 * time.Second)
-		script(w)
+		script(t, w)
 		w.Heal()
 		for _, n := range w.Names {
 			w.Thaw(n)
@@ -73,5 +73,5 @@
 }
 
 func TestQuietDay(t *testing.T) {
-	play(t, Armor, 1, time.Second, func(w *World) { time.Sleep(10 * time.Second) })
+	play(t, Armor, 1, time.Second, func(_ *testing.T, w *World) { time.Sleep(10 * time.Second) })
 }
--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -505,11 +505,12 @@
 	})
 }
 
-// Close ends the world.
+// Close ends the world, and waits until calls that outlive their askers have run out of time.
 func (w *World) Close() {
 	w.stop()
 	for _, m := range w.Machines {
 		m.kill()
 	}
 	w.wg.Wait()
+	time.Sleep(w.Site.Bounds.Recovery)
 }
