--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -286,11 +286,22 @@
 	w.Machines[n].Disk.Wipe()
 }
 
-// Terminate asks a process to stop in good order.
+// platformPatience is how long the platform waits before it forces a process it asked to stop.
+const platformPatience = 6 * time.Second
+
+// Terminate asks a process to stop in good order, and forces it when it has not.
 func (w *World) Terminate(n string) {
 	m := w.Machines[n]
 	if x, _ := m.node(); x != nil {
-		x.Stop()
+		done := make(chan struct{})
+		go func() {
+			x.Stop()
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(platformPatience):
+		}
 		m.kill()
 	}
 }
