Replica: cutting an adopted tail is fenced by the epoch like every other write

Cause: CutTo took the partition's turn but not its fence. An owner held up between sealing and adopting (its cut waiting for the turn behind a later owner's seal and append) then cut entries that the later owner had been acknowledged for. Found by reading the path for points at which an owner can be held up. Ruled out: the same hole in Append, Seal and Drop (all enter through the fence), and in Keep (a state directory is checked against the adopted changelog when it is used). Before: TestFencedOwnerCutsNothing fails, the cut under epoch 2 goes through after epoch 3 appended. After: turned away as stale_epoch, line intact. Conclusion: every call that changes a line goes through one door.

--- a/internal/ledger/owner/takeover.go
+++ b/internal/ledger/owner/takeover.go
@@ -189,7 +189,7 @@
 		at, reset = a.Tail.Last, false
 	}
 	if l := o.d.Replica.Line(o.Rec.Partition, k); l.Last().Offset > top.Offset {
-		return o.d.Replica.CutTo(ctx, o.Rec.Partition, k, top.Offset)
+		return o.d.Replica.CutTo(ctx, o.target(o.d.Self), k, top.Offset)
 	}
 	return nil
 }
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -333,15 +333,15 @@
 	return &AppendAnswer{OK: true, Tail: Tail{Base: l.Base(), Last: at, Commit: l.Commit()}}, nil
 }
 
-// CutTo drops what follows an offset, when an adopted tail differs.
-func (r *Replica) CutTo(ctx context.Context, p int, k line.Kind, o uint64) error {
-	back, err := r.turns.Take(ctx, key(p))
+// CutTo drops what follows an offset, when a tail adopted under the target's epoch differs.
+func (r *Replica) CutTo(ctx context.Context, t Target, k line.Kind, o uint64) error {
+	back, err := r.enter(ctx, t)
 	if err != nil {
 		return err
 	}
 	defer back()
-	id := line.ID{Partition: p, Kind: k}
-	return r.journal.Put(ctx, true, func() { r.Line(p, k).Cut(o) }, rec(kinds.Cut, 0, o, cutRec{id, o}))
+	id := line.ID{Partition: t.Partition, Kind: k}
+	return r.journal.Put(ctx, true, func() { r.Line(t.Partition, k).Cut(o) }, rec(kinds.Cut, t.Epoch, o, cutRec{id, o}))
 }
 
 // Fetch reads entries.
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -118,3 +118,19 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, len(boot(t, d, "i").Partitions()), 0, "a dropped partition comes back")
 }
+
+// An owner held up between sealing and adopting once cut what a later owner had put on the disk since.
+func TestFencedOwnerCutsNothing(t *testing.T) {
+	r := boot(t, memlog.New(), "i")
+	p := put(t, r, line.Ledger, 1, line.Point{}, "a", "b")
+	_, err := r.Seal(ctx, &SealTask{to(2)})
+	assert.NilError(t, err)
+	_, err = r.Seal(ctx, &SealTask{to(3)})
+	assert.NilError(t, err)
+	q := put(t, r, line.Ledger, 3, p, "told to be taken")
+	err = r.CutTo(ctx, to(2), line.Ledger, 1)
+	assert.Assert(t, problem.Has(err, problem.StaleEpoch), "%v", err)
+	assert.Equal(t, r.Line(1, line.Ledger).Last(), q)
+	assert.NilError(t, r.CutTo(ctx, to(3), line.Ledger, p.Offset))
+	assert.Equal(t, r.Line(1, line.Ledger).Last(), p)
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -26,6 +26,7 @@
 
 S=./internal/proof/sim
 guard fence-replica internal/ledger/replica/replica.go 's/if s := r.seals\[t.Partition\]; t.Epoch < s \{/if s := r.seals[t.Partition]; false && t.Epoch < s {/' ./internal/ledger/replica 'Fenced'
+guard fence-cut internal/ledger/replica/replica.go 's/(func \(r \*Replica\) CutTo.*?)r\.enter\(ctx, t\)/$1r.turns.Take(ctx, key(t.Partition))/s' ./internal/ledger/replica 'CutsNothing'
 guard seal-before-tail internal/ledger/owner/takeover.go 's/\[\]sealed\) bool \{ return len\(gather.Good\(as\)\) >= o.Rec.Majority\(\) \}/[]sealed) bool { return len(gather.Good(as)) >= 1 }/; s/n < o.Rec.Majority\(\) \{/n < 1 {/' $S 'Faults|TakeOver|Seeds'
 guard best-tail internal/ledger/owner/takeover.go 's/if t := s.A.Tails\[k\].Last; top.Less\(t\) \{/if t := s.A.Tails[k].Last; false \&\& top.Less(t) {/' $S 'Faults|TakeOver|Seeds'
 guard epoch-used-before internal/ledger/owner/takeover.go 's/s >= o.Rec.Epoch \{/false \&\& s >= o.Rec.Epoch {/' $S 'UsedEpoch|Seeds'
