Owners: no final no and no vouching without a majority's word for the epoch

Cause: a yes waits for a majority, but call_gap, call_altered, call_forgotten, token_fenced and the check of an attachment were answered from memory under the licence. A store whose data links were cut, or that had just thawed and renewed its licence before it heard of the new record, vouched for a superseded attachment and gave final refusals, partly resting on entries that never commit. Ruled out: a shorter licence (clocks would carry safety); waiting only for in-flight entries (a cut-off owner has none). Now such an answer first waits for the in-flight entry that it rests on, then for a majority of the replicas, asked after the call began, to turn no higher epoch up; waiting calls share a round. The question is an append without entries, so older builds understand it. Before: TestCutOffOwnerGivesNoFinalAnswer fails, generation 2 vouched for while 3 is in force. Conclusion: nothing final leaves an owner on the word of its clock.

--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -121,16 +121,16 @@
 	if err != nil {
 		return nil, err
 	}
-	_, k, err := o.Attached(q.Visitor)
+	_, k, err := o.Attached(ctx, q.Visitor)
 	return &AttachAnswer{Generation: g, Acked: k}, err
 }
 
-func (d *Desk) attached(_ context.Context, q *AttachedTask) (*AttachedAnswer, error) {
+func (d *Desk) attached(ctx context.Context, q *AttachedTask) (*AttachedAnswer, error) {
 	o, err := d.here(partition.OfVisitor(q.Visitor, d.Board.Roster().Layout))
 	if err != nil {
 		return nil, err
 	}
-	t, k, err := o.Attached(q.Visitor)
+	t, k, err := o.Attached(ctx, q.Visitor)
 	return &AttachedAnswer{Attached: t, Acked: k}, err
 }
 
--- /dev/null
+++ b/internal/ledger/owner/assure.go
@@ -0,0 +1,92 @@
+package owner
+
+import (
+	"context"
+
+	"postjunction/internal/gather"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+type round struct {
+	done chan struct{}
+	err  error
+}
+
+// assure answers nil once a majority of the replicas, asked after the call began, turned no epoch above this one's owner away:
+// whatever was judged before the call was judged while nobody else could decide. Calls that wait share a round.
+func (o *Owner) assure(ctx context.Context) error {
+	o.mu.Lock()
+	r := o.next
+	if r == nil {
+		r = &round{done: make(chan struct{})}
+		o.next = r
+		if !o.asking {
+			o.asking = true
+			go o.rounds()
+		}
+	}
+	o.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return problem.Because(problem.NotOwner, ctx.Err(), "no majority confirmed epoch %d of partition %d in time", o.Rec.Epoch, o.Rec.Partition)
+	case <-o.lost:
+		return problem.New(problem.NotOwner, "partition %d was lost", o.Rec.Partition)
+	}
+}
+
+func (o *Owner) rounds() {
+	for {
+		o.mu.Lock()
+		r := o.next
+		o.next = nil
+		if r == nil {
+			o.asking = false
+			o.mu.Unlock()
+			return
+		}
+		o.tally.Rounds++
+		ctx := o.ctx
+		o.mu.Unlock()
+		r.err = o.ask(ctx)
+		close(r.done)
+	}
+}
+
+func (o *Owner) ask(ctx context.Context) error {
+	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
+	defer stop()
+	as := gather.Ask(cx, o.Rec.Replicas, func(ctx context.Context, p record.Place) (bool, error) {
+		q := &replica.AppendTask{Target: replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}, Kind: line.Ledger, Urgent: o.Urgent}
+		if p.Node == o.d.Self {
+			return true, o.d.Replica.Stands(q.Target)
+		}
+		a, ok := o.d.Addr(p.Node)
+		if !ok {
+			return false, problem.New(problem.Unreachable, "%s is not a member", p.Node)
+		}
+		_, err := replica.Append.Call(ctx, o.d.Net, o.d.Self, a, q)
+		return err == nil, err
+	}, func(as []gather.Answer[record.Place, bool]) bool { return len(gather.Good(as)) >= o.Rec.Majority() })
+	for _, a := range as {
+		if o.fenced(a.Err) {
+			o.lose(a.Err)
+		}
+	}
+	if n := len(gather.Good(as)); n < o.Rec.Majority() {
+		return problem.Because(problem.NotOwner, gather.First(as), "%d of %d replicas confirmed epoch %d of partition %d", n, len(o.Rec.Replicas), o.Rec.Epoch, o.Rec.Partition)
+	}
+	return nil
+}
+
+// settled waits until all that an answer rests on is committed and nobody else can have decided since.
+func (o *Owner) settled(ctx context.Context, basis uint64) error {
+	if err := o.await(ctx, line.Ledger, basis); err != nil {
+		return problem.New(problem.NotOwner, "an answer of partition %d rests on offset %d, which is not on a majority", o.Rec.Partition, basis)
+	}
+	return o.assure(ctx)
+}
--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -38,6 +38,16 @@
 	Settled  func(ctx context.Context, r record.Record)
 	Promote  func(ctx context.Context, r record.Record, l record.Place)
 	Log      Log
+	Witness  Witness
+}
+
+// Witness hears every verdict that an owner tells: what it was, and when its task was taken up. Only proof uses it.
+type Witness func(partition int, epoch uint64, what string, begun time.Time)
+
+func (o *Owner) say(what string, begun time.Time) {
+	if o.d.Witness != nil {
+		o.d.Witness(o.Rec.Partition, o.Rec.Epoch, what, begun)
+	}
 }
 
 // Stages of an owner.
@@ -62,6 +72,8 @@
 // Tally counts an owner's work.
 type Tally struct {
 	Taken, Repeats, Batches, Items, Compactions uint64
+	// Rounds counts the questions to a majority whether this epoch still stands.
+	Rounds uint64
 }
 
 // Owner decides for one partition until it is lost.
@@ -85,6 +97,8 @@
 	flush  chan chan struct{}
 
 	ctx     context.Context
+	next    *round
+	asking  bool
 	learner record.Place
 	leave   context.CancelFunc
 }
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -13,6 +13,7 @@
 	last       uint64
 	generation uint64
 	flight     []state.Taken
+	at         uint64
 }
 
 // Task is a visitor's numbered message.
@@ -89,7 +90,7 @@
 		o.front[k] = f
 	}
 	t := state.Taken{Call: q.Call, Offset: e.Offset, Digest: dig}
-	f.last, f.generation = q.Call, max(f.generation, q.Generation)
+	f.last, f.generation, f.at = q.Call, max(f.generation, q.Generation), e.Offset
 	f.flight = append(f.flight, t)
 	return t, false, nil
 }
@@ -112,25 +113,56 @@
 	}
 }
 
+var (
+	final = map[problem.Kind]bool{problem.CallAltered: true, problem.CallGap: true, problem.CallForgotten: true, problem.TokenFenced: true}
+	told  = map[bool]string{false: "taken", true: "taken before"}
+)
+
+func (o *Owner) basis(k string) uint64 {
+	at := uint64(0)
+	if t := o.tracks[line.Ledger]; t != nil {
+		at = t.commit
+	}
+	if f := o.front[k]; f != nil {
+		at = max(at, f.at)
+	}
+	return at
+}
+
 // Submit decides on a message and answers once the decision is on a majority.
 func (o *Owner) Submit(ctx context.Context, q *Task) (*Decision, error) {
+	begun := o.d.Clock.Now()
 	o.mu.Lock()
 	t, rep, err := o.judge(q)
 	if rep {
 		o.tally.Repeats++
 	}
+	basis := o.basis(state.Key(q.Visitor, q.Topic))
 	o.mu.Unlock()
+	if k := problem.Of(err).Kind; err != nil && final[k] {
+		if e := o.settled(ctx, basis); e != nil {
+			return nil, e
+		}
+		o.say("no: "+string(k), begun)
+	}
 	if err != nil {
 		return nil, err
 	}
 	if err := o.await(ctx, line.Ledger, t.Offset); err != nil {
 		return nil, err
 	}
+	if rep {
+		if err := o.assure(ctx); err != nil {
+			return nil, err
+		}
+	}
+	o.say(told[rep], begun)
 	return &Decision{Partition: o.Rec.Partition, Epoch: o.Rec.Epoch, Offset: t.Offset, Repeat: rep}, nil
 }
 
 // Attach records an attachment and answers with its generation, which fences all before.
 func (o *Owner) Attach(ctx context.Context, visitor, secret string) (uint64, error) {
+	begun := o.d.Clock.Now()
 	o.mu.Lock()
 	if err := o.ready(); err != nil {
 		o.mu.Unlock()
@@ -149,6 +181,7 @@
 	if err := o.await(ctx, line.Ledger, e.Offset); err != nil {
 		return 0, err
 	}
+	o.say("attached", begun)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.st.Attached[visitor].Generation >= f.generation && o.front[k] == f {
@@ -157,17 +190,25 @@
 	return g, nil
 }
 
-// Attached gives the attachment in force and the cursor that the visitor left.
-func (o *Owner) Attached(visitor string) (state.Attached, state.Acked, error) {
+// Attached gives the attachment in force and the cursor that the visitor left, once a majority confirmed the epoch.
+func (o *Owner) Attached(ctx context.Context, visitor string) (state.Attached, state.Acked, error) {
+	begun := o.d.Clock.Now()
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	if o.stage != Open && o.stage != Closing {
+		o.mu.Unlock()
 		return state.Attached{}, state.Acked{}, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, o.stage)
 	}
 	if err := o.d.Licensed(); err != nil {
+		o.mu.Unlock()
 		return state.Attached{}, state.Acked{}, err
 	}
-	return o.st.Attached[visitor], o.st.Acked[visitor], nil
+	t, k := o.st.Attached[visitor], o.st.Acked[visitor]
+	o.mu.Unlock()
+	if err := o.assure(ctx); err != nil {
+		return state.Attached{}, state.Acked{}, err
+	}
+	o.say("vouched", begun)
+	return t, k, nil
 }
 
 // Ack records the cursor that a visitor leaves.
@@ -179,6 +220,9 @@
 	}
 	if g := o.st.Attached[visitor].Generation; generation < g {
 		o.mu.Unlock()
+		if err := o.assure(ctx); err != nil {
+			return err
+		}
 		return problem.New(problem.TokenFenced, "attachment %d of %s is in force", g, visitor)
 	}
 	e := o.tracks[line.Ledger].push(line.Entry{What: line.Cursor, Visitor: visitor, Generation: generation, Body: []byte(cursor)}, o.Rec.Epoch)
@@ -216,7 +260,7 @@
 		o.mu.Unlock()
 		r := &Reading{Base: t.line.Base().Offset, To: commit, Epoch: o.Rec.Epoch}
 		if from == ^uint64(0) {
-			return r, nil
+			return r, o.assure(ctx)
 		}
 		if commit > from {
 			es := t.line.Slice(from+1, commit, readMost, readBytes)
--- a/internal/ledger/owner/takeover.go
+++ b/internal/ledger/owner/takeover.go
@@ -71,6 +71,7 @@
 	how := o.how
 	o.mu.Unlock()
 	o.d.Log.Open(o.Rec.Partition, o.Rec.Epoch, how)
+	o.say("open", begun)
 	go o.d.Settled(ctx, o.Rec)
 	return nil
 }
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -231,6 +231,9 @@
 	return nil
 }
 
+// Stands tells whether a target's epoch is still the highest on this disk, under its own name.
+func (r *Replica) Stands(t Target) error { return r.fence(t) }
+
 func (r *Replica) enter(ctx context.Context, t Target) (func(), error) {
 	back, err := r.turns.Take(ctx, key(t.Partition))
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,8 @@
 	Clock clock.Clock
 	Net   wire.Network
 	Disk  journal.Log
+	// Witness, if any, hears every verdict of the owners that run here; only proof uses it.
+	Witness owner.Witness
 }
 
 // Node is one process of the fleet.
@@ -265,7 +267,7 @@
 		Self: self, Net: net, Clock: clk, Bounds: b, Replica: n.replica, Addr: n.addr, Licensed: n.keeper.Licensed,
 		Batch:   func() time.Duration { return n.options().Batch() },
 		Backlog: func() int { return n.options().Backlog },
-		Settled: n.owners.Settled, Promote: n.owners.Promote, Log: (*ownerLog)(n),
+		Settled: n.owners.Settled, Promote: n.owners.Promote, Log: (*ownerLog)(n), Witness: n.w.Witness,
 	}
 	n.desk = &desk.Desk{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View, Owners: n.owners}
 	n.presence = presence.New(self, net, b, n.View)
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -38,6 +38,7 @@
 guard silence-is-no-answer internal/gather/gather.go 's/for range len\(ws\) - len\(as\) \{/for range 0 {/' ./internal/gather 'NotAnswer'
 guard base-not-back internal/ledger/line/line.go 's/if p.Offset <= l.base.Offset \|\| p.Offset > l.last\(\).Offset \{\n\t\treturn/if p.Offset <= l.base.Offset || p.Offset > l.last().Offset {\n\t\tl.base, l.es, l.at = p, nil, nil\n\t\treturn/' ./internal/ledger/line 'Base'
 guard gap internal/ledger/owner/submit.go 's/if q.Call > last\+1 \|\| q.Call == 0 \{/if q.Call == 0 {/' ./internal/proof/transcript 'BadInput'
+guard assure internal/ledger/owner/assure.go 's/r\.err = o\.ask\(ctx\)/_ = ctx/' $S 'CutOffOwner'
 guard generation internal/ledger/owner/submit.go 's/if q.Generation < gen \{/if false \&\& q.Generation < gen {/' $S 'OldAttachment'
 guard reprocess internal/ledger/owner/takeover.go 's/todo := led.line.Slice\(input\+1, led.commit/todo := led.line.Slice(led.commit+1, led.commit/' $S 'Faults|Reprocess'
 guard offset-after-batch internal/samza/changelog/changelog.go 's/len\(parts\) < b.Parts \{/false {/' ./internal/samza/changelog 'Whole'
