Checker: a trace of verdicts and vows, open waits by age, reading back, planted breaches

Cause: the longest wait left out calls that were never answered and hid one dead partition behind others; lines 5, 6 and 12 of the never-list had no check of their own; the last fault was one control disk and one reading of the description. Now: waits per kind and place (taking, delivering, attaching, opening a stream, putting), judged from the last thing that went wrong, open ones by their age; every verdict of an owner against the epochs that were opened; every yes of a disk between machines against higher ones before; the last fault is any of six on any machine, the whole fleet's power included, after which the description and all of the keeping time is read back by fresh subscribers through three nodes. The gap over all callers together is gone, as nothing used it.

--- a/internal/proof/caller/caller.go
+++ b/internal/proof/caller/caller.go
@@ -58,11 +58,13 @@
 }
 
 func (c *Caller) attach(ctx context.Context) string {
+	end := c.History.Begin(history.WaitAttach, c.Name, c.Clock.Now())
 	for ctx.Err() == nil {
 		cx, stop := context.WithTimeout(ctx, c.Spread*2)
 		a, err := c.port().Attach(cx, c.Name)
 		stop()
 		if err == nil {
+			end(c.Clock.Now())
 			c.mu.Lock()
 			c.token = a.Token
 			c.mu.Unlock()
@@ -104,10 +106,18 @@
 		return
 	}
 	first := true
+	opened := c.History.Begin(history.WaitOpen, c.Name, c.Clock.Now())
 	for ctx.Err() == nil {
 		t := c.current()
-		err := c.port().Follow(ctx, t, c.Follows, c.cursor, func(l visitor.Line) error {
+		cx, alive := c.watch(ctx)
+		got := false
+		err := c.port().Follow(cx, t, c.Follows, c.cursor, func(l visitor.Line) error {
 			now := c.Clock.Now()
+			alive()
+			if !got && l.End == nil {
+				got = true
+				opened(now)
+			}
 			if first {
 				first = false
 				c.History.Subscribe(c.Name, c.Follows, c.Live, now)
@@ -123,6 +133,9 @@
 			}
 			return nil
 		})
+		if got {
+			opened = c.History.Begin(history.WaitOpen, c.Name, c.Clock.Now())
+		}
 		if problem.Has(err, problem.TokenForeign) || problem.Has(err, problem.TokenFenced) {
 			if c.current() == t {
 				c.attach(ctx)
@@ -136,6 +149,32 @@
 	}
 }
 
+const silence = 1.5
+
+// watch gives a context that ends once a stream shows no sign of life for longer than the time between two of them.
+func (c *Caller) watch(ctx context.Context) (context.Context, func()) {
+	cx, stop := context.WithCancel(ctx)
+	var mu sync.Mutex
+	last := c.Clock.Now()
+	limit := time.Duration(silence * float64(c.Spread))
+	go func() {
+		defer stop()
+		for {
+			mu.Lock()
+			left := limit - c.Clock.Now().Sub(last)
+			mu.Unlock()
+			if left <= 0 || c.Clock.Sleep(cx, left) != nil {
+				return
+			}
+		}
+	}()
+	return cx, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		last = c.Clock.Now()
+	}
+}
+
 func (c *Caller) body(topic string, n uint64) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -154,6 +193,7 @@
 		b := c.body(topic, n)
 		m := history.Message{Topic: topic, From: c.Name, Call: n}
 		c.History.Send(m, b, c.Urgent[topic], c.Clock.Now())
+		end := c.History.Begin(history.WaitTake, topic, c.Clock.Now())
 		for ctx.Err() == nil {
 			t := c.current()
 			cx, stop := context.WithTimeout(ctx, patience*c.Spread)
@@ -161,6 +201,7 @@
 			stop()
 			if err == nil {
 				c.History.Take(m, r.Partition, r.Offset, c.Clock.Now())
+				end(c.Clock.Now())
 				break
 			}
 			p := problem.Of(err)
@@ -179,6 +220,7 @@
 			}
 			c.pause(ctx, c.Spread/30)
 		}
+		end(c.Clock.Now())
 		c.pause(ctx, c.Every*2/3)
 	}
 }
--- a/internal/proof/fleet/day.go
+++ b/internal/proof/fleet/day.go
@@ -217,7 +217,7 @@
 	quiet()
 	cut := time.Now()
 	wait(ctx, options.DefaultBounds.Recovery)
-	r := h.Check(cut)
+	r := h.Check(cut, time.Now())
 	return r, nil
 }
 
--- a/internal/proof/history/history.go
+++ b/internal/proof/history/history.go
@@ -64,15 +64,30 @@
 	seen     map[string]uint64
 	accepted map[uint64]time.Time
 	bad      []Violation
-	ok       []time.Time
 	spread   []time.Duration
 	urgent   []time.Duration
 	routine  []time.Duration
+
+	// Bound is how long a wait may last after the last thing that went wrong; 0 for no bound.
+	Bound    time.Duration
+	serial   uint64
+	open     map[uint64]pending
+	waits    []Wait
+	blows    []time.Time
+	covered  map[string]int
+	verdicts []Verdict
+	owners   map[term]string
+	vowed    map[string]vow
+	vows     int
+	reread   []Reading
 }
 
 // New makes an empty history.
 func New() *History {
-	return &History{sent: map[Message]*sent{}, refused: map[Message]map[string]bool{}, subs: map[string]*sub{}, seen: map[string]uint64{}, accepted: map[uint64]time.Time{}}
+	return &History{
+		sent: map[Message]*sent{}, refused: map[Message]map[string]bool{}, subs: map[string]*sub{}, seen: map[string]uint64{}, accepted: map[uint64]time.Time{},
+		open: map[uint64]pending{}, covered: map[string]int{}, owners: map[term]string{}, vowed: map[string]vow{},
+	}
 }
 
 // The lines of the never-list, in the order of the brief.
@@ -91,6 +106,9 @@
 	Behind   = "never-12 urgent behind routine"
 )
 
+// Lines lists all of them.
+var Lines = []string{Twice, Order, Lost, Missed, Fenced, Disk, Foreign, Spread, Invalid, Readback, Recovery, Behind}
+
 func (h *History) violate(l, f string, a ...any) {
 	h.bad = append(h.bad, Violation{l, fmt.Sprintf(f, a...)})
 }
@@ -120,7 +138,6 @@
 		h.violate(Order, "%v was first answered with %d/%d, then with %d/%d", m, s.partition, s.offset, p, o)
 	}
 	if s.outcome != Taken {
-		h.ok = append(h.ok, now)
 		d := now.Sub(s.at)
 		if s.urgent {
 			h.urgent = append(h.urgent, d)
@@ -197,6 +214,32 @@
 	}
 }
 
+// Effect notes that a node did, on a call begun at asked, what a description accepted since forbids; seq is the newest one that allows it.
+func (h *History) Effect(node string, seq uint64, asked time.Time, bound time.Duration, what string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for n, t := range h.accepted {
+		if seq < n && asked.Sub(t) > bound {
+			h.violate(Spread, "%s %s %s after description %d was accepted", node, what, asked.Sub(t), n)
+			return
+		}
+	}
+}
+
+// Apply notes the contents that a node shows for a sequence, and those that were accepted.
+func (h *History) Apply(node string, seq uint64, shows, accepted string) {
+	if shows != accepted {
+		h.Violate(Invalid, "%s shows for description %d %q, accepted was %q", node, seq, shows, accepted)
+	}
+}
+
+// Overtaken notes how long an urgent call took beside routine work that was held still, and how long it may take.
+func (h *History) Overtaken(place, beside string, took, limit time.Duration) {
+	if took > limit {
+		h.Violate(Behind, "an urgent call on %s took %s beside %s, %s are allowed", place, took, beside, limit)
+	}
+}
+
 // Readback notes the description that was read back.
 func (h *History) ReadBack(seq uint64, asked time.Time) {
 	h.mu.Lock()
@@ -208,15 +251,19 @@
 	}
 }
 
-// Report is the result of a run.
+// Report is the result of a run. Longest is of the waits that began before the cut, LongestUndisturbed of all.
 type Report struct {
 	Sent, Taken, Unknown, Refused int
 	Receipts, Subscribers         int
 	Descriptions                  int
 	Violations                    []Violation
-	Gap                           time.Duration
-	GapAt                         time.Time
 	Spread, Urgent, Routine       Spans
+	Waits                         map[string]Spans
+	Longest                       Wait
+	LongestUndisturbed            Wait
+	Verdicts                      map[string]int
+	Vows                          int
+	Covered                       map[string]int
 }
 
 // Spans are the quantiles of a set of durations.
@@ -234,9 +281,8 @@
 	return Spans{len(d), at(0.5), at(0.95), at(0.99), d[len(d)-1]}
 }
 
-// Check judges the whole history; settled is when the last fault was over and all callers had caught up,
-// cut is the time up to which taken messages must have arrived.
-func (h *History) Check(cut time.Time) Report {
+// Check judges the whole history as of now; cut is the time up to which taken messages must have arrived.
+func (h *History) Check(cut, now time.Time) Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := Report{Sent: len(h.sent), Subscribers: len(h.subs), Descriptions: len(h.accepted)}
@@ -265,12 +311,11 @@
 		r.Receipts += len(s.got)
 	}
 	h.complete(cut)
-	sort.Slice(h.ok, func(i, k int) bool { return h.ok[i].Before(h.ok[k]) })
-	for i := 1; i < len(h.ok); i++ {
-		if d := h.ok[i].Sub(h.ok[i-1]); d > r.Gap {
-			r.Gap, r.GapAt = d, h.ok[i-1]
-		}
-	}
+	h.judgeRereads(cut)
+	h.judgeVerdicts(&r)
+	h.judgeDelivery()
+	h.judgeWaits(cut, now, &r)
+	r.Vows, r.Covered = h.vows, h.covered
 	r.Spread, r.Urgent, r.Routine = spans(h.spread), spans(h.urgent), spans(h.routine)
 	r.Violations = h.bad
 	return r
@@ -334,3 +379,19 @@
 		}
 	}
 }
+
+func (h *History) judgeDelivery() {
+	for v, s := range h.subs {
+		for _, g := range s.got {
+			x := h.sent[g.Message]
+			if x == nil || x.outcome != Taken || s.live[g.Topic] || !x.at.After(s.since) || s.excuse {
+				continue
+			}
+			from := x.done
+			if g.At.Before(from) {
+				from = g.At
+			}
+			h.waited(pending{WaitDeliver, fmt.Sprintf("partition %d to %s", g.Partition, v), from}, g.At, false)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/history/plant_test.go
@@ -0,0 +1,122 @@
+package history
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var t0 = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func sec(n float64) time.Time { return t0.Add(time.Duration(n * float64(time.Second))) }
+
+func msg(n uint64) Message { return Message{"kept/a", "v", n} }
+
+func body(n uint64) string { return fmt.Sprintf("\"%d\"", n) }
+
+func got(n uint64) Receipt {
+	return Receipt{Message: msg(n), Body: body(n), Partition: 1, Offset: 10 + n, At: sec(float64(n) + 0.1)}
+}
+
+// day is a sound history: three messages taken and received, two owners, a description, a reading back.
+func day() *History {
+	h := New()
+	h.Bound = 12 * time.Second
+	h.Own(1, 1, "s1")
+	h.Own(1, 2, "s2")
+	h.Decide(Verdict{"s1", 1, 1, VerdictOpen, sec(0), sec(0)})
+	h.Decide(Verdict{"s1", 1, 1, "taken", sec(1), sec(1.1)})
+	h.Decide(Verdict{"s2", 1, 2, VerdictOpen, sec(2), sec(2)})
+	h.Decide(Verdict{"s2", 1, 2, "taken", sec(3), sec(3.1)})
+	h.Vow("disk", "partition 1", Rank{Number: 1}, sec(0), sec(0))
+	h.Vow("disk", "partition 1", Rank{Number: 2}, sec(2), sec(2))
+	h.Subscribe("w", []string{"kept/a"}, nil, sec(0.5))
+	for n := uint64(1); n <= 3; n++ {
+		h.Send(msg(n), body(n), false, sec(float64(n)))
+		h.Take(msg(n), 1, 10+n, sec(float64(n)+0.05))
+		h.Begin(WaitTake, "kept/a", sec(float64(n)))(sec(float64(n) + 0.05))
+		h.Receive("w", got(n))
+	}
+	h.Accept(1, sec(0))
+	h.Accept(2, sec(2))
+	h.Show("a1#1", 1, sec(4), 3*time.Second)
+	h.Show("a1#1", 2, sec(5), 3*time.Second)
+	h.ReadBack(2, sec(6))
+	h.Reread(Reading{Through: "a1", Topics: map[string]bool{"kept/a": true}, Since: sec(0.5), Got: []Receipt{got(1), got(2), got(3)}})
+	return h
+}
+
+func lines(h *History) string {
+	var s []string
+	for _, v := range h.Check(sec(10), sec(11)).Violations {
+		s = append(s, v.Line+": "+v.Say)
+	}
+	return strings.Join(s, "\n")
+}
+
+func TestSoundDayHasNoViolation(t *testing.T) { assert.Equal(t, lines(day()), "") }
+
+// Each line of the never-list is planted in a sound day, and the checker must name that line.
+func TestCheckerFindsEveryPlantedViolation(t *testing.T) {
+	reread := func(g ...Receipt) func(h *History) {
+		return func(h *History) {
+			h.Reread(Reading{Through: "c1", Topics: map[string]bool{"kept/a": true}, Since: sec(0.5), Got: g})
+		}
+	}
+	moved := got(3)
+	moved.Offset = 20
+	planted := map[string]struct {
+		line  string
+		plant func(h *History)
+	}{
+		"a subscriber gets a message twice":             {Twice, func(h *History) { h.Receive("w", got(2)) }},
+		"a fresh subscriber gets a message twice":       {Twice, reread(got(1), got(2), got(2), got(3))},
+		"a message comes after a later one":             {Order, func(h *History) { h.subs["w"].got[0], h.subs["w"].got[1] = got(2), got(1) }},
+		"a message is answered with two places":         {Order, func(h *History) { h.Take(msg(1), 1, 99, sec(5)) }},
+		"a message is read back at another place":       {Order, reread(got(1), got(2), moved)},
+		"a taken message never arrives":                 {Lost, func(h *History) { h.subs["w"].got = h.subs["w"].got[:2] }},
+		"a taken message can't be read back":            {Lost, reread(got(1), got(2))},
+		"a returning subscriber misses a message":       {Missed, func(h *History) { h.subs["w"].got = append(h.subs["w"].got[:1], h.subs["w"].got[2]) }},
+		"an old owner says yes after a new one opened":  {Fenced, func(h *History) { h.Decide(Verdict{"s1", 1, 1, "taken", sec(2.5), sec(2.6)}) }},
+		"an old owner says a final no after that":       {Fenced, func(h *History) { h.Decide(Verdict{"s1", 1, 1, "no: call_gap", sec(2.5), sec(2.6)}) }},
+		"an old owner vouches after that":               {Fenced, func(h *History) { h.Decide(Verdict{"s1", 1, 1, "vouched", sec(2.5), sec(2.6)}) }},
+		"a node decides under another's epoch":          {Fenced, func(h *History) { h.Decide(Verdict{"s3", 1, 2, "taken", sec(3), sec(3.1)}) }},
+		"an epoch has two owners":                       {Fenced, func(h *History) { h.Own(1, 2, "s3") }},
+		"one place holds two messages":                  {Fenced, func(h *History) { h.Send(msg(4), body(4), false, sec(4)); h.Take(msg(4), 1, 13, sec(4.1)) }},
+		"a disk says yes below what it said yes to":     {Disk, func(h *History) { h.Vow("disk", "partition 1", Rank{Number: 1}, sec(3), sec(3.1)) }},
+		"a message arrives with another body":           {Foreign, func(h *History) { h.subs["w"].got[1].Body = `"x"` }},
+		"a message arrives that nobody sent":            {Foreign, func(h *History) { h.subs["w"].got[2].From = "x" }},
+		"a message arrives on a topic not asked for":    {Foreign, func(h *History) { h.subs["w"].got[2].Topic = "kept/b" }},
+		"a refused message arrives":                     {Foreign, func(h *History) { h.sent[msg(3)].outcome = Refused; h.Refuse(msg(3), body(3)) }},
+		"a node shows an old description too long":      {Spread, func(h *History) { h.Show("a2#1", 1, sec(5.1), 3*time.Second) }},
+		"a node's description slips back":               {Spread, func(h *History) { h.Show("a1#1", 1, sec(4.5), 3*time.Second) }},
+		"a removed topic is served too long":            {Spread, func(h *History) { h.Effect("a1", 1, sec(5.1), 3*time.Second, "took a message on a removed topic") }},
+		"one base is accepted twice":                    {Invalid, func(h *History) { h.Accept(2, sec(7)) }},
+		"an invalid description is applied":             {Invalid, func(h *History) { h.Apply("a1", 2, "spaces of the loser", "spaces of the winner") }},
+		"an older description is read back":             {Readback, func(h *History) { h.ReadBack(1, sec(7)) }},
+		"a wait outlasts the bound":                     {Recovery, func(h *History) { h.Begin(WaitTake, "kept/a", sec(-3))(sec(9.5)) }},
+		"a call is never answered":                      {Recovery, func(h *History) { h.Begin(WaitAttach, "w", sec(-2)) }},
+		"a wait outlasts the bound after the last blow": {Recovery, func(h *History) { h.Disturb("kill", sec(-5)); h.Begin(WaitOpen, "w", sec(-8))(sec(8)) }},
+		"an urgent call waits for routine work":         {Behind, func(h *History) { h.Overtaken("stop/line", "a routine turn", 2*time.Second, time.Second) }},
+	}
+	hit := map[string]bool{}
+	for n, p := range planted {
+		t.Run(n, func(t *testing.T) {
+			h := day()
+			p.plant(h)
+			s := lines(h)
+			assert.Assert(t, strings.Contains(s, p.line), "planted %q, found %q", n, s)
+		})
+		hit[p.line] = true
+	}
+	for _, l := range Lines {
+		assert.Assert(t, hit[l], "nothing is planted for %s", l)
+	}
+	h := day()
+	h.Disturb("kill", sec(1))
+	h.Begin(WaitOpen, "w", sec(-8))(sec(8))
+	assert.Equal(t, lines(h), "", "a wait with a blow in its middle is judged from the blow on")
+}
--- /dev/null
+++ b/internal/proof/history/waits.go
@@ -0,0 +1,95 @@
+package history
+
+import (
+	"sort"
+	"time"
+)
+
+// Kinds of waits that callers and operators have.
+const (
+	WaitTake    = "taking a message"
+	WaitDeliver = "delivering a message"
+	WaitAttach  = "attaching"
+	WaitOpen    = "opening a stream"
+	WaitPut     = "putting a description"
+)
+
+type pending struct {
+	kind, place string
+	at          time.Time
+}
+
+// Wait is one finished or open wait, with the longest part of it in which nothing new went wrong.
+type Wait struct {
+	Kind, Place string
+	From        time.Time
+	Whole       time.Duration
+	Undisturbed time.Duration
+	Open        bool
+}
+
+// Begin notes that somebody waits for something at a place; the function ends the wait.
+// A wait that never ends counts by its age.
+func (h *History) Begin(kind, place string, now time.Time) func(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.serial++
+	id := h.serial
+	h.open[id] = pending{kind, place, now}
+	return func(end time.Time) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if p, ok := h.open[id]; ok {
+			delete(h.open, id)
+			h.waited(p, end, false)
+		}
+	}
+}
+
+func (h *History) waited(p pending, end time.Time, open bool) {
+	h.waits = append(h.waits, Wait{Kind: p.kind, Place: p.place, From: p.at, Whole: end.Sub(p.at), Open: open})
+}
+
+// Disturb notes that something went wrong, or was put right, at a moment.
+func (h *History) Disturb(what string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.blows = append(h.blows, now)
+	h.covered[what]++
+}
+
+func (h *History) undisturbed(from, end time.Time) time.Duration {
+	most := time.Duration(0)
+	k := sort.Search(len(h.blows), func(i int) bool { return h.blows[i].After(from) })
+	for ; k < len(h.blows) && h.blows[k].Before(end); k++ {
+		most = max(most, h.blows[k].Sub(from))
+		from = h.blows[k]
+	}
+	return max(most, end.Sub(from))
+}
+
+func (h *History) judgeWaits(cut, now time.Time, r *Report) {
+	sort.Slice(h.blows, func(i, k int) bool { return h.blows[i].Before(h.blows[k]) })
+	for _, p := range h.open {
+		h.waited(p, now, true)
+	}
+	r.Waits = map[string]Spans{}
+	by := map[string][]time.Duration{}
+	for i := range h.waits {
+		w := &h.waits[i]
+		w.Undisturbed = h.undisturbed(w.From, w.From.Add(w.Whole))
+		by[w.Kind] = append(by[w.Kind], w.Whole)
+		if w.Whole > r.Longest.Whole && w.From.Before(cut) {
+			r.Longest = *w
+		}
+		if w.Undisturbed > r.LongestUndisturbed.Undisturbed {
+			r.LongestUndisturbed = *w
+		}
+		if h.Bound > 0 && w.Undisturbed > h.Bound {
+			h.violate(Recovery, "%s at %s took %s from %s on, %s of it with nothing new going wrong (still open: %v)", w.Kind, w.Place, w.Whole, w.From.Format("04:05.000"), w.Undisturbed, w.Open)
+		}
+	}
+	for k, ds := range by {
+		r.Waits[k] = spans(ds)
+	}
+}
--- /dev/null
+++ b/internal/proof/sim/answers_test.go
@@ -0,0 +1,66 @@
+package sim
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/partition"
+	"postjunction/internal/problem"
+)
+
+// An owner whose data links are cut keeps its licence and its belief that it decides. While others decide, it must neither vouch for an
+// attachment that was superseded nor give a final no or yes.
+func TestCutOffOwnerGivesNoFinalAnswer(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(4)) {
+		stand(t, Armor, 40+seed, func(t *testing.T, w *World) {
+			_, err := w.Put("c1", load.Describe(0))
+			assert.NilError(t, err)
+			time.Sleep(w.Site.Bounds.Spread)
+			w.Watch()
+			topic, who := "kept/t0", "v"
+			l := w.Machines["a1"].Node().Roster().Layout
+			first := attach(t, w, "a1", who)
+			for n := range uint64(3) {
+				_, err := w.Port("a1").Send(w.ctx, first.Token, topic, n+1, []byte(`"before"`))
+				assert.NilError(t, err)
+			}
+			ps := []int{partition.Of(topic, false, l), partition.OfVisitor(who, l)}
+			for _, p := range ps {
+				old := w.records()[p].Owner
+				data := func(x Point) bool {
+					return (x.From == old || x.To == old) && (strings.Contains(x.Path, "Ledger") || strings.Contains(x.Path, "Gossip"))
+				}
+				release, hits := w.Hold(data)
+				w.Freeze(old)
+				assert.NilError(t, w.Until(15*time.Second, "another owner", func() bool {
+					r := w.records()[p]
+					return r.Owner != old && r.Settled
+				}))
+				w.Thaw(old)
+				second := attach(t, w, "a1", who)
+				_, err := w.Port("a1").Send(w.ctx, second.Token, topic, 4, []byte(`"after"`))
+				assert.Assert(t, err == nil || problem.Has(err, problem.CallAltered), "%v", err)
+				assert.NilError(t, w.Until(10*time.Second, "the old owner is licensed", func() bool { return w.Machines[old].Node().Ready() == nil }))
+				stale := w.Machines[old].Node()
+				ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Spread)
+				a, err := stale.Visitors.Desk.Attached(ctx, who)
+				if err == nil {
+					assert.Equal(t, a.Attached.Generation, second.Generation, "vouched for a superseded attachment")
+				}
+				_, err = stale.Visitors.Desk.Submit(ctx, p, &owner.Task{Visitor: who, Generation: second.Generation, Topic: topic, Call: 5, Body: []byte(`"later"`)})
+				assert.Assert(t, !problem.Has(err, problem.CallGap), "a final no from an owner that is none: %v", err)
+				stop()
+				assert.Assert(t, hits() > 0, "void: nothing was held")
+				release()
+				time.Sleep(3 * time.Second)
+			}
+			assert.Assert(t, w.History.Terms() > 6, "void: no owner changed")
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/sim/last.go
@@ -0,0 +1,96 @@
+package sim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/history"
+	"postjunction/internal/visitor"
+)
+
+// Archive is a cursor into all kept topics, taken at a moment.
+type Archive struct {
+	Cursor string
+	Since  time.Time
+	Topics []string
+}
+
+var errEnough = errors.New("enough was read")
+
+func (w *World) fresh(name string, topics []string, cursor string, through string, limit time.Duration, f func(visitor.Line) error) error {
+	end := time.Now().Add(limit)
+	err := error(problem.New(problem.Unreachable, "%s was not tried", through))
+	for time.Now().Before(end) {
+		ctx, stop := context.WithDeadline(w.ctx, end)
+		var a visitor.Attachment
+		if a, err = w.Port(through).Attach(ctx, name); err == nil {
+			err = w.Port(through).Follow(ctx, a.Token, topics, cursor, f)
+		}
+		stop()
+		if err == nil || errors.Is(err, errEnough) {
+			return err
+		}
+		time.Sleep(w.Site.Bounds.Retry())
+	}
+	return err
+}
+
+// Archive takes a cursor into all kept topics now, for reading back after the last fault.
+func (w *World) Archive(l Load) (Archive, error) {
+	a := Archive{Since: time.Now()}
+	for i := range l.Topics {
+		a.Topics = append(a.Topics, fmt.Sprintf("kept/t%d", i))
+	}
+	a.Topics = append(a.Topics, "stop/line")
+	err := w.fresh("archivist", a.Topics, "", "c2", w.Site.Bounds.Recovery, func(x visitor.Line) error {
+		a.Cursor, a.Since = x.Cursor, time.Now()
+		return errEnough
+	})
+	if errors.Is(err, errEnough) {
+		return a, nil
+	}
+	if err == nil {
+		err = problem.New(problem.Unreachable, "no cursor was given")
+	}
+	return a, err
+}
+
+// Reread reads everything after the archive's cursor back through a node, as a subscriber that was never here.
+func (w *World) Reread(a Archive, through string) error {
+	r := history.Reading{Through: through, Topics: map[string]bool{}, Since: a.Since}
+	for _, t := range a.Topics {
+		r.Topics[t] = true
+	}
+	quiet := time.Now()
+	cursor := a.Cursor
+	for begun := time.Now(); time.Since(begun) < w.Site.Bounds.Recovery+w.Site.Bounds.Spread; {
+		err := w.fresh(fmt.Sprintf("reader-%s-%d", through, len(r.Got)), a.Topics, cursor, through, w.Site.Bounds.Spread, func(l visitor.Line) error {
+			if l.Cursor != "" {
+				cursor = l.Cursor
+			}
+			if l.Topic == "" {
+				if l.End != nil || time.Since(quiet) < w.Site.Bounds.Spread {
+					return nil
+				}
+				return errEnough
+			}
+			quiet = time.Now()
+			r.Got = append(r.Got, history.Receipt{Message: history.Message{Topic: l.Topic, From: l.From, Call: l.Call}, Body: string(l.Body), Partition: *l.Partition, Offset: l.Offset, At: time.Now()})
+			return nil
+		})
+		if errors.Is(err, errEnough) {
+			break
+		}
+		if problem.Has(err, problem.CursorExpired) || problem.Has(err, problem.CursorBad) {
+			return err
+		}
+	}
+	if len(r.Got) == 0 {
+		return problem.New(problem.Unreachable, "nothing was read back through %s", through)
+	}
+	w.History.Reread(r)
+	return nil
+}
--- a/internal/proof/sim/machine.go
+++ b/internal/proof/sim/machine.go
@@ -11,6 +11,7 @@
 	"postjunction/internal/event"
 	"postjunction/internal/node"
 	"postjunction/internal/options"
+	"postjunction/internal/proof/history"
 	"postjunction/internal/proof/port"
 )
 
@@ -133,7 +134,9 @@
 	m.run++
 	run := m.run
 	m.mu.Unlock()
-	w := node.World{Clock: machineClock{m}, Net: &endpoint{m.w, m, run}}
+	w := node.World{Clock: machineClock{m}, Net: &endpoint{m.w, m, run}, Witness: func(p int, e uint64, what string, begun time.Time) {
+		m.w.History.Decide(history.Verdict{Node: m.Opts.Name, Partition: p, Epoch: e, What: what, Begun: begun, Told: time.Now()})
+	}}
 	if m.Opts.Disk != options.DiskNone {
 		w.Disk = gatedDisk{m.Disk, m, run}
 	}
@@ -146,6 +149,7 @@
 	m.n = n
 	m.ports = &port.Services{Visitors: n.Visitors, Door: n.Door(), Gone: make(chan struct{})}
 	m.w.serve(m.Opts.Fellows, m, run, n.Fellows())
+	m.w.History.Disturb("start", time.Now())
 	return nil
 }
 
--- /dev/null
+++ b/internal/proof/sim/many_test.go
@@ -0,0 +1,17 @@
+package sim
+
+import (
+	"os"
+	"strconv"
+)
+
+// seeds is how many seeds a test runs: n, times PJ_MANY when that is set, and one under the race detector.
+func seeds(n int) int {
+	if raced {
+		return 1
+	}
+	if k, err := strconv.Atoi(os.Getenv("PJ_MANY")); err == nil && k > 0 {
+		return n * k
+	}
+	return n
+}
--- a/internal/proof/sim/measure_test.go
+++ b/internal/proof/sim/measure_test.go
@@ -135,7 +135,7 @@
 				time.Sleep(8 * time.Second)
 				x.f(w)
 				time.Sleep(20 * time.Second)
-				r := w.History.Check(time.Now().Add(-time.Minute))
+				r := w.History.Check(time.Now().Add(-time.Minute), time.Now())
 				ds = append(ds, fmt.Sprint(max(r.Routine.Max, r.Urgent.Max).Round(time.Millisecond)))
 			})
 		}
--- a/internal/proof/sim/sim_test.go
+++ b/internal/proof/sim/sim_test.go
@@ -1,7 +1,8 @@
 package sim
 
 import (
-	"fmt"
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,39 +37,86 @@
 			assert.NilError(t, w.Start(n))
 		}
 		time.Sleep(15 * time.Second)
+		book, err := w.Archive(load)
+		assert.NilError(t, err, "seed %d: a cursor into all topics", seed)
+		time.Sleep(5 * time.Second)
 		cut := w.Quiet(10 * time.Second)
-		last(t, w)
+		last(t, w, book)
 		report(t, w, cut, bound)
 	})
 }
 
-// last is the fault at the end of every run: one disk machine loses power, and the description must still read back.
-func last(t *testing.T, w *World) {
+// lasts are the faults that a day may end with: any one machine, or the power of all.
+var lasts = map[string]func(w *World, n string){
+	"killed":              func(w *World, n string) { w.Kill(n) },
+	"frozen":              func(w *World, n string) { w.Freeze(n) },
+	"cut off":             func(w *World, n string) { w.Isolate(n) },
+	"without power, torn": func(w *World, n string) { w.LosePower(n, true) },
+	"wiped":               func(w *World, n string) { w.Wipe(n) },
+	"without power, as all others": func(w *World, _ string) {
+		for _, n := range w.Names {
+			w.LosePower(n, w.Int(2) == 0)
+		}
+		_ = w.Start(w.Names...)
+	},
+}
+
+var lastNames = []string{"killed", "frozen", "cut off", "without power, torn", "wiped", "without power, as all others"}
+
+// last ends every run with one fault, after which the description and every message of the keeping time are read back
+// by subscribers that were never there, through several nodes.
+func last(t *testing.T, w *World, book Archive) {
 	t.Helper()
-	w.LosePower(fmt.Sprintf("c%d", 1+w.Int(w.Site.Control)), true)
+	how, n := lastNames[w.Int(len(lastNames))], w.Names[w.Int(len(w.Names))]
+	lasts[how](w, n)
+	t.Logf("seed %d: at the end %s is %s", w.Seed, n, how)
+	time.Sleep(w.Site.Bounds.Recovery / 2)
+	var ok []string
+	for _, k := range w.Names {
+		if k != n {
+			ok = append(ok, k)
+		}
+	}
 	at := time.Now()
-	for _, n := range w.Names {
-		if w.Machines[n].Up() {
-			seq, err := w.Port(n).Get(w.ctx)
-			assert.NilError(t, err, "seed %d: read back through %s", w.Seed, n)
+	for _, i := range []int{0, len(ok) / 2, len(ok) - 1} {
+		assert.NilError(t, w.readBack(ok[i], at), "seed %d: read back through %s", w.Seed, ok[i])
+	}
+	var wg sync.WaitGroup
+	for _, i := range []int{0, len(ok) / 2, len(ok) - 1} {
+		wg.Go(func() { assert.Check(t, w.Reread(book, ok[i]), "seed %d", w.Seed) })
+	}
+	wg.Wait()
+}
+
+func (w *World) readBack(n string, at time.Time) error {
+	end := time.Now().Add(w.Site.Bounds.Recovery / 2)
+	for {
+		ctx, stop := context.WithDeadline(w.ctx, end)
+		seq, err := w.Port(n).Get(ctx)
+		stop()
+		if err == nil {
 			w.History.ReadBack(seq, at)
-			return
+			return nil
+		}
+		if time.Now().After(end) {
+			return err
 		}
+		time.Sleep(w.Site.Bounds.Retry())
 	}
 }
 
 func report(t *testing.T, w *World, cut time.Time, bound time.Duration) history.Report {
 	t.Helper()
-	r := w.History.Check(cut)
-	t.Logf("seed %d: sent %d taken %d unknown %d receipts %d longest wait %s spread p50 %s p99 %s", w.Seed, r.Sent, r.Taken, r.Unknown, r.Receipts, max(r.Routine.Max, r.Urgent.Max), r.Spread.P50, r.Spread.P99)
+	r := w.History.Check(cut, time.Now())
+	t.Logf("seed %d: sent %d taken %d unknown %d receipts %d longest wait %s (%s at %s), undisturbed %s, spread p50 %s p99 %s", w.Seed, r.Sent, r.Taken, r.Unknown, r.Receipts, r.Longest.Whole, r.Longest.Kind, r.Longest.Place, r.LongestUndisturbed.Undisturbed, r.Spread.P50, r.Spread.P99)
 	for i, v := range r.Violations {
 		if i < 10 {
 			t.Errorf("seed %d: %s: %s", w.Seed, v.Line, v.Say)
 		}
 	}
 	assert.Assert(t, r.Taken > 50, "too little was sent to prove anything")
-	gap := max(r.Routine.Max, r.Urgent.Max)
-	assert.Assert(t, gap < bound, "a caller waited %s", gap)
+	assert.Assert(t, r.Longest.Whole < bound, "%s at %s waited %s (still open: %v)", r.Longest.Kind, r.Longest.Place, r.Longest.Whole, r.Longest.Open)
+	assert.Assert(t, r.Vows > 0 && r.Verdicts["taken"] > 0 && r.Verdicts["vouched"] > 0, "the traces are empty")
 	return r
 }
 
--- /dev/null
+++ b/internal/proof/sim/vows.go
@@ -0,0 +1,62 @@
+package sim
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"postjunction/internal/control/voter"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/history"
+)
+
+type vowReader func(w *World, q []byte, a []byte, asked time.Time)
+
+var vowReaders = map[string]vowReader{
+	replica.Seal.Path:   replicaVow,
+	replica.Append.Path: replicaVow,
+	voter.Promise.Path:  voterVow,
+	voter.Accept.Path:   voterVow,
+}
+
+type answered struct {
+	Body *struct {
+		OK *bool `json:"ok"`
+	} `json:"b"`
+	Problem *problem.Problem `json:"p"`
+}
+
+func yes(a []byte) bool {
+	var x answered
+	return json.Unmarshal(a, &x) == nil && x.Problem == nil && x.Body != nil && (x.Body.OK == nil || *x.Body.OK)
+}
+
+func replicaVow(w *World, q, a []byte, asked time.Time) {
+	var t replica.Target
+	if json.Unmarshal(q, &t) == nil && yes(a) {
+		w.History.Vow(t.Incarnation, "partition "+string(rune('0'+t.Partition)), history.Rank{Number: t.Epoch}, asked, time.Now())
+	}
+}
+
+func voterVow(w *World, q, a []byte, asked time.Time) {
+	var t voter.PromiseTask
+	if json.Unmarshal(q, &t) == nil && yes(a) {
+		w.History.Vow(t.Incarnation, "key "+t.Key+" under roster "+string(rune('0'+t.Roster)), history.Rank{Number: t.Epoch.N, Node: t.Epoch.Node}, asked, time.Now())
+	}
+}
+
+// vow reads what a disk promised out of an answer between machines.
+func (w *World) vow(path string, q []byte, r *http.Response, asked time.Time) {
+	f, ok := vowReaders[path]
+	if !ok {
+		return
+	}
+	b, err := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(b))
+	if err == nil {
+		f(w, q, b, asked)
+	}
+}
--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -58,6 +58,7 @@
 	addrs  map[string]served
 	cuts   map[[2]string]bool
 	loss   float64
+	holds  []*hold
 	calls  map[string]int
 	wg     sync.WaitGroup
 	sends  context.CancelFunc
@@ -72,6 +73,7 @@
 // New makes a world; it must run inside a bubble.
 func New(s Site, seed uint64, log io.Writer) *World {
 	w := &World{Site: s, Seed: seed, History: history.New(), Machines: map[string]*Machine{}, addrs: map[string]served{}, cuts: map[[2]string]bool{}, calls: map[string]int{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	w.History.Bound = s.Bounds.Recovery
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	lv := hclog.Off
 	if log != nil {
@@ -191,11 +193,14 @@
 		return nil, err
 	}
 	e.w.count(r.URL.Path)
+	asked := time.Now()
 	s, ok := e.w.at(r.URL.Host)
 	if !ok || !e.alive() {
 		return nil, problem.New(problem.Unreachable, "nobody listens at %s", r.URL.Host)
 	}
 	ctx := r.Context()
+	at := Point{From: e.m.Opts.Name, To: s.m.Opts.Name, Path: r.URL.Path, Stage: Asking, Body: b}
+	e.w.held(ctx, at)
 	if err := e.hop(ctx, e.m, s.m); err != nil {
 		return nil, err
 	}
@@ -219,6 +224,8 @@
 			c <- ans{nil, problem.New(problem.Unreachable, "connection reset by %s", s.m.Opts.Name)}
 			return
 		}
+		at.Stage = Answering
+		e.w.held(ctx, at)
 		err := e.hop(ctx, s.m, e.m)
 		c <- ans{rec.Result(), err}
 	}()
@@ -228,6 +235,9 @@
 		if !e.alive() {
 			return nil, errGone
 		}
+		if a.err == nil {
+			e.w.vow(r.URL.Path, b, a.r, asked)
+		}
 		return a.r, a.err
 	case <-ctx.Done():
 		e.m.gate()
@@ -272,16 +282,23 @@
 }
 
 // Kill ends a process at once; its disk keeps what was written.
-func (w *World) Kill(n string) { w.Machines[n].kill() }
+func (w *World) Kill(n string) {
+	w.note("kill")
+	w.Machines[n].kill()
+}
+
+func (w *World) note(what string) { w.History.Disturb(what, time.Now()) }
 
 // LosePower ends a process at once; its disk keeps only what was synced, maybe with a torn tail.
 func (w *World) LosePower(n string, torn bool) {
+	w.note("power")
 	w.Machines[n].kill()
 	w.Machines[n].Disk.LosePower(torn)
 }
 
 // Wipe ends a process and empties its disk.
 func (w *World) Wipe(n string) {
+	w.note("wipe")
 	w.Machines[n].kill()
 	w.Machines[n].Disk.Wipe()
 }
@@ -293,6 +310,7 @@
 func (w *World) Terminate(n string) {
 	m := w.Machines[n]
 	if x, _ := m.node(); x != nil {
+		w.note("stop")
 		done := make(chan struct{})
 		go func() {
 			x.Stop()
@@ -312,6 +330,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.frozen == nil && m.n != nil {
+		w.note("freeze")
 		m.frozen = make(chan struct{})
 	}
 }
@@ -324,6 +343,7 @@
 	m.frozen = nil
 	m.mu.Unlock()
 	if f != nil {
+		w.note("thaw")
 		close(f)
 	}
 }
@@ -333,11 +353,15 @@
 	m := w.Machines[n]
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.slow != d {
+		w.note("slow")
+	}
 	m.slow = d
 }
 
 // Cut stops what goes from a to b; * stands for all.
 func (w *World) Cut(a, b string) {
+	w.note("cut")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cuts[[2]string{a, b}] = true
@@ -353,11 +377,15 @@
 func (w *World) Heal() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if len(w.cuts) > 0 || w.loss > 0 {
+		w.note("heal")
+	}
 	w.cuts, w.loss = map[[2]string]bool{}, 0
 }
 
 // Lose makes links drop a share of what they carry.
 func (w *World) Lose(share float64) {
+	w.note("lose packets")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.loss = share
@@ -488,7 +516,9 @@
 func (w *World) Put(n string, doc []byte) (uint64, error) {
 	ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Recovery)
 	defer stop()
+	end := w.History.Begin(history.WaitPut, n, time.Now())
 	seq, err := w.Port(n).Put(ctx, doc)
+	end(time.Now())
 	if err == nil {
 		w.History.Accept(seq, time.Now())
 	}
@@ -507,6 +537,12 @@
 				if s == nil || froz {
 					continue
 				}
+				b := s.Door.Operators.Board
+				for p := range b.Roster().Layout.Count() {
+					for _, x := range b.Record(p).History {
+						w.History.Own(p, x.Epoch, x.Owner)
+					}
+				}
 				if s.Door.Ready() == nil {
 					w.History.Show(fmt.Sprintf("%s#%d", n, run), s.Door.Operators.Board.Description().Sequence, time.Now(), w.Site.Bounds.Spread)
 				}
