Owners: a store whose disk was wiped no longer asks for epochs under the lost disk's name

Cause: a store that comes back before its session lapses finds itself owner in records that name its lost disk. Taking over failed with wrong_disk, and the keeper took that for an epoch used before and asked for a new one, five times a second; each new record beat the placement duty's compare-and-set, which builds on what it last heard. Ruled out: the duty (it wrote, and lost every race). Conclusion: only the disk that the record names may go on under it; another is the duty's to replace.

--- a/internal/node/owners/owners.go
+++ b/internal/node/owners/owners.go
@@ -145,7 +145,7 @@
 	cx, stop := context.WithTimeout(ctx, k.Bounds.Settle())
 	defer stop()
 	r, err := k.read(cx, p)
-	if err != nil || r.Owner != k.Self || k.Board.Record(p).Epoch > r.Epoch {
+	if err != nil || r.Owner != k.Self || k.Board.Record(p).Epoch > r.Epoch || !k.named(r) {
 		return
 	}
 	if k.spent(p, r.Epoch) {
@@ -153,6 +153,11 @@
 	}
 }
 
+func (k *Keeper) named(r record.Record) bool {
+	p, ok := r.Place(k.Self)
+	return ok && p.Incarnation == k.Replica.Incarnation()
+}
+
 func (k *Keeper) spent(p int, epoch uint64) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
