--- a/internal/disk/journal/journal.go
+++ b/internal/disk/journal/journal.go
@@ -41,7 +41,14 @@
 	recs  []Rec
 	apply func()
 	done  chan error
-	scrub bool
+	scrub *scrub
+}
+
+// scrub is a reading of the whole log in slices, between which others have their turn.
+type scrub struct {
+	next, last      uint64
+	records, rotten int
+	cause           error
 }
 
 // Journal is one log with one writer; urgent puts go first.
@@ -61,12 +68,11 @@
 	tally  Tally
 	fault  error
 	doubt  bool
-
-	scrubbed, rotten int
 }
 
 const (
 	groupBytes  = 1 << 20
+	scrubSlice  = 256
 	minLive     = 4096
 	growth      = 4
 	frameBefore = 1
@@ -192,6 +198,9 @@
 	var ps []put
 	n := 0
 	for k := range j.lanes {
+		if len(ps) > 0 {
+			break
+		}
 		for len(j.lanes[k]) > 0 && n < groupBytes {
 			p := j.lanes[k][0]
 			j.lanes[k] = j.lanes[k][1:]
@@ -218,8 +227,8 @@
 		err = j.commit(rs)
 	}
 	for _, p := range ps {
-		if err == nil && p.scrub {
-			p.done <- j.read()
+		if err == nil && p.scrub != nil {
+			j.read(p)
 			continue
 		}
 		if err == nil && p.apply != nil {
@@ -353,38 +362,51 @@
 	}
 }
 
-func (j *Journal) read() error {
+func (j *Journal) read(p put) {
 	first, last, err := j.log.Bounds()
 	if err != nil {
-		return err
+		p.done <- err
+		return
 	}
-	j.scrubbed, j.rotten = 0, 0
-	var cause error
-	for i := first; i <= last; i++ {
-		b, err := j.log.Read(i)
+	c := p.scrub
+	if c.last == 0 {
+		c.last = last
+	}
+	c.next = max(c.next, first)
+	for end := min(c.next+scrubSlice, c.last+1); c.next < end; c.next++ {
+		b, err := j.log.Read(c.next)
 		if err == nil {
-			_, err = frame.Unpack(i, b)
+			_, err = frame.Unpack(c.next, b)
 		}
 		if err != nil {
-			j.rotten++
-			cause = err
+			c.rotten++
+			c.cause = err
 		}
-		j.scrubbed++
+		c.records++
 	}
-	if cause == nil {
-		return nil
+	if c.next <= c.last {
+		j.mu.Lock()
+		j.lanes[1] = append(j.lanes[1], p)
+		j.mu.Unlock()
+		return
 	}
-	if err := j.compact(); err != nil {
-		j.spoil(err)
-		return err
+	if c.cause != nil {
+		if err := j.compact(); err != nil {
+			j.spoil(err)
+			c.cause = err
+		}
 	}
-	return cause
+	p.done <- c.cause
 }
 
-// Scrub reads the whole log through and, when a record is damaged, writes all live ones anew from memory.
+// Scrub reads the whole log through, a slice at a time, and, when a record is damaged, writes all live ones anew from memory.
 func (j *Journal) Scrub(ctx context.Context) (records, damaged int, cause error) {
-	err := j.put(ctx, put{scrub: true, done: make(chan error, 1)}, 1)
-	return j.scrubbed, j.rotten, err
+	c := &scrub{}
+	err := j.put(ctx, put{scrub: c, done: make(chan error, 1)}, 1)
+	if ctx.Err() != nil {
+		return 0, 0, err
+	}
+	return c.records, c.rotten, err
 }
 
 // Tally gives the counts so far.
