Urgent calls meet no routine partition: a second home, streams lane by lane

Now attachments are numbered in the visitor's routine home and known in an urgent one, which urgent calls and streams ask and follow (only once every member's build does so); urgent partitions open first and routine ones join (lines waiting, joined); nothing in a stream's round waits; routine lines are written 16 at a time; urgent streams have a lane. A stream joins its fence before it asks who it is, so no attachment falls between. Topics that a description removes are dropped from open streams by name, and the rest goes on. Ruled out: caching identities at access nodes (a cached vouch outlives its right), all attachments in urgent partitions (routine sends would ask there). Before, with all routine partitions standing still: TestUrgentGoesThroughWhileRoutineWorkStandsStill can't send at all. Conclusion: an urgent call rests on urgent partitions only, attaching aside.

--- a/internal/carrier/feed/feed.go
+++ b/internal/carrier/feed/feed.go
@@ -157,20 +157,25 @@
 
 const batchMost = 64
 
+// Held gives entries after an offset, if the node holds them; it never waits.
+func (d *Feed) Held(o uint64) ([]line.Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o < d.base {
+		return nil, false
+	}
+	if o >= d.to {
+		return nil, true
+	}
+	k := int(o - d.base)
+	return d.es[k:min(len(d.es), k+batchMost)], true
+}
+
 // After gives entries after an offset, from what the node holds or from the owner.
 func (d *Feed) After(ctx context.Context, o uint64) ([]line.Entry, error) {
-	d.mu.Lock()
-	base, to := d.base, d.to
-	if o >= base {
-		var es []line.Entry
-		if o < to {
-			k := int(o - base)
-			es = d.es[k:min(len(d.es), k+batchMost)]
-		}
-		d.mu.Unlock()
+	if es, ok := d.Held(o); ok {
 		return es, nil
 	}
-	d.mu.Unlock()
 	cx, stop := context.WithTimeout(ctx, 2*d.fs.bounds.Call())
 	defer stop()
 	r, err := d.fs.src.Read(cx, d.p, o, 0)
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -20,8 +20,10 @@
 
 // AttachTask records an attachment.
 type AttachTask struct {
-	Visitor string `json:"v"`
-	Secret  string `json:"s"`
+	Visitor    string `json:"v"`
+	Secret     string `json:"s"`
+	Generation uint64 `json:"g,omitempty"`
+	Urgent     bool   `json:"u,omitempty"`
 }
 
 // AttachAnswer gives the attachment's generation and the cursor that was left.
@@ -33,6 +35,7 @@
 // AttachedTask asks which attachment is in force.
 type AttachedTask struct {
 	Visitor string `json:"v"`
+	Urgent  bool   `json:"u,omitempty"`
 }
 
 // AttachedAnswer says so.
@@ -46,6 +49,7 @@
 	Visitor    string `json:"v"`
 	Generation uint64 `json:"g"`
 	Cursor     string `json:"c"`
+	Urgent     bool   `json:"u,omitempty"`
 }
 
 // Done is an answer without contents.
@@ -113,11 +117,11 @@
 }
 
 func (d *Desk) attach(ctx context.Context, q *AttachTask) (*AttachAnswer, error) {
-	o, err := d.here(partition.OfVisitor(q.Visitor, d.Board.Roster().Layout))
+	o, err := d.here(d.home(q.Visitor, q.Urgent))
 	if err != nil {
 		return nil, err
 	}
-	g, err := o.Attach(ctx, q.Visitor, q.Secret)
+	g, err := o.Attach(ctx, q.Visitor, q.Secret, q.Generation)
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +130,7 @@
 }
 
 func (d *Desk) attached(ctx context.Context, q *AttachedTask) (*AttachedAnswer, error) {
-	o, err := d.here(partition.OfVisitor(q.Visitor, d.Board.Roster().Layout))
+	o, err := d.here(d.home(q.Visitor, q.Urgent))
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +139,7 @@
 }
 
 func (d *Desk) ack(ctx context.Context, q *AckTask) (*Done, error) {
-	o, err := d.here(partition.OfVisitor(q.Visitor, d.Board.Roster().Layout))
+	o, err := d.here(d.home(q.Visitor, q.Urgent))
 	if err != nil {
 		return nil, err
 	}
@@ -229,19 +233,63 @@
 	return handOver(ctx, d, p, Submit, d.submit, q)
 }
 
-// Attach has an attachment recorded.
+func (d *Desk) home(visitor string, urgent bool) int {
+	return partition.OfVisitor(visitor, urgent, d.Board.Roster().Layout)
+}
+
+// TwoHomes tells whether attachments are kept in an urgent partition too: once every member's build does.
+func (d *Desk) TwoHomes() bool {
+	for _, i := range d.View.All() {
+		if !i.Homes {
+			return false
+		}
+	}
+	return d.Board.Roster().Layout.Urgent > 0
+}
+
+// Home gives the partition that vouches for a visitor's urgent or routine calls.
+func (d *Desk) Home(visitor string, urgent bool) int {
+	return d.home(visitor, urgent && d.TwoHomes())
+}
+
+// Attach has an attachment recorded: numbered in the visitor's routine home, then known in the urgent one.
 func (d *Desk) Attach(ctx context.Context, q *AttachTask) (*AttachAnswer, error) {
-	return handOver(ctx, d, partition.OfVisitor(q.Visitor, d.Board.Roster().Layout), Attach, d.attach, q)
+	a, err := handOver(ctx, d, d.home(q.Visitor, false), Attach, d.attach, q)
+	if err != nil || !d.TwoHomes() {
+		return a, err
+	}
+	return a, d.carryOver(ctx, q.Visitor, q.Secret, a.Generation)
+}
+
+func (d *Desk) carryOver(ctx context.Context, visitor, secret string, generation uint64) error {
+	_, err := handOver(ctx, d, d.home(visitor, true), Attach, d.attach, &AttachTask{Visitor: visitor, Secret: secret, Generation: generation, Urgent: true})
+	return err
 }
 
-// Attached asks which attachment is in force.
-func (d *Desk) Attached(ctx context.Context, v string) (*AttachedAnswer, error) {
-	return handOver(ctx, d, partition.OfVisitor(v, d.Board.Roster().Layout), Attached, d.attached, &AttachedTask{Visitor: v})
+// Attached asks which attachment is in force. An urgent home that does not know of this generation yet, since an older
+// build or a call that broke off in between gave it out, learns of it from the routine home.
+func (d *Desk) Attached(ctx context.Context, v string, generation uint64, urgent bool) (*AttachedAnswer, error) {
+	urgent = urgent && d.TwoHomes()
+	a, err := handOver(ctx, d, d.home(v, urgent), Attached, d.attached, &AttachedTask{Visitor: v, Urgent: urgent})
+	if err != nil || !urgent || a.Attached.Generation >= generation {
+		return a, err
+	}
+	b, err := handOver(ctx, d, d.home(v, false), Attached, d.attached, &AttachedTask{Visitor: v})
+	if err == nil && b.Attached.Generation == generation {
+		err = d.carryOver(ctx, v, b.Attached.Secret, generation)
+	}
+	return b, err
 }
 
-// Ack leaves a cursor.
+// Ack leaves a cursor, in both homes.
 func (d *Desk) Ack(ctx context.Context, q *AckTask) error {
-	_, err := handOver(ctx, d, partition.OfVisitor(q.Visitor, d.Board.Roster().Layout), Ack, d.ack, q)
+	_, err := handOver(ctx, d, d.home(q.Visitor, false), Ack, d.ack, q)
+	if err != nil || !d.TwoHomes() {
+		return err
+	}
+	u := *q
+	u.Urgent = true
+	_, err = handOver(ctx, d, d.home(q.Visitor, true), Ack, d.ack, &u)
 	return err
 }
 
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -160,8 +160,9 @@
 	return &Decision{Partition: o.Rec.Partition, Epoch: o.Rec.Epoch, Offset: t.Offset, Repeat: rep}, nil
 }
 
-// Attach records an attachment and answers with its generation, which fences all before.
-func (o *Owner) Attach(ctx context.Context, visitor, secret string) (uint64, error) {
+// Attach records an attachment and answers with its generation, which fences all before. A given generation is that of
+// the visitor's other home.
+func (o *Owner) Attach(ctx context.Context, visitor, secret string, given uint64) (uint64, error) {
 	begun := o.d.Clock.Now()
 	o.mu.Lock()
 	if err := o.ready(); err != nil {
@@ -174,9 +175,25 @@
 		f = &front{}
 		o.front[k] = f
 	}
-	g := max(o.st.Attached[visitor].Generation, f.generation) + 1
+	last := max(o.st.Attached[visitor].Generation, f.generation)
+	if given > 0 && given <= last {
+		basis := o.basis(k)
+		o.mu.Unlock()
+		if err := o.settled(ctx, basis); err != nil {
+			return 0, err
+		}
+		if given < last {
+			return 0, problem.New(problem.TokenFenced, "attachment %d of %s took over from %d", last, visitor, given)
+		}
+		return given, nil
+	}
+	g := last + 1
+	if given > 0 {
+		g = given
+	}
 	f.generation = g
 	e := o.tracks[line.Ledger].push(line.Entry{What: line.Attach, Visitor: visitor, Generation: g, Body: []byte(secret)}, o.Rec.Epoch)
+	f.at = e.Offset
 	o.mu.Unlock()
 	if err := o.await(ctx, line.Ledger, e.Offset); err != nil {
 		return 0, err
--- a/internal/ledger/owner/takeover.go
+++ b/internal/ledger/owner/takeover.go
@@ -27,7 +27,7 @@
 	}
 	var tails []sealed
 	if err := o.insist(ctx, "seal", func() error {
-		if _, err := o.d.Replica.Seal(ctx, &replica.SealTask{Target: o.target(o.d.Self)}); err != nil {
+		if _, err := o.d.Replica.Seal(ctx, &replica.SealTask{Target: o.target(o.d.Self), Urgent: o.Urgent}); err != nil {
 			return err
 		}
 		var err error
@@ -111,7 +111,7 @@
 	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
 	defer stop()
 	as := gather.Ask(cx, o.Rec.Replicas, func(ctx context.Context, p record.Place) (*replica.SealAnswer, error) {
-		q := &replica.SealTask{Target: o.target(p.Node)}
+		q := &replica.SealTask{Target: o.target(p.Node), Urgent: o.Urgent}
 		if p.Node == o.d.Self {
 			return o.d.Replica.Seal(ctx, q)
 		}
@@ -190,7 +190,7 @@
 		at, reset = a.Tail.Last, false
 	}
 	if l := o.d.Replica.Line(o.Rec.Partition, k); l.Last().Offset > top.Offset {
-		return o.d.Replica.CutTo(ctx, o.target(o.d.Self), k, top.Offset)
+		return o.d.Replica.CutTo(ctx, o.target(o.d.Self), k, top.Offset, o.Urgent)
 	}
 	return nil
 }
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -16,6 +16,7 @@
 // SealTask asks a replica to turn away all epochs below.
 type SealTask struct {
 	Target
+	Urgent bool `json:"u,omitempty"`
 }
 
 // Tail says what a replica holds of one line.
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -37,7 +37,7 @@
 }
 
 const (
-	turnShards = 64
+	turnShards = 512
 	sliceBytes = 1 << 20
 	sliceMost  = 4096
 )
@@ -235,7 +235,7 @@
 func (r *Replica) Stands(t Target) error { return r.fence(t) }
 
 func (r *Replica) enter(ctx context.Context, t Target) (func(), error) {
-	back, err := r.turns.Take(ctx, key(t.Partition))
+	back, err := r.turns.TakeNumber(ctx, t.Partition)
 	if err != nil {
 		return nil, err
 	}
@@ -246,8 +246,6 @@
 	return back, nil
 }
 
-func key(p int) string { return string(rune('0' + p)) }
-
 // Seal turns lower epochs away from now on; it answers once that is synced.
 func (r *Replica) Seal(ctx context.Context, q *SealTask) (*SealAnswer, error) {
 	back, err := r.enter(ctx, q.Target)
@@ -256,7 +254,7 @@
 	}
 	defer back()
 	if r.Sealed(q.Partition) < q.Epoch {
-		if err := r.journal.Put(ctx, true, func() { r.setSeal(q.Partition, q.Epoch) }, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch})); err != nil {
+		if err := r.journal.Put(ctx, q.Urgent, func() { r.setSeal(q.Partition, q.Epoch) }, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch})); err != nil {
 			return nil, err
 		}
 	}
@@ -337,14 +335,14 @@
 }
 
 // CutTo drops what follows an offset, when a tail adopted under the target's epoch differs.
-func (r *Replica) CutTo(ctx context.Context, t Target, k line.Kind, o uint64) error {
+func (r *Replica) CutTo(ctx context.Context, t Target, k line.Kind, o uint64, urgent bool) error {
 	back, err := r.enter(ctx, t)
 	if err != nil {
 		return err
 	}
 	defer back()
 	id := line.ID{Partition: t.Partition, Kind: k}
-	return r.journal.Put(ctx, true, func() { r.Line(t.Partition, k).Cut(o) }, rec(kinds.Cut, t.Epoch, o, cutRec{id, o}))
+	return r.journal.Put(ctx, urgent, func() { r.Line(t.Partition, k).Cut(o) }, rec(kinds.Cut, t.Epoch, o, cutRec{id, o}))
 }
 
 // Fetch reads entries.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -35,6 +35,8 @@
 	Deaf        bool   `json:"deaf,omitempty"`
 	Build       string `json:"build,omitempty"`
 	Wire        int    `json:"wire"`
+	// Homes tells that this build keeps attachments in an urgent partition too.
+	Homes bool `json:"homes,omitempty"`
 }
 
 // Heard is a session: what a node said and how long ago.
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -27,8 +27,11 @@
 	return pick(topic, 0, l.Routine)
 }
 
-// OfVisitor gives the partition that keeps a visitor's attachment.
-func OfVisitor(name string, l roster.Layout) int { return Of("\x1fvisitors/"+name, false, l) }
+// OfVisitor gives the partition that keeps a visitor's attachment. There are two: a routine one, which numbers attachments,
+// and an urgent one, which urgent calls ask, so that they never meet a routine partition.
+func OfVisitor(name string, urgent bool, l roster.Layout) int {
+	return Of("\x1fvisitors/"+name, urgent, l)
+}
 
 // Urgent tells whether a partition is one of the urgent ones.
 func Urgent(p int, l roster.Layout) bool { return p >= l.Routine }
--- a/internal/proof/caller/caller.go
+++ b/internal/proof/caller/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -128,9 +129,11 @@
 				got = true
 				opened(now)
 			}
+			if l.End == nil {
+				c.note(l, now)
+			}
 			if first {
 				first = false
-				c.History.Subscribe(c.Name, c.Follows, c.Live, now)
 				close(ready)
 			}
 			c.cursor = l.Cursor
@@ -159,6 +162,20 @@
 	}
 }
 
+// note tells the history from when on topics are followed: those that the first line does not name as waiting, and those that joined.
+func (c *Caller) note(l visitor.Line, now time.Time) {
+	if l.Attached > 0 {
+		var ts []string
+		for _, t := range c.Follows {
+			if !slices.Contains(l.Waiting, t) {
+				ts = append(ts, t)
+			}
+		}
+		c.History.Subscribe(c.Name, ts, c.Live, now)
+	}
+	c.History.Subscribe(c.Name, l.Joined, c.Live, now)
+}
+
 const silence = 1.5
 
 // watch gives a context that ends once a stream shows no sign of life for longer than the time between two of them.
--- /dev/null
+++ b/internal/proof/sim/urgent_test.go
@@ -0,0 +1,122 @@
+package sim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/visitor"
+)
+
+// routineWork tells whether a call between machines belongs to a routine partition.
+func (w *World) routineWork(x Point) bool {
+	if !strings.Contains(x.Path, "Ledger") {
+		return false
+	}
+	var q struct {
+		Partition   *int `json:"p"`
+		Incarnation string
+		Topic       string `json:"t"`
+		Urgent      bool   `json:"u"`
+		Visitor     string `json:"v"`
+	}
+	if json.Unmarshal(x.Body, &q) != nil {
+		return false
+	}
+	switch {
+	case q.Partition != nil:
+		return *q.Partition < w.Site.Routine
+	case q.Topic != "":
+		return !strings.HasPrefix(q.Topic, "stop/")
+	}
+	return !q.Urgent
+}
+
+// All routine partitions stand still: nothing is appended, read, handed over or taken over in them. Urgent calls of attached
+// callers, their streams, old and new, shared with routine topics or not, go on as if nothing had happened.
+func TestUrgentGoesThroughWhileRoutineWorkStandsStill(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(3)) {
+		stand(t, siteOf(seed), 120+seed, func(t *testing.T, w *World) {
+			_, err := w.Put("c1", load.Describe(0))
+			assert.NilError(t, err)
+			time.Sleep(w.Site.Bounds.Spread)
+			lead, desk, late, early := attach(t, w, "a1", "lead"), attach(t, w, "c2", "desk"), attach(t, w, "c1", "late"), attach(t, w, "c2", "early")
+			n := uint64(0)
+			var mu sync.Mutex
+			got := map[string]map[uint64]time.Time{}
+			listen := func(name, through, token, cursor string, topics ...string) {
+				mu.Lock()
+				got[name] = map[uint64]time.Time{}
+				mu.Unlock()
+				w.wg.Go(func() {
+					_ = w.Port(through).Follow(w.ctx, token, topics, cursor, func(l visitor.Line) error {
+						mu.Lock()
+						defer mu.Unlock()
+						if l.Topic == "stop/line" {
+							got[name][l.Call] = time.Now()
+						}
+						return nil
+					})
+				})
+			}
+			send := func(k int) time.Duration {
+				var most time.Duration
+				for range k {
+					n++
+					at := time.Now()
+					ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Recovery)
+					_, err := w.Port("a1").Send(ctx, lead.Token, "stop/line", n, []byte(`"stop"`))
+					stop()
+					assert.NilError(t, err)
+					most = max(most, time.Since(at))
+					time.Sleep(20 * time.Millisecond)
+				}
+				return most
+			}
+			_, cursor, _ := follow(w, "c1", late.Token, "", []string{"stop/line", "kept/t0"}, time.Second)
+			for c := range uint64(5) {
+				_, err := w.Port("a1").Send(w.ctx, desk.Token, "kept/t0", c+1, []byte(`"missed"`))
+				assert.NilError(t, err)
+			}
+			back := attach(t, w, "c3", "back")
+			listen("beside", "c3", back.Token, "", "stop/line", "kept/t0")
+			listen("old, shared", "a1", desk.Token, "", "stop/line", "kept/t0", "kept/t1", "kept/t2")
+			time.Sleep(time.Second)
+			calm := send(20)
+			release, hits := w.Hold(w.routineWork)
+			time.Sleep(w.Site.Bounds.Retry())
+			for i := range 30 {
+				w.wg.Go(func() {
+					ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Spread)
+					defer stop()
+					_, _ = w.Port("a1").Send(ctx, desk.Token, fmt.Sprintf("kept/t%d", i%load.Topics), 1, []byte(`1`))
+				})
+			}
+			listen("behind, shared", "c3", late.Token, cursor, "stop/line", "kept/t0")
+			listen("new, shared", "c2", early.Token, "", "stop/line", "kept/t3", "kept/t4")
+			opened := w.Site.Bounds.Retry() * 3 / 2
+			time.Sleep(opened)
+			first := n + 1
+			busy := send(20)
+			time.Sleep(time.Second)
+			assert.Assert(t, hits() > 10, "void: nothing was held")
+			w.History.Overtaken("stop/line", "routine partitions that stand still", busy, 3*calm+2*time.Millisecond)
+			mu.Lock()
+			for name, calls := range got {
+				for c := first; c <= n; c++ {
+					assert.Assert(t, !calls[c].IsZero(), "%s never got urgent call %d", name, c)
+				}
+			}
+			mu.Unlock()
+			release()
+			t.Logf("urgent, longest of 20: calm %s, routine standing still %s, %d calls held", calm, busy, hits())
+		})
+	}
+}
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -20,6 +20,15 @@
 	return t
 }
 
+// TakeNumber waits for the turn of a number; numbers that differ by less than the count of shards never share one.
+func (t *Turns) TakeNumber(ctx context.Context, n int) (func(), error) {
+	i := n % len(t.s)
+	if err := t.take(ctx, i); err != nil {
+		return nil, err
+	}
+	return func() { <-t.s[i] }, nil
+}
+
 func (t *Turns) at(k string) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(k))
--- a/internal/visitor/admission/admission.go
+++ b/internal/visitor/admission/admission.go
@@ -21,6 +21,9 @@
 	Routine Lane = "routine"
 	Attach  Lane = "attach"
 	Stream  Lane = "stream"
+
+	// UrgentStream is for streams with an urgent topic.
+	UrgentStream Lane = "urgent_stream"
 )
 
 // Gates holds a bounded backlog per lane.
@@ -54,6 +57,8 @@
 		Routine: bulkhead.New[any](uint(limit)),
 		Attach:  bulkhead.New[any](uint(limit)),
 		Stream:  bulkhead.New[any](uint(limit * streamsPerPlace)),
+
+		UrgentStream: bulkhead.New[any](uint(limit * streamsPerPlace)),
 	}
 }
 
--- a/internal/visitor/follow.go
+++ b/internal/visitor/follow.go
@@ -11,9 +11,10 @@
 	"postjunction/internal/partition"
 	"postjunction/internal/plain"
 	"postjunction/internal/problem"
+	"postjunction/internal/visitor/token"
 )
 
-// Line is one line of a stream: a message, a greeting, a sign of life, or the end with its reason.
+// Line is one line of a stream: a message, a greeting, a change of what is followed, a sign of life, or the end with its reason.
 type Line struct {
 	Topic     string          `json:"topic,omitempty"`
 	From      string          `json:"from,omitempty"`
@@ -22,6 +23,9 @@
 	Partition *int            `json:"partition,omitempty"`
 	Offset    uint64          `json:"offset,omitempty"`
 	Attached  uint64          `json:"attached,omitempty"`
+	Waiting   []string        `json:"waiting,omitempty"`
+	Joined    []string        `json:"joined,omitempty"`
+	Dropped   []string        `json:"dropped,omitempty"`
 	Idle      bool            `json:"idle,omitempty"`
 	End       *End            `json:"end,omitempty"`
 	Cursor    string          `json:"cursor"`
@@ -35,93 +39,251 @@
 	RetryMS int64  `json:"retry_after_ms,omitempty"`
 }
 
+type pulled struct {
+	es  []line.Entry
+	err error
+}
+
 type lane struct {
-	p    int
-	feed *feed.Feed
-	live uint64
+	p      int
+	feed   *feed.Feed
+	live   uint64
+	urgent bool
+	busy   bool
+	got    chan pulled
+	left   []line.Entry
+}
+
+type opened struct {
+	lane
+	leave func()
+	at    uint64
+	err   error
 }
 
 type stream struct {
-	s     *Service
-	t     *Task
-	fleet string
-	want  map[string]bool
-	pos   cursor.Cursor
-	lanes []lane
-	own   int
-	fence *feed.Feed
-	seen  uint64
-	wake  chan struct{}
-	gone  error
+	s       *Service
+	t       *Task
+	fleet   string
+	want    map[string]bool
+	urgent  map[string]bool
+	parts   map[string]int
+	pos     cursor.Cursor
+	given   cursor.Cursor
+	lanes   []lane
+	joins   chan opened
+	leaves  []func()
+	fence   *feed.Feed
+	seen    uint64
+	checked chan error
+	asking  bool
+	index   uint64
+	wake    chan struct{}
+	gone    error
 }
 
+const (
+	routineTurn = 16
+	idleShare   = 2
+)
+
 func (s *Service) follow(ctx context.Context, t *Task) error {
-	r := s.Board.Roster()
-	st := &stream{s: s, t: t, fleet: r.Fleet, want: map[string]bool{}, pos: cursor.Cursor{}, wake: make(chan struct{}, 1)}
-	given := cursor.Cursor{}
-	from := t.Cursor
-	if from == "" {
-		from = t.acked
-	}
-	if from != "" {
-		var err error
-		if given, err = cursor.Unpack(r.Fleet, r.Layout.Count(), from); err != nil {
-			return err
-		}
+	k, err := s.unpack(t)
+	if err != nil {
+		return err
 	}
-	ps := map[int]bool{}
-	topics := unique(t.Topics)
-	for i, n := range t.Topics {
-		st.want[n] = true
-		ps[partition.Of(n, t.spaces[i].Urgent, r.Layout)] = true
+	r := s.Board.Roster()
+	st := &stream{
+		s: s, t: t, fleet: r.Fleet, want: map[string]bool{}, urgent: map[string]bool{}, parts: map[string]int{}, pos: cursor.Cursor{}, given: cursor.Cursor{},
+		wake: make(chan struct{}, 1), checked: make(chan error, 1), index: s.Board.Index().Sequence,
 	}
-	cx, stop := context.WithTimeout(ctx, callShare*s.Bounds.Call())
-	defer stop()
-	var leave []func()
+	urgent, routine := st.plan(r.Layout.Routine)
+	st.joins = make(chan opened, len(urgent)+len(routine))
+	ctx, end := context.WithCancel(ctx)
 	defer func() {
-		for _, f := range leave {
+		end()
+		for _, f := range st.leaves {
 			f()
 		}
 	}()
-	for p := range ps {
-		f, out, err := s.Feeds.Follow(cx, p, st.wake)
+	cx, stop := context.WithTimeout(ctx, callShare*s.Bounds.Call())
+	defer stop()
+	if err := st.guard(cx, k, len(urgent) > 0); err != nil {
+		return err
+	}
+	if err := st.resume(r.Layout.Count()); err != nil {
+		return err
+	}
+	if err := st.openAll(ctx, cx, urgent, routine); err != nil {
+		return err
+	}
+	defer s.Presence.Enter(t.Visitor, unique(t.Topics))()
+	s.tally(1, 0)
+	defer s.tally(-1, 0)
+	stop()
+	return st.run(ctx)
+}
+
+func (st *stream) plan(routineCount int) (urgent, routine []int) {
+	l := st.s.Board.Roster().Layout
+	for i, n := range st.t.Topics {
+		p := partition.Of(n, st.t.spaces[i].Urgent, l)
+		st.want[n], st.urgent[n], st.parts[n] = true, st.t.spaces[i].Urgent, p
+		ps := &routine
+		if p >= routineCount {
+			ps = &urgent
+		}
+		if !slices.Contains(*ps, p) {
+			*ps = append(*ps, p)
+		}
+	}
+	return urgent, routine
+}
+
+// guard joins the feed that tells of newer attachments, and only then asks which attachment is in force, so that none falls between.
+func (st *stream) guard(ctx context.Context, k token.Token, urgent bool) error {
+	f, leave, err := st.s.Feeds.Follow(ctx, st.s.Desk.Home(k.Visitor, urgent), st.wake)
+	if err != nil {
+		return err
+	}
+	st.leaves = append(st.leaves, leave)
+	st.fence, st.seen = f, f.To()
+	return st.s.identify(ctx, st.t, k, urgent)
+}
+
+func (st *stream) resume(partitions int) error {
+	from := st.t.Cursor
+	if from == "" {
+		from = st.t.acked
+	}
+	if from == "" {
+		return nil
+	}
+	var err error
+	st.given, err = cursor.Unpack(st.fleet, partitions, from)
+	return err
+}
+
+func (st *stream) open(ctx context.Context, p int, urgent bool) opened {
+	o := opened{lane: lane{p: p, urgent: urgent, got: make(chan pulled, 1)}}
+	o.feed, o.leave, o.err = st.s.Feeds.Follow(ctx, p, st.wake)
+	if o.err != nil {
+		return o
+	}
+	tail := o.feed.To()
+	at, ok := st.given[p]
+	if !ok {
+		at = tail
+	}
+	if at > tail {
+		r, err := st.s.Desk.Read(ctx, p, ^uint64(0), 0)
+		if err == nil && at > r.To {
+			err = problem.New(problem.CursorBad, "the cursor is at offset %d of partition %d, which ends at %d", at, p, r.To)
+		}
 		if err != nil {
-			return err
+			o.leave()
+			o.err = err
+			return o
 		}
-		leave = append(leave, out)
-		tail := f.To()
-		at, ok := given[p]
-		if !ok {
-			at = tail
+	}
+	o.at, o.live = at, tail
+	return o
+}
+
+// openAll opens the urgent partitions within the call's time. Routine ones have to be open by then too when there are no urgent ones;
+// beside urgent ones they may join later, so that an urgent stream never waits for a routine partition.
+func (st *stream) openAll(ctx, limit context.Context, urgent, routine []int) error {
+	firm := len(urgent)
+	for _, p := range urgent {
+		go func() { st.joins <- st.open(limit, p, true) }()
+	}
+	cx := ctx
+	if firm == 0 {
+		firm, cx = len(routine), limit
+	}
+	for _, p := range routine {
+		go func() {
+			for {
+				o := st.open(cx, p, false)
+				if o.err == nil && ctx.Err() != nil {
+					o.leave()
+				}
+				if o.err == nil || len(urgent) == 0 || ctx.Err() != nil || problem.Has(o.err, problem.CursorBad) {
+					st.joins <- o
+					st.nudge()
+					return
+				}
+				_ = st.s.Clock.Sleep(ctx, st.s.Bounds.Retry())
+			}
+		}()
+	}
+	soon := make(chan struct{})
+	go func() {
+		_ = st.s.Clock.Sleep(ctx, st.s.Bounds.Retry())
+		close(soon)
+	}()
+	for left, n := firm, len(urgent)+len(routine); n > 0; n-- {
+		late := soon
+		if left > 0 {
+			late = nil
 		}
-		if at > tail {
-			d, err := s.Desk.Read(cx, p, ^uint64(0), 0)
-			if err != nil {
-				return err
+		select {
+		case o := <-st.joins:
+			if o.err != nil {
+				return o.err
 			}
-			if at > d.To {
-				return problem.New(problem.CursorBad, "the cursor is at offset %d of partition %d, which ends at %d", at, p, d.To)
+			st.join(o)
+			if o.urgent || len(urgent) == 0 {
+				left--
 			}
+		case <-late:
+			return nil
 		}
-		st.pos[p] = at
-		st.lanes = append(st.lanes, lane{p: p, feed: f, live: tail})
 	}
+	return nil
+}
+
+func (st *stream) nudge() {
+	select {
+	case st.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (st *stream) join(o opened) {
+	st.leaves = append(st.leaves, o.leave)
+	st.pos[o.p] = o.at
+	st.lanes = append(st.lanes, o.lane)
 	slices.SortFunc(st.lanes, func(a, b lane) int { return b.p - a.p })
-	st.own = partition.OfVisitor(t.Visitor, r.Layout)
-	f, out, err := s.Feeds.Follow(cx, st.own, st.wake)
-	if err != nil {
-		return err
+}
+
+func (st *stream) topics(ok func(p int) bool) []string {
+	var ns []string
+	for n, p := range st.parts {
+		if st.want[n] && ok(p) {
+			ns = append(ns, n)
+		}
 	}
-	leave = append(leave, out)
-	st.fence, st.seen = f, t.at
-	defer s.Presence.Enter(t.Visitor, topics)()
-	s.tally(1, 0)
-	defer s.tally(-1, 0)
-	stop()
-	return st.run(ctx)
+	slices.Sort(ns)
+	return ns
 }
 
-func (st *stream) cursor() string { return cursor.Pack(st.fleet, st.pos) }
+func (st *stream) waiting() []string {
+	return st.topics(func(p int) bool {
+		return !slices.ContainsFunc(st.lanes, func(l lane) bool { return l.p == p })
+	})
+}
+
+func (st *stream) cursor() string {
+	c := cursor.Cursor{}
+	for p, o := range st.given {
+		c[p] = o
+	}
+	for p, o := range st.pos {
+		c[p] = o
+	}
+	return cursor.Pack(st.fleet, c)
+}
 
 func (st *stream) emit(l Line) error {
 	l.Cursor = st.cursor()
@@ -146,18 +308,14 @@
 	return nil
 }
 
-const idleShare = 2
-
 func (st *stream) run(ctx context.Context) error {
 	s := st.s
-	if err := st.emit(Line{Attached: st.t.who.Generation}); err != nil {
+	if err := st.emit(Line{Attached: st.t.who.Generation, Waiting: st.waiting()}); err != nil {
 		return err
 	}
-	cx, stop := context.WithCancel(ctx)
-	defer stop()
 	idle := make(chan struct{}, 1)
 	go func() {
-		for s.Clock.Sleep(cx, s.Bounds.Spread/idleShare) == nil {
+		for s.Clock.Sleep(ctx, s.Bounds.Spread/idleShare) == nil {
 			select {
 			case idle <- struct{}{}:
 			default:
@@ -174,6 +332,7 @@
 			return st.end(problem.New(problem.Leaving, "this node is stopping"))
 		default:
 		}
+		news := s.Board.Changed()
 		more, err := st.round(ctx)
 		if err != nil {
 			return st.end(err)
@@ -183,7 +342,16 @@
 			continue
 		}
 		select {
+		case o := <-st.joins:
+			if o.err != nil {
+				return st.end(o.err)
+			}
+			st.join(o)
+			if err := st.emit(Line{Joined: st.topics(func(p int) bool { return p == o.p })}); err != nil {
+				return err
+			}
 		case <-st.wake:
+		case <-news:
 		case <-idle:
 			if !wrote {
 				if err := st.emit(Line{Idle: true}); err != nil {
@@ -198,27 +366,29 @@
 	}
 }
 
+// round gives what is at hand, urgent partitions first, and never waits: what a feed no longer holds is fetched beside.
 func (st *stream) round(ctx context.Context) (bool, error) {
 	if err := st.fenced(ctx); err != nil {
 		return false, err
 	}
-	for _, l := range st.lanes {
-		es, err := l.feed.After(ctx, st.pos[l.p])
+	if err := st.refresh(); err != nil {
+		return false, err
+	}
+	for i := range st.lanes {
+		l := &st.lanes[i]
+		es, err := st.pull(ctx, l)
 		if err != nil {
-			if problem.Has(err, problem.CursorExpired) {
-				return false, err
-			}
-			if ctx.Err() != nil {
-				return false, err
-			}
-			_ = st.s.Clock.Sleep(ctx, st.s.Bounds.Retry())
-			return true, nil
+			return false, err
+		}
+		if !l.urgent {
+			es = es[:min(len(es), routineTurn)]
 		}
 		for _, e := range es {
-			if err := st.give(l, e); err != nil {
+			if err := st.give(*l, e); err != nil {
 				return false, err
 			}
 		}
+		l.left = l.left[min(len(es), len(l.left)):]
 		if len(es) > 0 {
 			return true, nil
 		}
@@ -226,6 +396,39 @@
 	return false, nil
 }
 
+func (st *stream) pull(ctx context.Context, l *lane) ([]line.Entry, error) {
+	if len(l.left) > 0 {
+		return l.left, nil
+	}
+	if l.busy {
+		select {
+		case g := <-l.got:
+			l.busy, l.left = false, g.es
+			if problem.Has(g.err, problem.CursorExpired) {
+				return nil, g.err
+			}
+			return l.left, nil
+		default:
+			return nil, nil
+		}
+	}
+	at := st.pos[l.p]
+	if es, ok := l.feed.Held(at); ok {
+		return es, nil
+	}
+	l.busy = true
+	f, got := l.feed, l.got
+	go func() {
+		es, err := f.After(ctx, at)
+		if err != nil && !problem.Has(err, problem.CursorExpired) {
+			_ = st.s.Clock.Sleep(ctx, st.s.Bounds.Retry())
+		}
+		got <- pulled{es, err}
+		st.nudge()
+	}()
+	return nil, nil
+}
+
 func (st *stream) give(l lane, e line.Entry) error {
 	if e.Offset <= st.pos[l.p] {
 		return nil
@@ -234,28 +437,56 @@
 	if e.What != line.Message || !st.want[e.Topic] || e.Live && (e.Hollow || e.Offset <= l.live) {
 		return nil
 	}
-	if _, err := st.s.Board.Index().Find(e.Topic); err != nil {
-		return err
-	}
 	return st.emit(Line{Topic: e.Topic, From: e.Visitor, Call: e.Call, Body: e.Body, Partition: &l.p, Offset: e.Offset})
 }
 
-func (st *stream) fenced(ctx context.Context) error {
-	for {
-		es, err := st.fence.After(ctx, st.seen)
+// refresh drops topics that the current description no longer has, or has with another urgency, and ends a stream without topics.
+func (st *stream) refresh() error {
+	x := st.s.Board.Index()
+	if x.Sequence == st.index {
+		return nil
+	}
+	st.index = x.Sequence
+	var gone []string
+	var why error
+	for n := range st.want {
+		sp, err := x.Find(n)
+		if err == nil && sp.Urgent != st.urgent[n] {
+			err = problem.New(problem.UnknownTopic, "%s stands in a space of another urgency since description %d", n, x.Sequence)
+		}
 		if err != nil {
-			if problem.Has(err, problem.CursorExpired) {
-				st.seen = st.fence.To()
-				cx, stop := context.WithTimeout(ctx, callShare*st.s.Bounds.Call())
-				a, e := st.s.Desk.Attached(cx, st.t.Visitor)
-				stop()
-				if e == nil && a.Attached.Generation > st.t.who.Generation {
-					return st.superseded(a.Attached.Generation)
-				}
-				if e == nil {
-					continue
-				}
+			gone, why = append(gone, n), err
+		}
+	}
+	if len(gone) == 0 {
+		return nil
+	}
+	for _, n := range gone {
+		delete(st.want, n)
+	}
+	if len(st.want) == 0 {
+		return why
+	}
+	slices.Sort(gone)
+	return st.emit(Line{Dropped: gone})
+}
+
+func (st *stream) fenced(ctx context.Context) error {
+	if st.asking {
+		select {
+		case err := <-st.checked:
+			st.asking = false
+			if problem.Has(err, problem.TokenFenced) {
+				return err
 			}
+		default:
+			return nil
+		}
+	}
+	for {
+		es, ok := st.fence.Held(st.seen)
+		if !ok {
+			st.recheck(ctx)
 			return nil
 		}
 		if len(es) == 0 {
@@ -270,6 +501,30 @@
 	}
 }
 
+// recheck asks which attachment is in force, after the feed passed over entries that this stream had not seen.
+func (st *stream) recheck(ctx context.Context) {
+	st.asking = true
+	st.seen = st.fence.To()
+	who, urgent := st.t.who, slices.ContainsFunc(st.lanes, func(l lane) bool { return l.urgent })
+	go func() {
+		err := error(problem.New(problem.NoOwner, "not asked yet"))
+		for err != nil && ctx.Err() == nil {
+			cx, stop := context.WithTimeout(ctx, callShare*st.s.Bounds.Call())
+			a, e := st.s.Desk.Attached(cx, who.Visitor, who.Generation, urgent)
+			stop()
+			if err = e; err == nil && a.Attached.Generation > who.Generation {
+				err = st.superseded(a.Attached.Generation)
+				break
+			}
+			if err != nil {
+				_ = st.s.Clock.Sleep(ctx, st.s.Bounds.Retry())
+			}
+		}
+		st.checked <- err
+		st.nudge()
+	}()
+}
+
 func (st *stream) superseded(g uint64) error {
 	return problem.New(problem.TokenFenced, "attachment %d of %s took over", g, st.t.Visitor)
 }
--- a/internal/visitor/service.go
+++ b/internal/visitor/service.go
@@ -39,10 +39,13 @@
 	who    token.Token
 	spaces []description.Space
 	acked  string
-	at     uint64
 	out    any
 }
 
+func (t *Task) urgent() bool {
+	return (t.Verb == VerbSend || t.Verb == VerbFollow) && slices.ContainsFunc(t.spaces, func(s description.Space) bool { return s.Urgent })
+}
+
 // Emit writes one line of a stream.
 type Emit func(line []byte) error
 
@@ -121,7 +124,7 @@
 		s.ways = map[string]policy.Next[*Task]{
 			VerbAttach: policy.Chain[*Task](s.attach, stage, licence, gate, limit),
 			VerbSend:   policy.Chain[*Task](s.send, stage, licence, interest, gate, limit, identity),
-			VerbFollow: policy.Chain[*Task](s.follow, stage, licence, interest, gate, identity),
+			VerbFollow: policy.Chain[*Task](s.follow, stage, licence, interest, gate),
 			VerbAck:    policy.Chain[*Task](s.ack, stage, licence, gate, limit, identity),
 			VerbCount:  policy.Chain[*Task](s.count, stage, licence, interest, gate, limit, identity),
 		}
@@ -173,10 +176,12 @@
 	VerbAttach: admission.Attach, VerbFollow: admission.Stream, VerbAck: admission.Attach, VerbCount: admission.Routine, VerbSend: admission.Routine,
 }
 
+var urgentLanes = map[string]admission.Lane{VerbFollow: admission.UrgentStream, VerbSend: admission.Urgent}
+
 func (s *Service) gate(ctx context.Context, t *Task, next policy.Next[*Task]) error {
 	l := lanes[t.Verb]
-	if t.Verb == VerbSend && t.spaces[0].Urgent {
-		l = admission.Urgent
+	if t.urgent() {
+		l = urgentLanes[t.Verb]
 	}
 	leave, err := s.Gates.Enter(l)
 	if err != nil {
@@ -193,16 +198,27 @@
 }
 
 func (s *Service) identity(ctx context.Context, t *Task, next policy.Next[*Task]) error {
-	k, err := token.Unpack(t.Token)
-	if t.Token == "" {
-		err = problem.New(problem.TokenMissing, "the call has no bearer token")
-	}
+	k, err := s.unpack(t)
 	if err != nil {
 		return err
 	}
 	cx, stop := context.WithTimeout(ctx, callShare*s.Bounds.Call())
 	defer stop()
-	a, err := s.Desk.Attached(cx, k.Visitor)
+	if err := s.identify(cx, t, k, t.urgent()); err != nil {
+		return err
+	}
+	return next(ctx, t)
+}
+
+func (s *Service) unpack(t *Task) (token.Token, error) {
+	if t.Token == "" {
+		return token.Token{}, problem.New(problem.TokenMissing, "the call has no bearer token")
+	}
+	return token.Unpack(t.Token)
+}
+
+func (s *Service) identify(ctx context.Context, t *Task, k token.Token, urgent bool) error {
+	a, err := s.Desk.Attached(ctx, k.Visitor, k.Generation, urgent)
 	if err != nil {
 		if problem.Has(err, problem.OutcomeUnknown) {
 			err = problem.New(problem.NoOwner, "the attachment could not be checked: %v", err)
@@ -215,8 +231,8 @@
 	case g < k.Generation || !k.Matches(a.Attached.Secret):
 		return problem.New(problem.TokenForeign, "the token is not the one given to %s", k.Visitor)
 	}
-	t.who, t.Visitor, t.acked, t.at = k, k.Visitor, a.Acked.Cursor, a.Attached.Offset
-	return next(ctx, t)
+	t.who, t.Visitor, t.acked = k, k.Visitor, a.Acked.Cursor
+	return nil
 }
 
 func (s *Service) attach(ctx context.Context, t *Task) error {
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -63,6 +63,8 @@
 guard failed-write internal/disk/journal/journal.go 's/if last > j.mark \{/if false {/' ./internal/disk/walog 'FullDisk'
 guard urgent-home internal/ledger/desk/desk.go 's/urgent = urgent && d\.TwoHomes\(\)/urgent = false/' $S 'UrgentGoes'
 guard urgent-opens-alone internal/visitor/follow.go 's/if firm == 0 \{/if true {\n\t\tfirm += len(routine)/; s/o\.urgent \|\| len\(urgent\) == 0/true/' $S 'UrgentGoes'
-guard urgent-never-waits internal/visitor/follow.go 's/go func\(\) \{\n\t\tes, err := f\.After/func() {\n\t\tes, err := f.After/' $S 'UrgentPast'
+guard urgent-never-waits internal/visitor/follow.go 's/go func\(\) \{\n\t\tes, err := f\.After/func() {\n\t\tes, err := f.After/' $S 'UrgentGoes'
+guard urgent-writes-alone internal/disk/journal/journal.go 's/if len\(ps\) > 0 \{\n\t\t\tbreak\n\t\t\}//' ./internal/disk/journal 'WrittenAlone'
+guard scrub-in-slices internal/disk/journal/journal.go 's/scrubSlice  = 256/scrubSlice  = 1 << 30/' ./internal/disk/journal 'ScrubLets'
 guard urgent-lane internal/visitor/service.go 's/if t.Verb == VerbSend && t.spaces\[0\].Urgent \{/if false {/' $S 'UrgentUnderFlood'
 exit $missed
