Calls: what nobody can decide is told so after one more look, not near its deadline

Cause: handing over tried until the call's deadline whatever it knew: an owner that was no member any more, a partition without an owner, an owner without a majority of copies. Now a call is tried again while something may come of it: at once on news of the record, for a call's time after the last such news, twice when the owner is gone or short of copies, three times when it does not answer; then it gets no_owner or, when a try may have gone through, outcome_unknown, with a jittered time to come back. Ruled out: no second try at all (a hand-over in good order takes milliseconds, and its callers would be sent away for nothing).

--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -182,36 +183,38 @@
 
 var final = map[problem.Kind]bool{problem.CallAltered: true, problem.CallGap: true, problem.CallForgotten: true, problem.TokenFenced: true}
 
+// handOver has a task done by the partition's owner, wherever that is. It tries again while something may come of it: at once after news of the record,
+// and else for a call's time after the last such news. When the node knows that nobody can decide for now, it says so after one more look.
 func handOver[Q, A any](ctx context.Context, d *Desk, p int, c *wire.Procedure[Q, A], local func(context.Context, *Q) (*A, error), q *Q) (*A, error) {
-	doubt := false
-	err := error(problem.New(problem.NoOwner, "partition %d has no owner yet", p))
+	doubt, hopes := false, 0
+	var seen uint64
+	since := d.Clock.Now()
 	for {
 		ch := d.Board.Changed()
 		r := d.Board.Record(p)
-		var a *A
-		if r.Owner != "" {
-			var e error
-			cx, stop := context.WithTimeout(ctx, d.Bounds.Call())
-			if r.Owner == d.Self {
-				a, e = local(cx, q)
-			} else if i, ok := d.View.Get(r.Owner); ok {
-				a, e = c.Call(cx, d.Net, d.Self, i.Fellows, q)
-			} else {
-				e = problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, p)
-			}
-			stop()
-			if e == nil {
-				return a, nil
-			}
-			err = e
-			k := problem.Of(e).Kind
-			doubt = doubt || unclear[k]
-			if !elsewhere[k] && k != problem.NoOwner {
-				if doubt && !final[k] {
-					return nil, problem.Wrap(problem.OutcomeUnknown, problem.New(problem.OutcomeUnknown, "%v", e), "partition %d", p)
-				}
-				return nil, e
+		if r.Writes != seen {
+			seen, since, hopes = r.Writes, d.Clock.Now(), 0
+		}
+		begun := d.Clock.Now()
+		a, err := try(ctx, d, p, r, c, local, q)
+		if err == nil {
+			return a, nil
+		}
+		k := problem.Of(err).Kind
+		doubt = doubt || unclear[k]
+		if !elsewhere[k] && k != problem.NoOwner {
+			if doubt && !final[k] {
+				return nil, problem.Wrap(problem.OutcomeUnknown, problem.New(problem.OutcomeUnknown, "%v", err), "partition %d", p)
 			}
+			return nil, err
+		}
+		now := d.Clock.Now()
+		if looks[k] > 0 {
+			hopes++
+		}
+		over := hopes >= looks[k] && looks[k] > 0 || now.Sub(since) >= d.Bounds.Call() || unclear[k] && now.Sub(begun) >= d.Bounds.Call()
+		if over && d.Board.Record(p).Writes == seen {
+			return nil, d.surrender(p, doubt, err)
 		}
 		cx, stop := context.WithTimeout(ctx, d.Bounds.Retry())
 		select {
@@ -220,14 +223,40 @@
 		}
 		stop()
 		if ctx.Err() != nil {
-			if doubt {
-				return nil, problem.New(problem.OutcomeUnknown, "partition %d gave no clear answer in time: %v", p, err)
-			}
-			return nil, problem.New(problem.NoOwner, "partition %d could not decide in time: %v", p, err)
+			return nil, d.surrender(p, doubt, err)
 		}
 	}
 }
 
+// looks is how often a problem is met, without news of the record in between, before a call is given up.
+var looks = map[problem.Kind]int{problem.NoOwner: 2, problem.Unreachable: 3}
+
+// surrender is the answer to a call that this node has given up on, with the time to come back.
+func (d *Desk) surrender(p int, doubt bool, err error) error {
+	k := problem.NoOwner
+	if doubt {
+		k = problem.OutcomeUnknown
+	}
+	x := problem.New(k, "partition %d could not decide: %v", p, err)
+	return x.After(clock.Jitter(2*d.Bounds.Retry(), 1, rand.Float64()).Round(time.Millisecond))
+}
+
+func try[Q, A any](ctx context.Context, d *Desk, p int, r record.Record, c *wire.Procedure[Q, A], local func(context.Context, *Q) (*A, error), q *Q) (*A, error) {
+	if r.Owner == "" {
+		return nil, problem.New(problem.NoOwner, "partition %d has no owner yet", p)
+	}
+	cx, stop := context.WithTimeout(ctx, d.Bounds.Call())
+	defer stop()
+	if r.Owner == d.Self {
+		return local(cx, q)
+	}
+	i, ok := d.View.Get(r.Owner)
+	if !ok {
+		return nil, problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, p)
+	}
+	return c.Call(cx, d.Net, d.Self, i.Fellows, q)
+}
+
 // Submit has a message decided by its partition's owner, wherever that is.
 func (d *Desk) Submit(ctx context.Context, p int, q *owner.Task) (*owner.Decision, error) {
 	return handOver(ctx, d, p, Submit, d.submit, q)
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -42,6 +42,9 @@
 	if o.stage == Closing {
 		return problem.New(problem.Leaving, "partition %d is being handed over", o.Rec.Partition)
 	}
+	if n := o.near(); n < o.Rec.Majority() {
+		return problem.New(problem.NoOwner, "%d of %d copies of partition %d are members", n, len(o.Rec.Replicas), o.Rec.Partition)
+	}
 	if o.stage != Open {
 		return problem.New(problem.NotReady, "partition %d is being taken over at epoch %d", o.Rec.Partition, o.Rec.Epoch)
 	}
@@ -54,6 +57,16 @@
 	return nil
 }
 
+func (o *Owner) near() int {
+	n := 0
+	for _, p := range o.Rec.Replicas {
+		if _, ok := o.d.Addr(p.Node); ok || p.Node == o.d.Self {
+			n++
+		}
+	}
+	return n
+}
+
 func (o *Owner) judge(q *Task) (state.Taken, bool, error) {
 	if err := o.ready(); err != nil {
 		return state.Taken{}, false, err
@@ -211,6 +224,10 @@
 func (o *Owner) Attached(ctx context.Context, visitor string) (state.Attached, state.Acked, error) {
 	begun := o.d.Clock.Now()
 	o.mu.Lock()
+	if n := o.near(); n < o.Rec.Majority() {
+		o.mu.Unlock()
+		return state.Attached{}, state.Acked{}, problem.New(problem.NoOwner, "%d of %d copies of partition %d are members", n, len(o.Rec.Replicas), o.Rec.Partition)
+	}
 	if o.stage != Open && o.stage != Closing {
 		o.mu.Unlock()
 		return state.Attached{}, state.Acked{}, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, o.stage)
--- a/internal/proof/caller/caller.go
+++ b/internal/proof/caller/caller.go
@@ -226,6 +226,7 @@
 		end := c.History.Begin(history.WaitTake, topic, c.Clock.Now())
 		for ctx.Err() == nil {
 			t := c.current()
+			asked := c.Clock.Now()
 			cx, stop := context.WithTimeout(ctx, patience*c.Spread)
 			r, err := c.port().Send(cx, t, topic, n, []byte(b))
 			stop()
@@ -248,7 +249,8 @@
 				c.History.Violate(history.Lost, "%s was told %s for %v, which it sends in order: %v", c.Name, p.Kind, m, err)
 				return
 			}
-			c.pause(ctx, c.Spread/30)
+			c.History.Told(string(p.Kind), c.Clock.Now().Sub(asked))
+			c.pause(ctx, max(c.Spread/30, time.Duration(p.RetryMS)*time.Millisecond/2))
 		}
 		end(c.Clock.Now())
 		c.pause(ctx, c.Every*2/3)
--- a/internal/proof/history/history.go
+++ b/internal/proof/history/history.go
@@ -74,6 +74,7 @@
 	waits    []Wait
 	blows    []time.Time
 	covered  map[string]int
+	told     map[string][]time.Duration
 	verdicts []Verdict
 	owners   map[term]string
 	vowed    map[string]vow
@@ -85,7 +86,7 @@
 func New() *History {
 	return &History{
 		sent: map[Message]*sent{}, refused: map[Message]map[string]bool{}, subs: map[string]*sub{}, seen: map[string]uint64{}, accepted: map[uint64]time.Time{},
-		open: map[uint64]pending{}, covered: map[string]int{}, owners: map[term]string{}, vowed: map[string]vow{},
+		open: map[uint64]pending{}, covered: map[string]int{}, told: map[string][]time.Duration{}, owners: map[term]string{}, vowed: map[string]vow{},
 	}
 }
 
@@ -259,7 +260,7 @@
 	Descriptions                  int
 	Violations                    []Violation
 	Spread, Urgent, Routine       Spans
-	Waits                         map[string]Spans
+	Waits, Told                   map[string]Spans
 	Longest                       Wait
 	LongestUndisturbed            Wait
 	Verdicts                      map[string]int
--- a/internal/proof/history/waits.go
+++ b/internal/proof/history/waits.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// Told notes how long a call took that was told to come back, by the kind of problem.
+func (h *History) Told(kind string, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.told[kind] = append(h.told[kind], d)
+}
+
 func (h *History) waited(p pending, end time.Time, open bool) {
 	h.waits = append(h.waits, Wait{Kind: p.kind, Place: p.place, From: p.at, Whole: end.Sub(p.at), Open: open})
 }
@@ -89,6 +96,10 @@
 			h.violate(Recovery, "%s at %s took %s from %s on, %s of it with nothing new going wrong (still open: %v)", w.Kind, w.Place, w.Whole, w.From.Format("04:05.000"), w.Undisturbed, w.Open)
 		}
 	}
+	r.Told = map[string]Spans{}
+	for k, ds := range h.told {
+		r.Told[k] = spans(ds)
+	}
 	for k, ds := range by {
 		r.Waits[k] = spans(ds)
 	}
--- /dev/null
+++ b/internal/proof/sim/told_test.go
@@ -0,0 +1,50 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/problem"
+)
+
+// Two of three stores are gone for good, so most partitions can't decide. Each call is told so at once, with a time to come back, and not
+// near its deadline; none is told a final no.
+func TestCallsThatNobodyCanDecideAreToldAtOnce(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(3)) {
+		stand(t, Armor, 160+seed, func(t *testing.T, w *World) {
+			_, err := w.Put("c1", load.Describe(0))
+			assert.NilError(t, err)
+			time.Sleep(w.Site.Bounds.Spread)
+			tok := attach(t, w, "a1", "v").Token
+			w.Kill("s1")
+			w.Kill(fmt.Sprintf("s%d", 2+seed%2))
+			time.Sleep(w.Site.Bounds.Recovery * 3 / 4)
+			var most time.Duration
+			turned := 0
+			for i := range 3 * load.Topics {
+				for _, n := range []string{"a1", "c2"} {
+					at := time.Now()
+					ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Recovery)
+					_, err := w.Port(n).Send(ctx, tok, fmt.Sprintf("kept/t%d", i%load.Topics), 1, []byte(`1`))
+					stop()
+					if err == nil {
+						continue
+					}
+					p := problem.Of(err)
+					assert.Assert(t, p.RetryMS > 0, "no time to come back: %v", err)
+					assert.Assert(t, p.Kind == problem.NoOwner || p.Kind == problem.OutcomeUnknown, "%v", err)
+					turned++
+					most = max(most, time.Since(at))
+				}
+			}
+			assert.Assert(t, turned > 10, "void: %d calls were told to come back", turned)
+			t.Logf("%d calls told to come back, the last after %s", turned, most)
+			assert.Assert(t, most < 2*w.Site.Bounds.Retry()+w.Site.Bounds.Retry()/2, "told after %s", most)
+		})
+	}
+}
