Test: deciders held up at twelve points, disks wiped just after each promise

Faults came at random times, so the narrow places of a decision were hit by luck. Twelve points: judged, appended, sealing, sealed, batch without offset, copy synced, taken, vouched, attached, promised, accepted, voter synced; at each the node's sessions lapse, others go on, and it resumes. Eight wipes: sealed, appended, promised, accepted, the answer told or still under way.

--- a/internal/proof/history/history.go
+++ b/internal/proof/history/history.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -201,6 +203,13 @@
 	h.accepted[seq] = now
 }
 
+// Accepted gives the sequences that were accepted.
+func (h *History) Accepted() []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.accepted))
+}
+
 // Show notes which description a serving node showed at some moment after asked, in one run of the node.
 func (h *History) Show(node string, seq uint64, asked time.Time, bound time.Duration) {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/proof/sim/points_test.go
@@ -0,0 +1,175 @@
+package sim
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/control/voter"
+	"postjunction/internal/ledger/desk"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/placement/duty"
+)
+
+func (w *World) dutyHolder() string {
+	for _, n := range w.Names {
+		if x := w.Machines[n].Node(); x != nil && x.HoldsDuty() {
+			return n
+		}
+	}
+	return "c1"
+}
+
+func on(path, stage string) func(x Point) bool {
+	return func(x Point) bool { return x.Path == path && x.Stage == stage }
+}
+
+func owning(f func(x Point) bool) func(who string, x Point) bool {
+	return func(who string, x Point) bool { return x.From == who && f(x) }
+}
+
+func serving(f func(x Point) bool) func(who string, x Point) bool {
+	return func(who string, x Point) bool { return x.To == who && f(x) }
+}
+
+var (
+	lateFor = []byte(`"k":"changelog"`)
+	isDuty  = []byte(duty.Key)
+)
+
+// points are the places in a decision's way at which whoever decides is held up while its sessions lapse and others go on.
+var points = map[string]struct {
+	restart bool
+	arrive  bool
+	control bool
+	at      func(who string, x Point) bool
+}{
+	"judged, not appended":        {at: owning(on(replica.Append.Path, Asking))},
+	"appended, answers under way": {at: owning(on(replica.Append.Path, Answering))},
+	"sealing, not adopted": {restart: true, at: owning(func(x Point) bool {
+		return (x.Path == replica.Append.Path || x.Path == replica.Fetch.Path) && x.Stage == Asking
+	})},
+	"sealed, answers under way": {restart: true, at: owning(on(replica.Seal.Path, Answering))},
+	"batch, not offset": {at: owning(func(x Point) bool {
+		return x.Path == replica.Append.Path && x.Stage == Answering && bytes.Contains(x.Body, lateFor)
+	})},
+	"copy synced, not answered":   {at: serving(on(replica.Append.Path, Answering))},
+	"taken, not told":             {at: serving(on(desk.Submit.Path, Answering))},
+	"vouched, not told":           {at: serving(on(desk.Attached.Path, Answering))},
+	"attached, not told":          {arrive: true, at: serving(on(desk.Attach.Path, Answering))},
+	"promised, not accepted":      {control: true, at: owning(on(voter.Accept.Path, Asking))},
+	"accepted, answers under way": {control: true, at: owning(on(voter.Accept.Path, Answering))},
+	"voter synced, not answered": {control: true, at: serving(func(x Point) bool {
+		return x.Stage == Answering && (x.Path == voter.Accept.Path || x.Path == voter.Promise.Path) && !bytes.Contains(x.Body, isDuty)
+	})},
+}
+
+func TestHeldUpAtEachPointOfADecision(t *testing.T) {
+	for name, p := range points {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if raced {
+				t.Skip("runs without the race detector, which slows simulated fleets too much")
+			}
+			for seed := range uint64(seeds(2)) {
+				play(t, siteOf(seed), 200+seed, time.Hour, func(t *testing.T, w *World) {
+					for range 2 {
+						who := busiest(w)
+						if p.control {
+							who = w.dutyHolder()
+						}
+						if p.restart {
+							w.Kill(who)
+							time.Sleep(200 * time.Millisecond)
+						}
+						release, hits := w.Hold(func(x Point) bool { return p.at(who, x) })
+						if p.restart {
+							assert.NilError(t, w.Start(who))
+							assert.NilError(t, w.Until(10*time.Second, "void: nothing was held at "+name, func() bool { return hits() > 0 }))
+						}
+						lapse, _ := w.Hold(func(x Point) bool {
+							return x.From == who && strings.Contains(x.Path, "Member/Pulse") || x.From == who && strings.Contains(x.Path, "Member/Sessions") || x.To == who && strings.Contains(x.Path, "Member/Sessions")
+						})
+						if p.arrive {
+							w.Arrive(4)
+						}
+						if p.control {
+							_, _ = w.Put("a1", load.Describe(uint64(len(w.History.Accepted()))))
+						}
+						w.Move(0.5)
+						time.Sleep(w.span(60, 80))
+						assert.Assert(t, hits() > 0, "void: nothing was held at %q", name)
+						release()
+						time.Sleep(time.Duration(w.Int(400)) * time.Millisecond)
+						lapse()
+						time.Sleep(w.span(30, 60))
+					}
+				})
+			}
+		})
+	}
+}
+
+// A disk is wiped just after it promised: with the answer still under way, or told. It comes back empty under its old machine's name.
+func TestDiskWipedJustAfterEachKindOfPromise(t *testing.T) {
+	kinds := map[string]string{"sealed": replica.Seal.Path, "appended": replica.Append.Path, "promised": voter.Promise.Path, "accepted": voter.Accept.Path}
+	for name, path := range kinds {
+		for _, told := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, told %v", name, told), func(t *testing.T) {
+				t.Parallel()
+				if raced {
+					t.Skip("runs without the race detector, which slows simulated fleets too much")
+				}
+				for seed := range uint64(seeds(2)) {
+					play(t, siteOf(seed), 220+seed, time.Hour, func(t *testing.T, w *World) {
+						assert.NilError(t, w.Until(30*time.Second, "every copy and seat is in place", w.whole))
+						found := make(chan string, 1)
+						release, _ := w.Hold(func(x Point) bool {
+							if x.Path != path || x.Stage != Answering || x.From == x.To {
+								return false
+							}
+							select {
+							case found <- x.To:
+								return !told
+							default:
+								return false
+							}
+						})
+						switch name {
+						case "sealed":
+							w.Terminate("s1")
+							w.History.Disturb("stop", time.Now())
+						case "promised":
+							w.Terminate(w.dutyHolder())
+						case "accepted":
+							go func() { _, _ = w.Put("a1", load.Describe(1)) }()
+						}
+						var x string
+						select {
+						case x = <-found:
+						case <-time.After(20 * time.Second):
+							t.Fatalf("void: no disk was %s", name)
+						}
+						w.Wipe(x)
+						release()
+						time.Sleep(w.span(0, 40))
+						var down []string
+						for _, n := range w.Names {
+							if !w.Machines[n].Up() {
+								down = append(down, n)
+							}
+						}
+						assert.Assert(t, slices.Contains(down, x))
+						assert.NilError(t, w.Start(down...))
+						assert.NilError(t, w.Until(90*time.Second, "the wiped disk is repaired", w.whole))
+					})
+				}
+			})
+		}
+	}
+}
