Descriptions: a removed space keeps its urgency and goes on where it was

Cause: a space's topics stand in the partitions of its urgency; the check against the current description forgot a space once it was removed, so it could come back with another urgency, in other partitions: call numbers began at 1 again and cursors pointed nowhere. Found by reading for spaces that come back between descriptions. Ruled out: carrying a space's lines over (a move of history that nobody asked for), numbering spaces anew (subscribers would see call numbers twice). Now the register spaces/retired keeps name and urgency before the removal is decided; coming back with another urgency is description_invalid, with the same one everything goes on. Before: TestSpaceThatComesBackGoesOnWhereItWas fails (other urgency accepted). TestDescriptionTakesEffectEverywhere shows sends, new and open streams on all nodes, with 5 % loss too, within the spread. Guards retired-urgency, dropped-topics.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -111,6 +111,9 @@
 		if err := d.Follows(cur); err != nil {
 			return nil, err
 		}
+		if err := s.retire(ctx, d, cur); err != nil {
+			return nil, outcome(doubt, err)
+		}
 		d.Sequence = d.Base + 1
 		w, err := s.Client.Change(ctx, confirm.Key, v.Writes, by, d.Pack())
 		if err == nil {
--- /dev/null
+++ b/internal/operator/retire.go
@@ -0,0 +1,37 @@
+package operator
+
+import (
+	"context"
+
+	"postjunction/internal/control/client"
+	"postjunction/internal/description"
+	"postjunction/internal/problem"
+)
+
+const retiredKey = "spaces/retired"
+
+// retire keeps the urgency of every space that a description removes, before the description is changed, and checks spaces that come back against it.
+// Names kept by a description that then loses its race do no harm: they stand with the urgency that they have.
+func (s *Service) retire(ctx context.Context, d, cur description.Description) error {
+	for {
+		v, err := s.Client.Read(ctx, retiredKey)
+		if err != nil {
+			return err
+		}
+		r, err := description.ParseRetired(v.Body)
+		if err != nil {
+			return err
+		}
+		more, err := r.Check(d, cur)
+		if err != nil || !more {
+			return err
+		}
+		_, err = s.Client.Change(ctx, retiredKey, v.Writes, client.Name(), r.Pack())
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil || !problem.Has(err, problem.StaleBase) {
+			return problem.Because(problem.NoMajority, err, "nothing was changed: the removed spaces could not be noted")
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/sim/effect_test.go
@@ -0,0 +1,134 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/problem"
+	"postjunction/internal/visitor"
+)
+
+// A description takes effect on every node within the spread: on sends, on new streams, and on streams that stand open while nothing is sent.
+func TestDescriptionTakesEffectEverywhere(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(4)) {
+		stand(t, siteOf(seed), 240+seed, func(t *testing.T, w *World) {
+			w.Watch()
+			doc := func(base int, kept, live string) []byte {
+				return []byte(fmt.Sprintf(`{"base":%d,"spaces":[{"name":"kept","kind":"kept","topics":[%s]},{"name":"side","kind":%q,"topics":["l0"]}]}`, base, kept, live))
+			}
+			_, err := w.Put("c1", doc(0, `"t0","t1"`, "live"))
+			assert.NilError(t, err)
+			time.Sleep(w.Site.Bounds.Spread)
+			if seed >= 2 {
+				w.Lose(0.05)
+			}
+			var mu sync.Mutex
+			dropped, heard := map[string]time.Time{}, map[string]bool{}
+			tokens := map[string]string{}
+			for _, n := range w.Names {
+				a := attach(t, w, n, "on-"+n)
+				tokens[n] = a.Token
+				w.wg.Go(func() {
+					_ = w.Port(n).Follow(w.ctx, a.Token, []string{"kept/t0", "kept/t1"}, "", func(l visitor.Line) error {
+						mu.Lock()
+						defer mu.Unlock()
+						if slices.Contains(l.Dropped, "kept/t1") {
+							dropped[n] = time.Now()
+						}
+						heard[n] = heard[n] || l.Topic == "kept/t0"
+						return nil
+					})
+				})
+			}
+			time.Sleep(time.Second)
+			seq, err := w.Put(w.Names[int(seed)%len(w.Names)], doc(1, `"t0","t9"`, "kept"))
+			assert.NilError(t, err)
+			at := time.Now()
+			time.Sleep(w.Site.Bounds.Spread)
+			asked := time.Now()
+			for i, n := range w.Names {
+				ctx, stop := context.WithTimeout(w.ctx, w.Site.Bounds.Recovery)
+				_, err := w.Port(n).Send(ctx, tokens[n], "kept/t1", 1, []byte(`1`))
+				if err == nil {
+					w.History.Effect(n, seq-1, asked, w.Site.Bounds.Spread-time.Millisecond, "took a message on a removed topic")
+				}
+				assert.Assert(t, problem.Has(err, problem.UnknownTopic), "%s: %v", n, err)
+				_, _, err = follow(w, n, tokens[n], "", []string{"kept/t1"}, time.Second)
+				assert.Assert(t, problem.Has(err, problem.UnknownTopic), "%s: %v", n, err)
+				_, err = w.Port(n).Send(ctx, tokens[n], "kept/t9", 1, []byte(`1`))
+				assert.NilError(t, err, "%s: an added topic", n)
+				if i == 0 {
+					_, cursor, _ := follow(w, n, attach(t, w, n, "resumer").Token, "", []string{"side/l0"}, time.Second)
+					_, err = w.Port(n).Send(ctx, tokens[n], "side/l0", 1, []byte(`1`))
+					assert.NilError(t, err)
+					calls, _, _ := follow(w, n, attach(t, w, n, "resumer").Token, cursor, []string{"side/l0"}, 2*time.Second)
+					assert.DeepEqual(t, calls, []uint64{1})
+				}
+				stop()
+			}
+			w.Heal()
+			_, err = w.Port("c1").Send(w.ctx, tokens["c1"], "kept/t0", 1, []byte(`"goes on"`))
+			assert.NilError(t, err)
+			time.Sleep(2 * time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, n := range w.Names {
+				assert.Assert(t, !dropped[n].IsZero() && dropped[n].Sub(at) <= w.Site.Bounds.Spread, "%s never dropped the removed topic from an open stream, or after %s", n, dropped[n].Sub(at))
+				assert.Assert(t, heard[n], "%s: the other topic of the stream fell silent", n)
+			}
+		})
+	}
+}
+
+// A space that was removed and comes back goes on where it was: call numbers, lines and cursors neither repeat nor skip. It can't come back with
+// another urgency, since its lines stand in the partitions of the old one.
+func TestSpaceThatComesBackGoesOnWhereItWas(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(3)) {
+		stand(t, siteOf(seed), 260+seed, func(t *testing.T, w *World) {
+			base := uint64(0)
+			put := func(spaces string) error {
+				seq, err := w.Put(w.Names[w.Int(len(w.Names))], []byte(fmt.Sprintf(`{"base":%d,"spaces":[{"name":"other","kind":"kept","topics":["x"]}%s]}`, base, spaces)))
+				if err == nil {
+					base = seq
+					time.Sleep(w.Site.Bounds.Spread)
+				}
+				return err
+			}
+			const there, live, other = `,{"name":"line","kind":"kept","urgent":true,"topics":["a"]}`, `,{"name":"line","kind":"live","urgent":true,"topics":["a"]}`, `,{"name":"line","kind":"kept","topics":["a"]}`
+			assert.NilError(t, put(there))
+			a := attach(t, w, "a1", "v")
+			send := func(c uint64) error {
+				_, err := w.Port("a1").Send(w.ctx, a.Token, "line/a", c, []byte(fmt.Sprint(c)))
+				return err
+			}
+			_, cursor, _ := follow(w, "a1", a.Token, "", []string{"line/a"}, time.Second)
+			assert.NilError(t, send(1))
+			assert.NilError(t, send(2))
+			assert.NilError(t, put(""))
+			assert.Assert(t, problem.Has(send(3), problem.UnknownSpace))
+			err := put(other)
+			assert.Assert(t, problem.Has(err, problem.DescriptionBad), "a space came back with another urgency: %v", err)
+			o := busiest(w)
+			w.Kill(o)
+			time.Sleep(6 * time.Second)
+			assert.NilError(t, w.Start(o))
+			time.Sleep(w.Site.Bounds.Spread)
+			assert.NilError(t, put(live))
+			assert.NilError(t, send(3))
+			assert.NilError(t, put(""))
+			assert.NilError(t, put(there))
+			assert.NilError(t, send(4))
+			assert.Assert(t, problem.Has(send(6), problem.CallGap))
+			calls, _, _ := follow(w, "c1", attach(t, w, "c1", "w").Token, cursor, []string{"line/a"}, 2*time.Second)
+			assert.DeepEqual(t, calls, []uint64{1, 2, 4})
+		})
+	}
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -52,6 +52,8 @@
 guard claim-asks internal/control/holder/holder.go 's/err != nil \|\| w\.Holds/err != nil || w.Holds || true/' $S 'WholeFleetIs'
 guard compare-and-set internal/control/holder/holder.go 's/if v.value.Writes != q.Base \{/if false \&\& v.value.Writes != q.Base {/' $S 'TwoOperators|Outcome'
 guard base internal/operator/operator.go 's/if cur.Sequence != d.Base \{/if false \&\& cur.Sequence != d.Base {/' $S 'TwoOperators|Invalid'
+guard retired-urgency internal/description/retired.go 's/ok && u != s\.Urgent/ok \&\& false/' $S 'ComesBack'
+guard dropped-topics internal/visitor/follow.go 's/if x\.Sequence == st\.index \{/if true {/' $S 'TakesEffect'
 guard licence internal/session/session.go 's/if now.Before\(k.until\) \{/if now.Before(k.until) || true {/' $S 'CutNode'
 guard never-back internal/gossip/gossip.go 's/n.Description.Sequence > b.desc.Sequence/n.Description.Sequence != b.desc.Sequence/' ./internal/gossip 'Back'
 guard interest internal/visitor/follow.go 's/\|\| !st.want\[e.Topic\] \|\|/||/' $S 'QuietDay'
