Test: trimming waits for the input offset, and a deaf owner is passed over

Both stood as not proven. The changelog of one partition is held still for longer than entries are kept while its ledger goes on, then let through, and the owner is killed before the next batch: without the guard the new owner finds a ledger that begins behind the state's input. Guards trim-behind-input, deaf-passed-over.

--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -61,6 +61,8 @@
 guard stream-fence internal/visitor/follow.go 's/e.Generation > st.t.who.Generation \{/false {/' ./internal/proof/transcript 'Picker'
 guard skip-seen internal/visitor/follow.go 's/if e.Offset <= st.pos\[l.p\] \{/if false {/' ./internal/visitor 'Skips'
 guard keep-before-trim internal/ledger/owner/takeover.go 's/l.Older\(now.Add\(-o.d.Bounds.Kept\(\)\)\)/l.Older(now.Add(-o.d.Bounds.Spread))/' $S 'Keeping'
+guard trim-behind-input internal/ledger/owner/takeover.go 's/min\(l\.Older\(now\.Add\(-o\.d\.Bounds\.Kept\(\)\)\), in\)/l.Older(now.Add(-o.d.Bounds.Kept()))+0*in/' $S 'TrimmingWaits'
+guard deaf-passed-over internal/placement/duty/duty.go 's/case m\.Deaf && s\.now/case false \&\& m.Deaf \&\& s.now/' $S 'DeafOwner'
 guard torn-or-damaged internal/disk/journal/journal.go 's/if bad != 0 && bad <= mark \{/if false {/' ./internal/disk/walog 'Tails'
 guard failed-write internal/disk/journal/journal.go 's/if last > j.mark \{/if false {/' ./internal/disk/walog 'FullDisk'
 guard urgent-home internal/ledger/desk/desk.go 's/urgent = urgent && d\.TwoHomes\(\)/urgent = false/' $S 'UrgentGoes'
