--- a/internal/disk/journal/journal.go
+++ b/internal/disk/journal/journal.go
@@ -7,6 +7,7 @@
 
 	"postjunction/internal/clock"
 	"postjunction/internal/disk/frame"
+	"postjunction/internal/kinds"
 	"postjunction/internal/problem"
 )
 
@@ -126,6 +127,20 @@
 	return fs, bad, last, nil
 }
 
+// unfinished gives where a writing anew began that did not come to its end: power was lost in it, and what it replaces still stands before it.
+func unfinished(fs []frame.Frame) int {
+	at := len(fs)
+	for i, f := range fs {
+		switch f.Kind {
+		case kinds.AnewBegins:
+			at = i
+		case kinds.AnewEnds:
+			at = len(fs)
+		}
+	}
+	return at
+}
+
 func (j *Journal) load() (Report, error) {
 	fs, bad, last, err := j.scan()
 	if problem.Has(err, problem.DiskDamaged) {
@@ -140,6 +155,9 @@
 	if err != nil {
 		return Report{Cause: err}, err
 	}
+	if k := unfinished(fs); k < len(fs) {
+		bad, fs = fs[k].Index, fs[:k]
+	}
 	r := Report{Records: uint64(len(fs))}
 	if bad != 0 {
 		r.Torn = last - bad + 1
@@ -316,10 +334,11 @@
 
 func (j *Journal) compact() error {
 	from := j.next
-	var rs []Rec
+	rs := []Rec{{Kind: kinds.AnewBegins}}
 	for _, p := range j.order {
 		rs = append(rs, p.Dump()...)
 	}
+	rs = append(rs, Rec{Kind: kinds.AnewEnds})
 	if err := j.commit(rs); err != nil {
 		return err
 	}
--- a/internal/disk/memlog/memlog.go
+++ b/internal/disk/memlog/memlog.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// Copy gives a disk with the same contents.
+func (d *Disk) Copy() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return &Disk{first: d.first, recs: append([][]byte(nil), d.recs...), sync: d.sync}
+}
+
+// Unsynced gives how many records are written but not synced.
+func (d *Disk) Unsynced() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(0, len(d.recs)-int(d.sync+1-d.first))
+}
+
+// LosePowerAfter drops what was not synced but for the first keep records; torn leaves the next one half written.
+func (d *Disk) LosePowerAfter(keep int, torn bool) {
+	d.mu.Lock()
+	d.sync += uint64(keep)
+	d.mu.Unlock()
+	d.LosePower(torn)
+}
+
 // Wipe empties the disk.
 func (d *Disk) Wipe() {
 	d.mu.Lock()
--- a/internal/kinds/kinds.go
+++ b/internal/kinds/kinds.go
@@ -12,4 +12,6 @@
 	Base
 	Forget
 	Directory
+	AnewBegins
+	AnewEnds
 )
--- /dev/null
+++ b/internal/proof/crash/crash_test.go
@@ -0,0 +1,251 @@
+package crash
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/epoch"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/disk/journal"
+	"postjunction/internal/kinds"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/replica"
+)
+
+type store struct {
+	j *journal.Journal
+	v *voter.Voter
+	r *replica.Replica
+}
+
+func boot(t *testing.T, l journal.Log) (*store, journal.Report, func()) {
+	t.Helper()
+	s := &store{v: voter.New(), r: replica.New(clock.Real{})}
+	parts := map[uint16]journal.Part{kinds.Slot: s.v, kinds.Roster: s.v}
+	for _, k := range replica.Kinds() {
+		parts[k] = s.r
+	}
+	j, rep, err := journal.Open(l, clock.Real{}, parts, []journal.Part{s.v, s.r})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		j.Run(ctx)
+		close(done)
+	}()
+	s.j = j
+	s.r.Start("i", j)
+	s.v.Start("i1", j, func(roster.Roster) error { return nil }, func(roster.Roster) {})
+	return s, rep, func() {
+		stop()
+		<-done
+	}
+}
+
+func founding() roster.Roster {
+	return roster.Found([]roster.Seat{{Node: "c1", Incarnation: "i1"}, {Node: "c2", Incarnation: "i2"}, {Node: "c3", Incarnation: "i3"}}, roster.Layout{Routine: 2, Urgent: 1})
+}
+
+func entries(after line.Point, e uint64, n int) []line.Entry {
+	var es []line.Entry
+	for i := range n {
+		b := []byte(fmt.Sprintf("%d/%d", e, i))
+		x := line.Entry{Offset: after.Offset + 1, Epoch: e, What: line.Message, Body: b, Digest: line.Digest(b)}
+		x.Chain = line.Link(after.Chain, x)
+		es, after = append(es, x), x.At()
+	}
+	return es
+}
+
+// picture is all that a disk has promised and holds.
+type picture struct {
+	seals map[int]uint64
+	lines map[line.ID]map[uint64]line.Point
+	slots map[string]voter.Slot
+	rost  uint64
+}
+
+const partitions = 3
+
+func (s *store) picture(t *testing.T) picture {
+	t.Helper()
+	p := picture{seals: map[int]uint64{}, lines: map[line.ID]map[uint64]line.Point{}, slots: map[string]voter.Slot{}, rost: s.v.Roster().Sequence}
+	for n := range partitions {
+		p.seals[n] = s.r.Sealed(n)
+		for _, k := range line.Kinds {
+			m := map[uint64]line.Point{}
+			for _, e := range s.r.Line(n, k).Slice(0, ^uint64(0), 1<<30, 1<<30) {
+				m[e.Offset] = e.At()
+			}
+			p.lines[line.ID{Partition: n, Kind: k}] = m
+		}
+		if d, ok := s.r.Directory(n); ok {
+			at, held := s.r.Line(n, line.Changelog).Point(d.At.Offset)
+			assert.Assert(t, held && at == d.At, "a directory whose point is not on the changelog was given out")
+		}
+	}
+	if p.rost > 0 {
+		for _, sealed := range []bool{false, true} {
+			if a, err := s.v.Peek(context.Background(), &voter.PeekTask{Roster: p.rost, Incarnation: "i1", Sealed: sealed}); err == nil {
+				p.slots = a.Slots
+			}
+		}
+	}
+	return p
+}
+
+// between tells whether a picture lies between the one answered last and the one of the task under way.
+func between(got, last, next picture) error {
+	for n, e := range got.seals {
+		if e < last.seals[n] {
+			return fmt.Errorf("partition %d was sealed at %d, came back at %d", n, last.seals[n], e)
+		}
+	}
+	for id, was := range last.lines {
+		will := next.lines[id]
+		for o, p := range was {
+			if will[o] == p && got.lines[id][o] != p {
+				return fmt.Errorf("%v: entry %d was answered for and is gone", id, o)
+			}
+		}
+		for o, p := range got.lines[id] {
+			if was[o] != p && will[o] != p {
+				return fmt.Errorf("%v: entry %d was never put there", id, o)
+			}
+		}
+	}
+	if got.rost < last.rost {
+		return fmt.Errorf("roster %d came back as %d", last.rost, got.rost)
+	}
+	for k, s := range last.slots {
+		g := got.slots[k]
+		if got.rost == last.rost && (g.Promised.Less(s.Promised) || s.Above(g)) {
+			return fmt.Errorf("key %s: promised %v and accepted %v, came back as %v and %v", k, s.Promised, s.Accepted, g.Promised, g.Accepted)
+		}
+	}
+	return nil
+}
+
+// tasks are a disk's whole life in small: founding, promises, appends of two epochs, a replaced tail, trims, a fresh start, directories, a drop,
+// a new roster, and so many records that the journal is written anew in between.
+func tasks() []func(s *store) error {
+	ctx := context.Background()
+	to := func(p int, e uint64) replica.Target { return replica.Target{Partition: p, Incarnation: "i", Epoch: e} }
+	put := func(p int, k line.Kind, e uint64, after func(l *line.Line) line.Point, n int, reset bool) func(*store) error {
+		return func(s *store) error {
+			a := after(s.r.Line(p, k))
+			x, err := s.r.Append(ctx, &replica.AppendTask{Target: to(p, e), Kind: k, After: a, Entries: entries(a, e, n), Reset: reset})
+			if err == nil && !x.OK {
+				err = fmt.Errorf("the lines did not match")
+			}
+			return err
+		}
+	}
+	end := func(l *line.Line) line.Point { return l.Last() }
+	back := func(n uint64) func(l *line.Line) line.Point {
+		return func(l *line.Line) line.Point {
+			p, _ := l.Point(l.Last().Offset - n)
+			return p
+		}
+	}
+	seal := func(p int, e uint64) func(*store) error {
+		return func(s *store) error {
+			_, err := s.r.Seal(ctx, &replica.SealTask{Target: to(p, e)})
+			return err
+		}
+	}
+	trim := func(p int, k line.Kind, e, keep uint64) func(*store) error {
+		return func(s *store) error {
+			l := s.r.Line(p, k)
+			b, _ := l.Point(l.Last().Offset - keep)
+			_, err := s.r.Append(ctx, &replica.AppendTask{Target: to(p, e), Kind: k, After: l.Last(), Base: b})
+			return err
+		}
+	}
+	keep := func(p int) func(*store) error {
+		return func(s *store) error {
+			return s.r.Keep(ctx, replica.Directory{Partition: p, At: s.r.Line(p, line.Changelog).Last(), Input: 1, State: []byte(`{}`)})
+		}
+	}
+	ballot := func(k string, seq uint64) voter.Ballot { return voter.Ballot{Roster: seq, Incarnation: "i1", Key: k} }
+	promise := func(k string, n uint64) func(*store) error {
+		return func(s *store) error {
+			_, err := s.v.Promise(ctx, &voter.PromiseTask{Ballot: ballot(k, s.v.Roster().Sequence), Epoch: epoch.Epoch{N: n, Node: "c1"}})
+			return err
+		}
+	}
+	accept := func(k string, n, w uint64) func(*store) error {
+		return func(s *store) error {
+			_, err := s.v.Accept(ctx, &voter.AcceptTask{Ballot: ballot(k, s.v.Roster().Sequence), Epoch: epoch.Epoch{N: n, Node: "c1"}, Value: voter.Value{Writes: w, Body: []byte(k)}})
+			return err
+		}
+	}
+	ts := []func(*store) error{
+		func(s *store) error {
+			_, err := s.v.Found(ctx, &voter.FoundTask{Incarnation: "i1", Roster: founding()})
+			return err
+		},
+		func(s *store) error {
+			_, err := s.v.Open(ctx, &voter.OpenTask{Incarnation: "i1", Roster: founding(), Founding: true})
+			return err
+		},
+		promise("description", 1), accept("description", 1, 1), promise("description", 3), accept("description", 3, 2), promise("partition/000", 2),
+		seal(0, 1), put(0, line.Ledger, 1, end, 5, false), put(0, line.Changelog, 1, end, 3, false), keep(0), seal(0, 2),
+		put(0, line.Ledger, 2, back(2), 4, false), trim(0, line.Ledger, 2, 3), put(0, line.Changelog, 2, end, 2, false), keep(0), trim(0, line.Changelog, 2, 2),
+		seal(1, 4), put(1, line.Ledger, 4, end, 6, false),
+		put(1, line.Ledger, 5, func(*line.Line) line.Point { return line.Point{Epoch: 4, Offset: 20, Chain: 7} }, 3, true),
+		func(s *store) error { return s.r.CutTo(ctx, to(1, 5), line.Ledger, 22, false) },
+		seal(2, 1), put(2, line.Ledger, 1, end, 4, false),
+		func(s *store) error { _, err := s.r.Drop(ctx, &replica.DropTask{Target: to(2, 9)}); return err },
+		accept(voter.RosterKey, 1, 1),
+		func(s *store) error {
+			n := s.v.Roster()
+			n.Sequence++
+			_, err := s.v.Open(ctx, &voter.OpenTask{Incarnation: "i1", Roster: n, Slots: map[string]voter.Slot{"description": {Accepted: epoch.Epoch{N: 3, Node: "c1"}, Value: voter.Value{Writes: 2}}}})
+			return err
+		},
+		promise("description", 7),
+	}
+	for range 9 {
+		ts = append(ts, put(0, line.Ledger, 2, end, 500, false), trim(0, line.Ledger, 2, 40))
+	}
+	return append(ts, seal(0, 8), accept("description", 7, 3), put(0, line.Ledger, 8, end, 2, false))
+}
+
+// The power goes after every operation of the disk, with each number of unsynced records kept and the next one torn or not.
+func TestPowerLostAfterEveryWrite(t *testing.T) {
+	l := New()
+	s, _, stop := boot(t, l)
+	pics := []picture{s.picture(t)}
+	for i, f := range tasks() {
+		assert.NilError(t, f(s), "task %d", i)
+		pics = append(pics, s.picture(t))
+		l.Answer()
+	}
+	tally := s.j.Tally()
+	stop()
+	assert.Assert(t, tally.Compactions > 0, "void: the journal was never written anew")
+	cases, cuts := 0, map[string]int{}
+	for at, m := range l.Moments() {
+		n := m.Disk.Unsynced()
+		for k := 0; k <= n; k += max(1, n/16) {
+			for _, torn := range []bool{false, true} {
+				d := m.Disk.Copy()
+				d.LosePowerAfter(k, torn)
+				got, rep, stop := boot(t, d)
+				p := got.picture(t)
+				stop()
+				cases++
+				cuts[m.Op]++
+				assert.Assert(t, !rep.Damaged, "moment %d (%s), %d of %d kept, torn %v: %v", at, m.Op, k, n, torn, rep.Cause)
+				assert.NilError(t, between(p, pics[m.Answered], pics[min(m.Answered+1, len(pics)-1)]), "moment %d (%s), %d of %d unsynced kept, torn %v", at, m.Op, k, n, torn)
+			}
+		}
+	}
+	t.Logf("%d moments, %d ways to lose power: %v", len(l.Moments()), cases, cuts)
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -63,6 +63,7 @@
 guard keep-before-trim internal/ledger/owner/takeover.go 's/l.Older\(now.Add\(-o.d.Bounds.Kept\(\)\)\)/l.Older(now.Add(-o.d.Bounds.Spread))/' $S 'Keeping'
 guard trim-behind-input internal/ledger/owner/takeover.go 's/min\(l\.Older\(now\.Add\(-o\.d\.Bounds\.Kept\(\)\)\), in\)/l.Older(now.Add(-o.d.Bounds.Kept()))+0*in/' $S 'TrimmingWaits'
 guard deaf-passed-over internal/placement/duty/duty.go 's/case m\.Deaf && s\.now/case false \&\& m.Deaf \&\& s.now/' $S 'DeafOwner'
+guard anew-whole internal/disk/journal/journal.go 's/if k := unfinished\(fs\); k < len\(fs\) \{/if k := unfinished(fs); false \&\& k < len(fs) {/' ./internal/proof/crash 'AfterEveryWrite'
 guard torn-or-damaged internal/disk/journal/journal.go 's/if bad != 0 && bad <= mark \{/if false {/' ./internal/disk/walog 'Tails'
 guard failed-write internal/disk/journal/journal.go 's/if last > j.mark \{/if false {/' ./internal/disk/walog 'FullDisk'
 guard urgent-home internal/ledger/desk/desk.go 's/urgent = urgent && d\.TwoHomes\(\)/urgent = false/' $S 'UrgentGoes'
