Test: trimming and deaf owners, made to fail without their guards

Now half an interval passes before the kill, and no record may name the deaf store after the recovery bound.

--- a/internal/proof/sim/trim_test.go
+++ b/internal/proof/sim/trim_test.go
@@ -50,7 +50,7 @@
 			}
 			was := late()
 			assert.NilError(t, w.Until(5*time.Second, "the late batch is through", func() bool { return late() > was }))
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(w.Site.Bounds.Changelog() / 2)
 			w.Kill(o)
 			assert.NilError(t, w.Until(10*time.Second, "another owner is open", func() bool {
 				r := w.records()[p]
@@ -70,14 +70,18 @@
 func TestDeafOwnerIsPassedOver(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(seeds(2)) {
-		play(t, siteOf(seed), 300+seed, w10, func(_ *testing.T, w *World) {
+		play(t, siteOf(seed), 300+seed, w10, func(t *testing.T, w *World) {
 			o := busiest(w)
 			for _, n := range w.Names {
 				if n != o {
 					w.Cut(n, o)
 				}
 			}
-			time.Sleep(w.Site.Bounds.Recovery * 2)
+			time.Sleep(w.Site.Bounds.Recovery)
+			for p, r := range w.records() {
+				assert.Assert(t, r.Owner != o, "partition %d still waits for %s", p, o)
+			}
+			time.Sleep(w.Site.Bounds.Recovery)
 			w.Heal()
 			settle(w)
 		})
