Fleet: a relay between processes, full disks, moving callers, emptying, pairs

Packet loss, cuts and full disks were simulated only. For this a node may be told the address under which others reach it (fellow_address). Bad sizes, faults and sites are turned away with the known ones.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -41,7 +41,9 @@
 	dir := fs.String("dir", "", "`folder` for settings, data and logs; without it a new one")
 	site := fs.String("site", "small", "`site`: small, armor or traductores")
 	base := fs.Int("base", 7400, "first callers' `port` less one; 0 for free ones")
+	direct := fs.Bool("direct", false, "no relay between the machines: no delays, cuts or losses, and settings that builds before the relay can read")
 	d := &fleet.Day{Out: os.Stdout}
+	fs.BoolVar(&d.Pairs, "pairs", false, "two faults at a time")
 	fs.Uint64Var(&d.Seed, "seed", 1, "`seed` of callers and faults")
 	fs.DurationVar(&d.Length, "length", 2*time.Minute, "`time` under load")
 	fs.DurationVar(&d.Interval, "interval", 15*time.Second, "`time` between faults")
@@ -59,16 +61,19 @@
 	}
 	s, ok := fleet.Sites[*site]
 	if !ok {
-		return problem.New(problem.Usage, "there is no site %q", *site)
+		return problem.New(problem.Usage, "there is no site %q; there are small, armor and traductores", *site)
 	}
 	for _, n := range strings.Split(*list, ",") {
 		if n != "" && !slices.Contains(fleet.FaultNames(), n) {
-			return problem.New(problem.Usage, "there is no fault %q", n)
+			return problem.New(problem.Usage, "there is no fault %q; there are %s", n, strings.Join(fleet.FaultNames(), ", "))
 		}
 		if n != "" {
 			d.Faults = append(d.Faults, n)
 		}
 	}
+	if d.Length < time.Second || d.Interval < 100*time.Millisecond || d.Load.Callers < 1 || d.Load.Topics < 1 || d.Load.LiveTopics < 0 || d.Load.Flood < 0 || d.Load.Every < time.Millisecond {
+		return problem.New(problem.Usage, "length is at least 1s, interval 100ms, every 1ms, callers and topics 1, live and flood 0")
+	}
 	if *dir == "" {
 		t, err := os.MkdirTemp("", "postjunction-")
 		if err != nil {
@@ -89,7 +94,7 @@
 			return problem.Wrap(problem.Usage, err, "build: %s", out)
 		}
 	}
-	f, err := fleet.New(*bin, full, s, *base, func(o *options.Options) {
+	f, err := fleet.New(*bin, full, s, *base, *direct, func(o *options.Options) {
 		if *backlog > 0 {
 			o.Backlog = *backlog
 		}
@@ -129,6 +134,16 @@
 	spans("send to receive", r.Spread)
 	spans("send to taken, urgent", r.Urgent)
 	spans("send to taken, routine", r.Routine)
+	for k, s := range r.Waits {
+		spans(k, s)
+	}
+	for k, s := range r.Told {
+		spans("told "+k, s)
+	}
+	fmt.Printf("longest wait %s (%s at %s), undisturbed %s\n", r.Longest.Whole, r.Longest.Kind, r.Longest.Place, r.LongestUndisturbed.Undisturbed)
+	fmt.Printf("faults %v\n", r.Covered)
+	calls, cut, lost := f.Relay.Counts()
+	fmt.Printf("between machines: %d calls one way, %d cut, %d late\n", calls, cut, lost)
 	t, err := fleet.Totals(f)
 	if err == nil {
 		fmt.Println(t)
--- a/internal/control/founding/founding.go
+++ b/internal/control/founding/founding.go
@@ -33,12 +33,12 @@
 	addrs := f.opts.Founders
 	named := len(addrs) > 0
 	if !named {
-		addrs = append([]string{f.opts.Fellows}, f.opts.Seeds...)
+		addrs = append([]string{f.opts.Reached()}, f.opts.Seeds...)
 	}
 	slices.Sort(addrs)
 	addrs = slices.Compact(slices.Clone(addrs))
 	as := gather.Ask(ctx, addrs, func(ctx context.Context, a string) (member.Info, error) {
-		if a == f.opts.Fellows {
+		if a == f.opts.Reached() {
 			return f.self(), nil
 		}
 		cx, stop := context.WithTimeout(ctx, f.opts.Bounds().Call())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,7 @@
 	n.mu.Lock()
 	o, st, fit := n.opts, n.stage, n.fitness
 	n.mu.Unlock()
-	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Fellows, Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Homes: true, Roster: n.Board.Roster().Sequence}
+	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Reached(), Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Homes: true, Roster: n.Board.Roster().Sequence}
 	if n.keeper != nil {
 		i.Deaf = n.keeper.Licensed() != nil
 	}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -28,6 +28,7 @@
 	Zone      string   `json:"zone"`
 	Listen    string   `json:"listen"`
 	Fellows   string   `json:"fellow_listen"`
+	Reach     string   `json:"fellow_address,omitempty"`
 	Seeds     []string `json:"seeds"`
 	Disk      string   `json:"disk"`
 	Data      string   `json:"data"`
@@ -92,6 +93,14 @@
 	}
 }
 
+// Reached is the address that other nodes dial.
+func (o Options) Reached() string {
+	if o.Reach != "" {
+		return o.Reach
+	}
+	return o.Fellows
+}
+
 // Bounds gives the three times.
 func (o Options) Bounds() Bounds {
 	return Bounds{Keeping: time.Duration(o.Keeping), Spread: time.Duration(o.Spread), Recovery: time.Duration(o.Recovery)}
@@ -117,6 +126,7 @@
 	fs.StringVar(&o.Zone, "zone", o.Zone, "`zone` that this node stands in")
 	fs.StringVar(&o.Listen, "listen", o.Listen, "`address` for callers and operators")
 	fs.StringVar(&o.Fellows, "fellow-listen", o.Fellows, "`address` for the other nodes")
+	fs.StringVar(&o.Reach, "fellow-address", o.Reach, "`address` that the other nodes dial, when it differs from fellow-listen")
 	fs.Func("seeds", "three `addresses` of other nodes, with commas between", func(t string) error {
 		o.Seeds = strings.Split(t, ",")
 		return nil
@@ -213,6 +223,7 @@
 	add(nameRule.MatchString(o.Zone), "zone", "must be 1 to 63 of a-z, 0-9 and -, is %q", o.Zone)
 	add(address(o.Listen), "listen", "must be an IP number and a port from 1 to 65535, is %q", o.Listen)
 	add(address(o.Fellows), "fellow_listen", "must be an IP number and a port from 1 to 65535, is %q", o.Fellows)
+	add(o.Reach == "" || address(o.Reach), "fellow_address", "must be empty or an IP number and a port from 1 to 65535, is %q", o.Reach)
 	add(o.Listen != o.Fellows, "fellow_listen", "must differ from listen, is %q too", o.Fellows)
 	add(len(o.Seeds) == 3, "seeds", "must be 3 addresses, are %d", len(o.Seeds))
 	for i, s := range o.Seeds {
--- a/internal/proof/fleet/day.go
+++ b/internal/proof/fleet/day.go
@@ -13,6 +13,7 @@
 	"postjunction/internal/clock"
 	"postjunction/internal/options"
 	"postjunction/internal/problem"
+	"postjunction/internal/proof/caller"
 	"postjunction/internal/proof/history"
 	"postjunction/internal/proof/port"
 	"postjunction/internal/proof/sim"
@@ -26,6 +27,7 @@
 	Faults   []string
 	Interval time.Duration
 	Next     string
+	Pairs    bool
 	Out      io.Writer
 }
 
@@ -37,6 +39,19 @@
 	_, _ = fmt.Fprintf(d.Out, time.Now().Format("15:04:05.000 ")+f+"\n", a...)
 }
 
+// callers hold each caller's zone, which may change.
+type callers struct {
+	mu   sync.Mutex
+	cs   []*caller.Caller
+	zone []string
+}
+
+func (c *callers) at(i int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.zone[i]
+}
+
 type fault func(ctx context.Context, d *Day, f *Fleet, p *Process, rng *rand.Rand) error
 
 func down(rng *rand.Rand) time.Duration { return time.Duration(2+rng.IntN(12)) * time.Second }
@@ -185,17 +200,27 @@
 	}
 	h.Accept(seq, time.Now())
 	wait(ctx, spread)
+	h.Bound = options.DefaultBounds.Recovery
 	for _, p := range f.Processes {
 		wg.Go(func() { watchDescription(ctx, p, h, spread) })
 	}
 	sends, quiet := context.WithCancel(ctx)
 	defer quiet()
-	for i, c := range sim.Plan(d.Load, d.Seed, spread) {
-		zone := f.Processes[i%len(f.Processes)].Opts.Zone
-		c.Clock, c.History = clock.Real{}, h
-		c.Ports = func() []port.Port { return f.Ports(zone) }
-		wg.Go(func() { c.Run(ctx, sends) })
+	f.callers = &callers{}
+	f.arrive = func(l sim.Load, seed uint64, prefix string) {
+		for _, c := range sim.Plan(l, seed, spread) {
+			f.callers.mu.Lock()
+			i := len(f.callers.cs)
+			f.callers.cs = append(f.callers.cs, c)
+			f.callers.zone = append(f.callers.zone, f.Processes[i%len(f.Processes)].Opts.Zone)
+			f.callers.mu.Unlock()
+			c.Name = prefix + c.Name
+			c.Clock, c.History = clock.Real{}, h
+			c.Ports = func() []port.Port { return f.Ports(f.callers.at(i)) }
+			wg.Go(func() { c.Run(ctx, sends) })
+		}
 	}
+	f.arrive(d.Load, d.Seed, "")
 	wg.Go(func() { d.operate(sends, f, h, seq) })
 	for i := range d.Load.Flood {
 		wg.Go(func() { d.flood(sends, f, i) })
@@ -204,12 +229,26 @@
 	end := time.Now().Add(d.Length)
 	wait(ctx, min(10*time.Second, d.Length/2))
 	for time.Now().Before(end) && ctx.Err() == nil && len(d.Faults) > 0 {
-		p := f.Processes[rng.IntN(len(f.Processes))]
-		n := d.Faults[rng.IntN(len(d.Faults))]
-		d.say("%s %s", n, p.Name)
-		if err := faults[n](ctx, d, f, p, rng); err != nil {
-			h.Violate(history.Recovery, "%v", err)
+		var two sync.WaitGroup
+		for k := range 1 + bit[d.Pairs] {
+			p := f.Processes[rng.IntN(len(f.Processes))]
+			n := d.Faults[rng.IntN(len(d.Faults))]
+			r := rand.New(rand.NewPCG(rng.Uint64(), 5))
+			two.Go(func() {
+				wait(ctx, time.Duration(k*r.IntN(3000))*time.Millisecond)
+				if !f.hit(p.Name) {
+					return
+				}
+				defer f.free(p.Name)
+				d.say("%s %s", n, p.Name)
+				h.Disturb(n, time.Now())
+				if err := faults[n](ctx, d, f, p, r); err != nil {
+					h.Violate(history.Recovery, "%v", err)
+				}
+				h.Disturb("end of "+n, time.Now())
+			})
 		}
+		two.Wait()
 		wait(ctx, d.Interval)
 	}
 	wait(ctx, time.Until(end))
--- a/internal/proof/fleet/fleet.go
+++ b/internal/proof/fleet/fleet.go
@@ -18,18 +18,21 @@
 	"postjunction/internal/options"
 	"postjunction/internal/problem"
 	"postjunction/internal/proof/port"
+	"postjunction/internal/proof/sim"
 )
 
 // Site is a deployment.
 type Site struct {
 	Zones, Control, Access, Stores int
+	// Apart is how far two zones are from each other, there and back.
+	Apart time.Duration
 }
 
 // Sites are the deployments of the brief, and a small one.
 var Sites = map[string]Site{
-	"small":       {Zones: 3, Control: 3, Access: 2, Stores: 3},
-	"armor":       {Zones: 3, Control: 3, Access: 7, Stores: 3},
-	"traductores": {Zones: 4, Control: 4, Access: 6, Stores: 4},
+	"small":       {Zones: 3, Control: 3, Access: 2, Stores: 3, Apart: 500 * time.Microsecond},
+	"armor":       {Zones: 3, Control: 3, Access: 7, Stores: 3, Apart: 500 * time.Microsecond},
+	"traductores": {Zones: 4, Control: 4, Access: 6, Stores: 4, Apart: 1500 * time.Microsecond},
 }
 
 // Process is one machine of the fleet.
@@ -49,6 +52,10 @@
 type Fleet struct {
 	Processes []*Process
 	byName    map[string]*Process
+	Relay     *Relay
+	callers   *callers
+	arrive    func(l sim.Load, seed uint64, prefix string)
+	busy      map[string]bool
 	mu        sync.Mutex
 	ready     map[string]bool
 }
@@ -63,9 +70,9 @@
 }
 
 // New writes the settings of a site's machines under dir. With base 0 the ports are free ones,
-// else callers' ports count up from base and fellows' ports from base+100.
-func New(bin, dir string, s Site, base int, edit func(*options.Options)) (*Fleet, error) {
-	f := &Fleet{byName: map[string]*Process{}, ready: map[string]bool{}}
+// else callers' ports count up from base and fellows' ports from base+100. Unless direct, a relay stands between the machines.
+func New(bin, dir string, s Site, base int, direct bool, edit func(*options.Options)) (*Fleet, error) {
+	f := &Fleet{byName: map[string]*Process{}, ready: map[string]bool{}, Relay: newRelay(s.Apart)}
 	var seeds []string
 	k := 0
 	add := func(kind, disk string, n int) error {
@@ -86,8 +93,14 @@
 			if disk != options.DiskNone {
 				o.Data = filepath.Join(dir, o.Name)
 			}
+			var err error
+			if !direct {
+				if o.Reach, err = f.Relay.serve(o.Name, o.Zone, o.Fellows); err != nil {
+					return err
+				}
+			}
 			if disk == options.DiskControl && len(seeds) < 3 {
-				seeds = append(seeds, o.Fellows)
+				seeds = append(seeds, o.Reached())
 			}
 			if edit != nil {
 				edit(&o)
@@ -202,6 +215,27 @@
 		})
 	}
 	wg.Wait()
+	f.Relay.close()
+}
+
+// hit takes a machine for a fault, unless another one has it.
+func (f *Fleet) hit(n string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy == nil {
+		f.busy = map[string]bool{}
+	}
+	if f.busy[n] {
+		return false
+	}
+	f.busy[n] = true
+	return true
+}
+
+func (f *Fleet) free(n string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.busy, n)
 }
 
 // Probe asks a machine whether it is ready.
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -24,7 +24,7 @@
 }
 
 func start(t *testing.T, bin string) *Fleet {
-	f, err := New(bin, t.TempDir(), Sites["small"], 0, nil)
+	f, err := New(bin, t.TempDir(), Sites["small"], 0, false, nil)
 	assert.NilError(t, err)
 	assert.NilError(t, f.Start())
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/proof/fleet/links.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"postjunction/internal/options"
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/problem"
+)
+
+var bit = map[bool]int{true: 1}
+
+func after(ctx context.Context, t time.Duration, undo ...func()) {
+	wait(ctx, t)
+	for _, f := range undo {
+		f()
+	}
+}
+
+// full makes a process's files as large as they may be: every further write fails as on a full disk.
+func (p *Process) full(on bool) error {
+	p.mu.Lock()
+	c := p.cmd
+	p.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	most := uint64(math.MaxUint64)
+	if on {
+		most = 1
+	}
+	return problem.Wrap(problem.Internal, unix.Prlimit(c.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: most, Max: math.MaxUint64}, nil), "limit the files of %s", p.Name)
+}
+
+func (f *Fleet) ask(ctx context.Context, method, path, doc string) (string, error) {
+	for _, p := range f.Processes {
+		if !strings.HasPrefix(p.Name, "c") {
+			continue
+		}
+		cx, stop := context.WithTimeout(ctx, options.DefaultBounds.Recovery)
+		r, err := http.NewRequestWithContext(cx, method, p.port.Base+path, strings.NewReader(doc))
+		if err == nil {
+			var a *http.Response
+			if a, err = p.port.Client.Do(r); err == nil {
+				b, _ := io.ReadAll(a.Body)
+				_ = a.Body.Close()
+				stop()
+				if a.StatusCode < http.StatusInternalServerError {
+					return string(b), nil
+				}
+				continue
+			}
+		}
+		stop()
+	}
+	return "", problem.New(problem.Unreachable, "no control node answered %s", path)
+}
+
+func init() {
+	faults["cut"] = func(ctx context.Context, _ *Day, f *Fleet, p *Process, rng *rand.Rand) error {
+		after(ctx, down(rng), f.Relay.Cut(p.Name, all), f.Relay.Cut(all, p.Name))
+		return nil
+	}
+	faults["oneway"] = func(ctx context.Context, _ *Day, f *Fleet, p *Process, rng *rand.Rand) error {
+		undo := []func(){f.Relay.Cut(all, p.Name)}
+		if rng.IntN(2) == 0 {
+			undo[0]()
+			undo = undo[:0]
+			for _, q := range f.choose(rng, 3, func(*Process) bool { return true }) {
+				undo = append(undo, f.Relay.Cut(p.Name, q.Name))
+			}
+		}
+		after(ctx, down(rng), undo...)
+		return nil
+	}
+	faults["zone"] = func(ctx context.Context, _ *Day, f *Fleet, p *Process, rng *rand.Rand) error {
+		var undo []func()
+		in, out := f.Relay.Zone(p.Opts.Zone)
+		for _, a := range in {
+			for _, b := range out {
+				undo = append(undo, f.Relay.Cut(a, b), f.Relay.Cut(b, a))
+			}
+		}
+		after(ctx, down(rng), undo...)
+		return nil
+	}
+	faults["loss"] = func(ctx context.Context, _ *Day, f *Fleet, _ *Process, rng *rand.Rand) error {
+		after(ctx, down(rng), f.Relay.Lose(0.05+0.1*rng.Float64()))
+		return nil
+	}
+	faults["connections"] = func(ctx context.Context, d *Day, f *Fleet, _ *Process, _ *rand.Rand) error {
+		n := f.Relay.Reset(0.8)
+		f.callers.move(0.8)
+		d.say("%d connections between machines and most callers' were reset", n)
+		return nil
+	}
+	faults["move"] = func(ctx context.Context, _ *Day, f *Fleet, p *Process, _ *rand.Rand) error {
+		f.callers.to(0.2, p.Opts.Zone)
+		return nil
+	}
+	faults["arrive"] = func(ctx context.Context, d *Day, f *Fleet, p *Process, rng *rand.Rand) error {
+		l := d.Load
+		l.Callers = max(1, l.Callers/6)
+		f.arrive(l, rng.Uint64(), fmt.Sprintf("late%d-", rng.IntN(1e9)))
+		return nil
+	}
+	faults["full"] = func(ctx context.Context, _ *Day, f *Fleet, p *Process, rng *rand.Rand) error {
+		if p.Opts.Disk == options.DiskNone {
+			p = f.choose(rng, 1, func(q *Process) bool { return q.Opts.Disk != options.DiskNone })[0]
+		}
+		if err := p.full(true); err != nil {
+			return err
+		}
+		wait(ctx, down(rng))
+		return p.full(false)
+	}
+	faults["drain"] = func(ctx context.Context, d *Day, f *Fleet, _ *Process, rng *rand.Rand) error {
+		p := f.choose(rng, 1, func(q *Process) bool { return q.Opts.Store() })[0]
+		a, err := f.ask(ctx, http.MethodPost, "/v1/drain", `{"node":"`+p.Name+`"}`)
+		if err != nil {
+			d.say("emptying of %s was not asked for: %v", p.Name, err)
+			return nil
+		}
+		done := false
+		for t := time.Now(); time.Since(t) < time.Minute && !done && ctx.Err() == nil; wait(ctx, time.Second) {
+			a, err = f.ask(ctx, http.MethodGet, "/v1/drain", "")
+			done = err == nil && drained(a, p.Name)
+		}
+		d.say("emptying of %s done %v: %.120s", p.Name, done, a)
+		if !done {
+			return nil
+		}
+		p.Signal(syscall.SIGTERM, true)
+		wait(ctx, down(rng))
+		if rng.IntN(2) == 0 {
+			if err := p.Wipe(); err != nil {
+				return problem.Wrap(problem.Internal, err, "wipe %s", p.Name)
+			}
+		}
+		return p.Start()
+	}
+}
+
+func drained(answer, node string) bool {
+	var a struct{ Drains []drain.Drain }
+	if json.Unmarshal([]byte(answer), &a) != nil {
+		return false
+	}
+	for _, x := range a.Drains {
+		if x.Node == node {
+			return x.Done
+		}
+	}
+	return false
+}
+
+func (c *callers) move(share float64) {
+	c.mu.Lock()
+	cs := c.cs
+	c.mu.Unlock()
+	for _, x := range cs {
+		if rand.Float64() < share {
+			x.Move()
+		}
+	}
+}
+
+func (c *callers) to(share float64, zone string) {
+	c.mu.Lock()
+	cs := c.cs
+	var moved []int
+	for i := range cs {
+		if rand.Float64() < share {
+			c.zone[i] = zone
+			moved = append(moved, i)
+		}
+	}
+	c.mu.Unlock()
+	for _, i := range moved {
+		cs[i].Move()
+	}
+}
