--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -3,7 +3,10 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"sort"
 	"strings"
 	"testing"
@@ -62,3 +65,36 @@
 	b.WriteString("\n")
 	update(t, "callers.md", "<!-- problems -->", "<!-- end -->", b.String())
 }
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	b, err := os.ReadFile("../../" + path)
+	assert.NilError(t, err)
+	return string(b)
+}
+
+// Every test and guard that the map of the brief and the never-list name must be there.
+func TestChecksNamedInTheMapExist(t *testing.T) {
+	var code strings.Builder
+	assert.NilError(t, filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, "_test.go") {
+			code.WriteString(read(t, strings.TrimPrefix(path, "../../")))
+		}
+		return err
+	}))
+	guards := read(t, "tools/guards.sh")
+	tests, names := regexp.MustCompile("`(Test[A-Za-z0-9]+)`"), regexp.MustCompile("guards?:? ((?:`[a-z-]+`(?:, )?)+)")
+	for _, page := range []string{"docs/brief.md", "docs/never.md"} {
+		s := read(t, page)
+		found := tests.FindAllStringSubmatch(s, -1)
+		assert.Assert(t, len(found) > 10, "%s names %d tests", page, len(found))
+		for _, m := range found {
+			assert.Assert(t, strings.Contains(code.String(), "func "+m[1]+"("), "%s names %s, which is not there", page, m[1])
+		}
+		for _, m := range names.FindAllStringSubmatch(s, -1) {
+			for _, g := range strings.Split(m[1], ", ") {
+				assert.Assert(t, strings.Contains(guards, "guard "+strings.Trim(g, "`")+" "), "%s names guard %s, which is not there", page, g)
+			}
+		}
+	}
+}
--- a/internal/proof/sim/last.go
+++ b/internal/proof/sim/last.go
@@ -18,7 +18,12 @@
 	Topics []string
 }
 
-var errEnough = errors.New("enough was read")
+type enough struct{}
+
+// Error says that a reader has all that it wanted.
+func (enough) Error() string { return "enough was read" }
+
+var errEnough error = enough{}
 
 func (w *World) fresh(name string, topics []string, cursor string, through string, limit time.Duration, f func(visitor.Line) error) error {
 	end := time.Now().Add(limit)
