--- a/internal/proof/history/history.go
+++ b/internal/proof/history/history.go
@@ -275,6 +275,8 @@
 	Verdicts                      map[string]int
 	Vows                          int
 	Covered                       map[string]int
+	// Judged tells which lines had something to be judged by in this run.
+	Judged map[string]bool
 }
 
 // Spans are the quantiles of a set of durations.
@@ -327,6 +329,7 @@
 	h.judgeDelivery()
 	h.judgeWaits(cut, now, &r)
 	r.Vows, r.Covered = h.vows, h.covered
+	h.judged(&r)
 	r.Spread, r.Urgent, r.Routine = spans(h.spread), spans(h.urgent), spans(h.routine)
 	r.Violations = h.bad
 	return r
--- a/internal/proof/history/trace.go
+++ b/internal/proof/history/trace.go
@@ -82,6 +82,7 @@
 type vow struct {
 	rank Rank
 	at   time.Time
+	more bool
 }
 
 // Vow notes that a disk, under its random name, answered yes to something under a rank; what names the register or partition.
@@ -95,7 +96,7 @@
 		h.violate(Disk, "disk %s said yes to %s under %v at %s, after yes under %v at %s", disk, what, r, told.Format("04:05.000000"), v.rank, v.at.Format("04:05.000000"))
 	}
 	if v, ok := h.vowed[k]; !ok || v.rank.less(r) {
-		h.vowed[k] = vow{r, told}
+		h.vowed[k] = vow{r, told, ok}
 	}
 }
 
--- a/internal/proof/sim/chaos_test.go
+++ b/internal/proof/sim/chaos_test.go
@@ -6,10 +6,14 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"postjunction/internal/proof/history"
 )
 
 // whole tells whether every partition has its copies on the disks in use, and every voter its seat.
@@ -71,10 +75,77 @@
 	}
 }
 
+// coverage counts, for each fault and line, the runs in which the line had something to be judged by.
+type coverage struct {
+	mu    sync.Mutex
+	runs  [2]int
+	pairs map[string]bool
+	by    map[string]map[string]int
+	waits []time.Duration
+}
+
+var covered = coverage{pairs: map[string]bool{}, by: map[string]map[string]int{}}
+
+func (c *coverage) note(seed uint64, steps []Step, r history.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[seed%2]++
+	c.waits = append(c.waits, r.LongestUndisturbed.Undisturbed)
+	seen := map[string]bool{}
+	for _, s := range steps {
+		for _, n := range []string{s.A, s.B} {
+			seen[n] = true
+		}
+		if s.B != "" {
+			c.pairs[min(s.A, s.B)+"+"+max(s.A, s.B)] = true
+		}
+	}
+	delete(seen, "")
+	for n := range seen {
+		if c.by[n] == nil {
+			c.by[n] = map[string]int{}
+		}
+		for l, ok := range r.Judged {
+			if ok {
+				c.by[n][l]++
+			}
+		}
+	}
+}
+
+// table writes the counts for docs/never.md.
+func (c *coverage) table() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slices.Sort(c.waits)
+	if len(c.waits) == 0 {
+		return "no run"
+	}
+	at := func(q float64) time.Duration {
+		return c.waits[int(q*float64(len(c.waits)-1))].Round(10 * time.Millisecond)
+	}
+	k := len(BlowNames())
+	s := fmt.Sprintf("%d runs at armor, %d at traductores, %d of %d pairs of different faults; longest wait after the last thing that went wrong: median %s, p95 %s, most %s\n\n| fault |", c.runs[0], c.runs[1], len(c.pairs), k*(k-1)/2+k, at(0.5), at(0.95), at(1))
+	for _, l := range history.Lines {
+		n, _, _ := strings.Cut(l, " ")
+		s += " " + strings.TrimPrefix(n, "never-") + " |"
+	}
+	s += "\n|---|" + strings.Repeat("---|", len(history.Lines)) + "\n"
+	for _, b := range BlowNames() {
+		s += "| " + b + " |"
+		for _, l := range history.Lines {
+			s += fmt.Sprintf(" %d |", c.by[b][l])
+		}
+		s += "\n"
+	}
+	return s
+}
+
 func siteOf(seed uint64) Site { return []Site{Armor, Traductores}[seed%2] }
 
 func chaos(t *testing.T, seed uint64, steps []Step) {
-	play(t, siteOf(seed), seed, time.Hour, func(t *testing.T, w *World) { w.live(t, steps) })
+	r := play(t, siteOf(seed), seed, time.Hour, func(t *testing.T, w *World) { w.live(t, steps) })
+	covered.note(seed, steps, r)
 }
 
 // TestSeeds runs random faults, alone and in pairs. PJ_SEEDS=from:to searches further.
@@ -87,6 +158,9 @@
 	if raced {
 		to = from + 1
 	}
+	if os.Getenv("PJ_SEEDS") != "" {
+		t.Cleanup(func() { t.Logf("\n%s", covered.table()) })
+	}
 	for s := from; s < to; s++ {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
--- a/internal/proof/sim/sim_test.go
+++ b/internal/proof/sim/sim_test.go
@@ -18,7 +18,7 @@
 var load = Load{Callers: 10, Topics: 6, LiveTopics: 2, Leads: 2, Every: 400 * time.Millisecond}
 
 // play runs a fleet through a script and checks what callers saw.
-func play(t *testing.T, s Site, seed uint64, bound time.Duration, script func(t *testing.T, w *World)) {
+func play(t *testing.T, s Site, seed uint64, bound time.Duration, script func(t *testing.T, w *World)) (r history.Report) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := New(s, seed, Logger())
@@ -45,8 +45,9 @@
 		time.Sleep(5 * time.Second)
 		cut := w.Quiet(10 * time.Second)
 		last(t, w, book)
-		report(t, w, cut, bound)
+		r = report(t, w, cut, bound)
 	})
+	return r
 }
 
 // lasts are the faults that a day may end with: any one machine, or the power of all.
