Operators: why, a call explained after the fact

Why a call was turned away stood in the log at level debug only. Now each node remembers its newest 4096 such calls in a ring; any node asks all members and the owner of the topic's line, and answers with both: taken or not, where, under which epoch, the last number, and who turned it away when and why. What nobody knows is unknown_call with what to do. TestWhyExplainsACallAfterTheFact: a gap and an altered repeat seen through three nodes, one of them killed.

--- a/internal/command/caller/caller.go
+++ b/internal/command/caller/caller.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 
 	"postjunction/internal/plain"
@@ -86,6 +87,12 @@
 		}
 		return call(ctx, s, w, http.MethodGet, "/v1/partition?"+q.Encode(), nil)
 	}},
+	"why": {Help: "explain what became of a call, and why nodes turned it away", Args: "VISITOR", set: func(fs *flag.FlagSet, w *want) {
+		fs.StringVar(&w.topic, "topic", "", "`topic`, written space/topic")
+		fs.Uint64Var(&w.call, "call-seq", 0, "`number` of the message, from 1")
+	}, run: func(ctx context.Context, s Streams, w *want, a []string) error {
+		return call(ctx, s, w, http.MethodGet, "/v1/why?"+url.Values{"visitor": {a[0]}, "topic": {w.topic}, "call_seq": {strconv.FormatUint(w.call, 10)}}.Encode(), nil)
+	}},
 	"attach": {Help: "attach under a lasting name and print the token", Args: "VISITOR", run: func(ctx context.Context, s Streams, w *want, a []string) error {
 		return post(ctx, s, w, "/v1/attach", map[string]any{"visitor": a[0]})
 	}},
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -53,6 +53,7 @@
 	d.add("/v1/usage", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Usage(r.Context()) }})
 	d.add("/v1/drain", map[string]call{"GET": func(_ http.ResponseWriter, r *http.Request) (any, error) { return d.Operators.Drains(r.Context()) }, "POST": d.drain})
 	d.add("/v1/partition", map[string]call{"GET": d.partition})
+	d.add("/v1/why", map[string]call{"GET": d.why})
 	d.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		Turn(w, problem.New(problem.UnknownPath, "there is no %s", r.URL.Path))
 	})
@@ -279,6 +280,18 @@
 	return d.Operators.Partition(r.Context(), r.URL.Query().Get("n"), r.URL.Query().Get("topic"))
 }
 
+func (d *Door) why(_ http.ResponseWriter, r *http.Request) (any, error) {
+	if err := query(r, "visitor", "topic", "call_seq"); err != nil {
+		return nil, err
+	}
+	q := r.URL.Query()
+	n, err := strconv.ParseUint(q.Get("call_seq"), 10, 64)
+	if err != nil {
+		return nil, problem.New(problem.Malformed, "call_seq must be a number from 1, is %q", q.Get("call_seq"))
+	}
+	return d.Operators.Why(r.Context(), q.Get("visitor"), q.Get("topic"), n)
+}
+
 // Server makes the HTTP server of a door.
 func Server(h http.Handler, b options.Bounds) *http.Server {
 	return &http.Server{
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -73,12 +73,30 @@
 	Uses []owner.Use `json:"u"`
 }
 
+// TraceTask asks what the ledger knows of a call.
+type TraceTask struct {
+	Visitor string `json:"v"`
+	Topic   string `json:"t"`
+	Call    uint64 `json:"c"`
+}
+
+// Traced says so: whether the call was taken and where, who decided, and the last number taken.
+type Traced struct {
+	Partition int    `json:"partition"`
+	Owner     string `json:"owner"`
+	Epoch     uint64 `json:"epoch"`
+	Taken     bool   `json:"taken"`
+	Offset    uint64 `json:"offset,omitempty"`
+	Last      uint64 `json:"last_call_seq"`
+}
+
 // The desk's calls.
 var (
 	Submit   = wire.Name[owner.Task, owner.Decision]("Ledger", "Submit")
 	Attach   = wire.Name[AttachTask, AttachAnswer]("Ledger", "Attach")
 	Attached = wire.Name[AttachedTask, AttachedAnswer]("Ledger", "Attached")
 	Ack      = wire.Name[AckTask, Done]("Ledger", "Ack")
+	Trace    = wire.Name[TraceTask, Traced]("Ledger", "Trace")
 	Usage    = wire.Name[UsageTask, UsageAnswer]("Ledger", "Usage")
 	Read     = wire.Name[ReadTask, owner.Reading]("Ledger", "Read")
 )
@@ -164,6 +182,23 @@
 	return &UsageAnswer{Uses: us}, err
 }
 
+func (d *Desk) trace(ctx context.Context, q *TraceTask) (*Traced, error) {
+	s, err := d.Board.Index().Find(q.Topic)
+	if err != nil {
+		return nil, err
+	}
+	o, err := d.here(partition.Of(q.Topic, s.Urgent, d.Board.Roster().Layout))
+	if err != nil {
+		return nil, err
+	}
+	last, at, kept, err := o.Trace(ctx, q.Visitor, q.Topic, q.Call)
+	t := &Traced{Partition: o.Rec.Partition, Owner: d.Self, Epoch: o.Rec.Epoch, Taken: q.Call <= last, Last: last}
+	if kept {
+		t.Offset = at.Offset
+	}
+	return t, err
+}
+
 // Serve adds the desk's calls.
 func (d *Desk) Serve(m *http.ServeMux) {
 	Submit.Handle(m, d.submit)
@@ -172,6 +207,7 @@
 	Ack.Handle(m, d.ack)
 	Read.Handle(m, d.read)
 	Usage.Handle(m, d.usage)
+	Trace.Handle(m, d.trace)
 }
 
 var elsewhere = map[problem.Kind]bool{
@@ -327,6 +363,11 @@
 	return handOver(ctx, d, p, Read, d.read, &ReadTask{Partition: p, From: from, Hold: hold})
 }
 
+// Trace asks what the ledger knows of a call.
+func (d *Desk) Trace(ctx context.Context, p int, q *TraceTask) (*Traced, error) {
+	return handOver(ctx, d, p, Trace, d.trace, q)
+}
+
 // Usage asks how a partition's topics were used.
 func (d *Desk) Usage(ctx context.Context, p int) ([]owner.Use, error) {
 	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageTask{Partition: p})
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -264,6 +264,19 @@
 	return o.await(ctx, line.Ledger, e.Offset)
 }
 
+// Trace tells how far a visitor's calls on a topic have come, and where one of them stands if its answer is still kept.
+func (o *Owner) Trace(ctx context.Context, visitor, topic string, call uint64) (last uint64, at state.Taken, kept bool, err error) {
+	o.mu.Lock()
+	if o.stage != Open && o.stage != Closing {
+		o.mu.Unlock()
+		return 0, at, false, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, o.stage)
+	}
+	a := o.st.Accepted[state.Key(visitor, topic)]
+	o.mu.Unlock()
+	at, kept = a.Find(call)
+	return a.Last, at, kept, o.assure(ctx)
+}
+
 // Reading is a part of the committed ledger: entries after From, up to To.
 type Reading struct {
 	Base    uint64       `json:"base"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	"postjunction/internal/session"
 	"postjunction/internal/visitor"
 	"postjunction/internal/visitor/admission"
+	"postjunction/internal/visitor/turned"
 	"postjunction/internal/wire"
 )
 
@@ -84,6 +85,7 @@
 	desk     *desk.Desk
 	presence *presence.Presence
 	gates    *admission.Gates
+	turned   turned.Memory
 	founder  *founding.Founder
 	steward  *steward.Steward
 	duty     *duty.Duty
@@ -272,14 +274,31 @@
 	n.desk = &desk.Desk{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View, Owners: n.owners}
 	n.presence = presence.New(self, net, b, n.View)
 	n.gates = admission.New(o.Backlog)
+	n.turned = turned.New()
 	n.Visitors = &visitor.Service{
 		Clock: clk, Bounds: b, Body: o.Body, Board: n.Board, Desk: n.desk, Presence: n.presence, Gates: n.gates,
 		Feeds: feed.New(ctx, n.desk, clk, b), Licensed: n.keeper.Licensed, Leaving: n.leaving,
 		Heard: func(t *visitor.Task, err error) {
 			n.log.Say(event.Turned, "verb", t.Verb, "visitor", t.Visitor, "problem", err)
+			p, topic := problem.Of(err), ""
+			if len(t.Topics) > 0 {
+				topic = t.Topics[0]
+			}
+			n.turned.Add(turned.Note{At: clk.Now().UTC(), Node: self, Verb: t.Verb, Visitor: t.Visitor, Topic: topic, Call: t.Call, Code: string(p.Kind), Say: p.Say})
 		},
 	}
-	n.Operators = &operator.Service{Bounds: b, Client: n.client, Board: n.Board, View: n.View, Info: n.Info, Licensed: n.keeper.Licensed, With: n.keeper.With, Owners: n.owners.Views, Uses: n.desk.Usage, Tallies: n.tallies, Log: n.log}
+	n.Operators = &operator.Service{Bounds: b, Client: n.client, Board: n.Board, View: n.View, Info: n.Info, Licensed: n.keeper.Licensed, With: n.keeper.With, Owners: n.owners.Views, Uses: n.desk.Usage, Tallies: n.tallies, Trace: n.desk.Trace, Turned: n.askTurned, Log: n.log}
+}
+
+func (n *Node) askTurned(ctx context.Context, i member.Info, q turned.Task) ([]turned.Note, error) {
+	if i.Name == n.opts.Name {
+		return n.turned.Find(q), nil
+	}
+	a, err := turned.Turned.Call(ctx, n.w.Net, n.opts.Name, i.Fellows, &q)
+	if err != nil {
+		return nil, err
+	}
+	return a.Notes, nil
 }
 
 func (n *Node) run(ctx context.Context) {
@@ -354,6 +373,7 @@
 	n.gossip.Serve(m)
 	n.desk.Serve(m)
 	n.presence.Serve(m)
+	n.turned.Serve(m)
 	if n.host != nil {
 		n.host.Serve(m)
 		n.holder.Serve(m)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,6 +18,7 @@
 	"postjunction/internal/event"
 	"postjunction/internal/gather"
 	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/desk"
 	"postjunction/internal/ledger/owner"
 	"postjunction/internal/member"
 	"postjunction/internal/options"
@@ -26,6 +27,7 @@
 	"postjunction/internal/placement/record"
 	"postjunction/internal/problem"
 	"postjunction/internal/usage"
+	"postjunction/internal/visitor/turned"
 
 	"github.com/mailru/easyjson"
 )
@@ -42,6 +44,8 @@
 	Owners   func() []owner.View
 	Uses     func(ctx context.Context, p int) ([]owner.Use, error)
 	Tallies  func() map[string]any
+	Trace    func(ctx context.Context, p int, q *desk.TraceTask) (*desk.Traced, error)
+	Turned   func(ctx context.Context, i member.Info, q turned.Task) ([]turned.Note, error)
 	Log      *event.Logger
 }
 
--- a/internal/problem/catalogue.go
+++ b/internal/problem/catalogue.go
@@ -51,6 +51,7 @@
 	Unreachable   Kind = "unreachable"
 	OptionsBad    Kind = "options_invalid"
 	UnknownNode   Kind = "unknown_node"
+	UnknownCall   Kind = "unknown_call"
 	AlreadyEmpty  Kind = "already_empty"
 	DrainUnsafe   Kind = "drain_unsafe"
 	RecordingBad  Kind = "recording_bad"
@@ -113,6 +114,7 @@
 	WireNewer:     {409, 0, "The fellow speaks a newer format; bring this node to the newer build."},
 	Unreachable:   {503, 200 * time.Millisecond, "The other node did not answer."},
 	OptionsBad:    {400, 0, "Mend the named settings."},
+	UnknownCall:   {404, 0, "Check visitor, topic and number; each node remembers its newest 4096 calls that were turned away, until it restarts."},
 	UnknownNode:   {404, 0, "Name a node that the status page lists."},
 	AlreadyEmpty:  {409, 0, "The machine holds nothing; it can be taken away."},
 	DrainUnsafe:   {409, 0, "Bring another machine with a disk up first."},
--- /dev/null
+++ b/internal/proof/sim/why_test.go
@@ -0,0 +1,49 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/operator"
+	"postjunction/internal/problem"
+)
+
+// A call that one node turned away is explained by any other, beside what the ledger decided.
+func TestWhyExplainsACallAfterTheFact(t *testing.T) {
+	t.Parallel()
+	stand(t, Armor, 320, func(t *testing.T, w *World) {
+		_, err := w.Put("c1", load.Describe(0))
+		assert.NilError(t, err)
+		time.Sleep(w.Site.Bounds.Spread)
+		tok := attach(t, w, "a1", "v").Token
+		_, err = w.Port("a1").Send(w.ctx, tok, "kept/t0", 1, []byte(`"one"`))
+		assert.NilError(t, err)
+		_, err = w.Port("a1").Send(w.ctx, tok, "kept/t0", 4, []byte(`"four"`))
+		assert.Assert(t, problem.Has(err, problem.CallGap), "%v", err)
+		_, err = w.Port("s2").Send(w.ctx, tok, "kept/t0", 1, []byte(`"other"`))
+		assert.Assert(t, problem.Has(err, problem.CallAltered), "%v", err)
+		why := func(call uint64) (*operator.Why, error) {
+			a, err := w.Machines["c2"].Node().Operators.Why(w.ctx, "v", "kept/t0", call)
+			x, _ := a.(*operator.Why)
+			return x, err
+		}
+		x, err := why(4)
+		assert.NilError(t, err)
+		assert.Assert(t, x.Whole && len(x.Turned) == 1 && !x.Ledger.Taken && x.Ledger.Last == 1, "%+v", x)
+		assert.Equal(t, x.Turned[0].Code, string(problem.CallGap))
+		assert.Equal(t, x.Turned[0].Node, "a1")
+		x, err = why(1)
+		assert.NilError(t, err)
+		assert.Assert(t, x.Ledger.Taken && x.Ledger.Offset > 0 && len(x.Turned) == 1 && x.Turned[0].Node == "s2", "%+v", x)
+		_, err = why(9)
+		assert.Assert(t, problem.Has(err, problem.UnknownCall), "%v", err)
+		_, err = why(0)
+		assert.Assert(t, problem.Has(err, problem.Malformed), "%v", err)
+		w.Kill("s3")
+		x, err = why(4)
+		assert.NilError(t, err)
+		assert.Assert(t, !x.Whole && len(x.Turned) == 1, "an answer without one node says so: %+v", x)
+	})
+}
--- a/internal/visitor/service.go
+++ b/internal/visitor/service.go
@@ -214,7 +214,11 @@
 	if t.Token == "" {
 		return token.Token{}, problem.New(problem.TokenMissing, "the call has no bearer token")
 	}
-	return token.Unpack(t.Token)
+	k, err := token.Unpack(t.Token)
+	if err == nil {
+		t.Visitor = k.Visitor
+	}
+	return k, err
 }
 
 func (s *Service) identify(ctx context.Context, t *Task, k token.Token, urgent bool) error {
