State: answers are let go once the ledger no longer holds their messages

Now a compaction of the changelog lets go of those at or before the ledger's base; how far the calls have come stays, so a late repeat is call_forgotten and never taken again. Ruled out: forgetting the number itself with the attachment (a repeat from before would be taken for new). Guard prune-keeps-last. Conclusion: what is left grows with names only.

--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -74,6 +74,8 @@
 	Taken, Repeats, Batches, Items, Compactions uint64
 	// Rounds counts the questions to a majority whether this epoch still stands.
 	Rounds uint64
+	// Forgotten counts the answers to calls that were let go once the ledger no longer held their messages.
+	Forgotten uint64
 }
 
 // Owner decides for one partition until it is lost.
--- a/internal/ledger/owner/takeover.go
+++ b/internal/ledger/owner/takeover.go
@@ -315,6 +315,7 @@
 	cl := o.tracks[line.Changelog]
 	whole := cl.line.Len() > compactAt && cl.line.Len() > compactOver*(1+o.st.Size()/compactAt)
 	if whole {
+		o.tally.Forgotten += uint64(o.st.Prune(o.tracks[line.Ledger].line.Base().Offset))
 		o.st.All()
 	}
 	input := o.st.Input
--- a/internal/samza/state/state.go
+++ b/internal/samza/state/state.go
@@ -172,6 +172,24 @@
 	}
 }
 
+// Prune forgets the answers that stand at or before an offset, which the ledger no longer holds; how far the calls have come stays for good, so
+// nothing is ever taken twice. It gives how many answers were forgotten.
+func (s *State) Prune(before uint64) int {
+	n := 0
+	for k, a := range s.Accepted {
+		i := 0
+		for i < len(a.Recent) && a.Recent[i].Offset <= before {
+			i++
+		}
+		if i > 0 {
+			a.Recent = slices.Clone(a.Recent[i:])
+			s.Accepted[k] = a
+			n += i
+		}
+	}
+	return n
+}
+
 // Size is the number of keys.
 func (s *State) Size() int {
 	return len(s.Accepted) + len(s.Progress) + len(s.Attached) + len(s.Acked)
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -33,6 +33,7 @@
 guard commit-majority internal/ledger/owner/track.go 's/o := os\[r.Majority\(\)-1\]/o := os[0]/' $S 'Faults|Seeds'
 guard commit-epoch-start internal/ledger/owner/track.go 's/\|\| !ok \|\| p.Epoch != r.Epoch/|| !ok || p.Epoch > r.Epoch/' ./internal/ledger/owner 'EpochStart'
 guard repeat-known internal/samza/state/state.go 's/if e.Call <= a.Last \{\n\t\t\treturn/if e.Call <= a.Last {\n\t\t\ta.Last--/' ./internal/samza/changelog 'Replay'
+guard prune-keeps-last internal/samza/state/state.go 's/a\.Recent = slices\.Clone\(a\.Recent\[i:\]\)/a.Recent, a.Last = slices.Clone(a.Recent[i:]), 0/' ./internal/samza/state 'Pruning'
 guard altered-body internal/ledger/owner/submit.go 's/if t.Digest != dig \{/if false \&\& t.Digest != dig {/' ./internal/proof/transcript 'BadInput'
 guard description-known internal/ledger/desk/desk.go 's/if x.Sequence < q.Description \{/if false \&\& x.Sequence < q.Description {/' $S 'Before'
 guard silence-is-no-answer internal/gather/gather.go 's/for range len\(ws\) - len\(as\) \{/for range 0 {/' ./internal/gather 'NotAnswer'
