Placement: load is counted in messages and bytes, and spread by the move that helps most

Cause: balance counted the partitions that a store decides for; all the load could stand on one store and nothing moved. Now each owner's rate, smoothed over the keeping time, comes with its node's pulses; heirs are chosen by load, and one ownership at most moves per half keeping time, the one that lowers the highest load most, if it takes 15 % off. Ruled out: moving on every difference (each move is a take-over).

--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -71,7 +71,7 @@
 
 // Tally counts an owner's work.
 type Tally struct {
-	Taken, Repeats, Batches, Items, Compactions uint64
+	Taken, Bytes, Repeats, Batches, Items, Compactions uint64
 	// Rounds counts the questions to a majority whether this epoch still stands.
 	Rounds uint64
 	// Forgotten counts the answers to calls that were let go once the ledger no longer held their messages.
@@ -114,6 +114,13 @@
 	}
 }
 
+// Work gives the messages and bytes of bodies taken so far.
+func (o *Owner) Work() (messages, bytes uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tally.Taken, o.tally.Bytes
+}
+
 // Stage tells how far the owner is.
 func (o *Owner) Stage() string {
 	o.mu.Lock()
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -113,6 +113,7 @@
 		return
 	}
 	o.tally.Taken++
+	o.tally.Bytes += uint64(len(e.Body))
 	k := state.Key(e.Visitor, e.Topic)
 	f := o.front[k]
 	if f == nil {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -31,10 +31,12 @@
 	Description uint64 `json:"description"`
 	Roster      uint64 `json:"roster"`
 	Partitions  int    `json:"partitions"`
-	Fitness     string `json:"fitness,omitempty"`
-	Deaf        bool   `json:"deaf,omitempty"`
-	Build       string `json:"build,omitempty"`
-	Wire        int    `json:"wire"`
+	// Loads is what each partition owned here takes a second.
+	Loads   map[int]float64 `json:"loads,omitempty"`
+	Fitness string          `json:"fitness,omitempty"`
+	Deaf    bool            `json:"deaf,omitempty"`
+	Build   string          `json:"build,omitempty"`
+	Wire    int             `json:"wire"`
 	// Homes tells that this build keeps attachments in an urgent partition too.
 	Homes bool `json:"homes,omitempty"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,7 +186,7 @@
 		i.Roster = n.voter.Roster().Sequence
 	}
 	if n.owners != nil {
-		i.Partitions = n.owners.Count()
+		i.Partitions, i.Loads = n.owners.Count(), n.owners.Loads()
 	}
 	return i
 }
--- a/internal/node/owners/owners.go
+++ b/internal/node/owners/owners.go
@@ -32,6 +32,7 @@
 	m       map[int]*owner.Owner
 	closed  bool
 	epochs  map[int]uint64
+	loads   map[int]sample
 }
 
 // Owner finds the owner of a partition that runs here.
--- a/internal/placement/duty/duty.go
+++ b/internal/placement/duty/duty.go
@@ -48,7 +48,8 @@
 const (
 	replicas     = 3
 	learnersMost = 4
-	ownersApart  = 2
+	// worthPercent is how much of the highest load a move must take off to be worth its take-over.
+	worthPercent = 15
 )
 
 // Run tends the partitions until ctx ends.
@@ -144,9 +145,25 @@
 type machine struct {
 	member.Info
 	holds, owns int
+	load        float64
 	out         bool
 }
 
+// idle is the load of a partition that takes nothing, in messages a second: what its pulses cost.
+const idle = 1
+
+func (s *scene) weight(r record.Record) float64 {
+	if m, ok := s.m[r.Owner]; ok {
+		return idle + m.Loads[r.Partition]
+	}
+	return idle
+}
+
+func (s *scene) give(h string, w float64) {
+	s.m[h].owns++
+	s.m[h].load += w
+}
+
 type scene struct {
 	now    time.Time
 	m      map[string]*machine
@@ -189,6 +206,7 @@
 				m.holds++
 				if r.Owner == p.Node {
 					m.owns++
+					m.load += s.weight(r)
 				}
 			}
 		}
@@ -291,7 +309,7 @@
 		for _, p := range ps {
 			s.m[p.Node].holds++
 		}
-		s.m[o.Node].owns++
+		s.give(o.Node, idle)
 	}
 }
 
@@ -355,6 +373,9 @@
 	if (a.Disk == options.DiskStorage) != (b.Disk == options.DiskStorage) {
 		return a.Disk == options.DiskStorage
 	}
+	if a.load != b.load {
+		return a.load < b.load
+	}
 	if a.owns != b.owns {
 		return a.owns < b.owns
 	}
@@ -398,8 +419,9 @@
 	if !ok || alive < r.Majority() {
 		return true
 	}
+	w := s.weight(r)
 	if d.write(ctx, r, r.Next(h.Node, r.Replicas, reason, s.now)) {
-		s.m[h.Node].owns++
+		s.give(h.Node, w)
 	}
 	return true
 }
@@ -494,13 +516,14 @@
 	}
 	var most *machine
 	for _, m := range s.m {
-		if most == nil || m.owns > most.owns || m.owns == most.owns && m.Name < most.Name {
+		if most == nil || m.load > most.load || m.load == most.load && m.Name < most.Name {
 			most = m
 		}
 	}
 	if most == nil {
 		return
 	}
+	best, to, low := record.Record{}, record.Place{}, most.load
 	for p := range len(d.recs) {
 		r := d.recs[p]
 		if r.Owner != most.Name || !r.Settled || r.Learner != nil || len(r.Replicas) != replicas {
@@ -512,13 +535,19 @@
 			}
 		}
 		h, ok := d.heir(s, r, r.Owner)
-		if !ok || s.m[h.Node].out || s.m[h.Node].Disk != options.DiskStorage || s.m[h.Node].owns > most.owns-ownersApart {
+		if !ok || s.m[h.Node].out || s.m[h.Node].Disk != options.DiskStorage {
 			continue
 		}
-		d.moved = s.now
-		d.write(ctx, r, r.Next(h.Node, r.Replicas, "owners were uneven", s.now))
+		w := s.weight(r)
+		if after := max(most.load-w, s.m[h.Node].load+w); after < low {
+			best, to, low = r, h, after
+		}
+	}
+	if most.load-low < max(idle, most.load*worthPercent/100) {
 		return
 	}
+	d.moved = s.now
+	d.write(ctx, best, best.Next(to.Node, best.Replicas, fmt.Sprintf("load was uneven: %s took %.1f a second, %s %.1f", most.Name, most.load, to.Node, s.m[to.Node].load), s.now))
 }
 
 func (d *Duty) book(ctx context.Context, s *scene) {
