Placement: a store that is slow but alive loses its duties, and not for a hiccup

Cause: fitness knew gone, deaf and failing disks; a machine that answered late kept all its partitions. Now nodes tell how long their pulses take (median of five), and an owner whose pulses take more than spread/60 and eight times the median of the machines with disks for half a session is passed over until they take half of that. Guard slow-passed-over.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -37,6 +37,8 @@
 	Deaf    bool            `json:"deaf,omitempty"`
 	Build   string          `json:"build,omitempty"`
 	Wire    int             `json:"wire"`
+	// Lag is how long this node's pulses take, in microseconds, the median of the last few.
+	Lag int64 `json:"lag_us,omitempty"`
 	// Homes tells that this build keeps attachments in an urgent partition too.
 	Homes bool `json:"homes,omitempty"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,7 +177,7 @@
 	n.mu.Unlock()
 	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Reached(), Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Homes: true, Roster: n.Board.Roster().Sequence}
 	if n.keeper != nil {
-		i.Deaf = n.keeper.Licensed() != nil
+		i.Deaf, i.Lag = n.keeper.Licensed() != nil, n.keeper.Lag().Microseconds()
 	}
 	if n.id != nil {
 		i.Incarnation = n.id.Get().Incarnation
--- a/internal/options/bounds.go
+++ b/internal/options/bounds.go
@@ -15,6 +15,7 @@
 
 const (
 	pulseShare      = 10
+	slowShare       = 60
 	sessionShare    = 6
 	callShare       = 8
 	jitterShare     = 40
@@ -51,6 +52,9 @@
 // Hold is how long a read waits for news.
 func (b Bounds) Hold() time.Duration { return b.Spread / holdShare }
 
+// Slow is how long a machine's pulses may take before it counts as slow, if that is also much longer than usual.
+func (b Bounds) Slow() time.Duration { return b.Spread / slowShare }
+
 // Settle is how long a take-over may take before another store is tried.
 func (b Bounds) Settle() time.Duration { return b.Recovery / settleShare }
 
--- a/internal/placement/duty/duty.go
+++ b/internal/placement/duty/duty.go
@@ -40,6 +40,7 @@
 	recs   map[int]record.Record
 	gone   map[string]time.Time
 	deaf   map[string]time.Time
+	slow   map[string]time.Time
 	opened map[int]time.Time
 	epochs map[int]uint64
 	moved  time.Time
@@ -92,7 +93,7 @@
 }
 
 func (d *Duty) take(ctx context.Context) {
-	d.recs, d.gone, d.deaf = map[int]record.Record{}, map[string]time.Time{}, map[string]time.Time{}
+	d.recs, d.gone, d.deaf, d.slow = map[int]record.Record{}, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 	d.opened, d.epochs = map[int]time.Time{}, map[int]uint64{}
 	for p := range d.Board.Roster().Layout.Count() {
 		if err := d.read(ctx, p); err != nil {
@@ -147,6 +148,8 @@
 	holds, owns int
 	load        float64
 	out         bool
+	slow        bool
+	slowFor     time.Duration
 }
 
 // idle is the load of a partition that takes nothing, in messages a second: what its pulses cost.
@@ -169,6 +172,7 @@
 	m      map[string]*machine
 	stores int
 	drains drain.Book
+	usual  time.Duration
 }
 
 func (s *scene) usable(p record.Place) bool {
@@ -177,7 +181,7 @@
 }
 
 func (s *scene) canOwn(p record.Place) bool {
-	return s.usable(p) && s.m[p.Node].Stage == member.Serving && !s.m[p.Node].Deaf
+	return s.usable(p) && s.m[p.Node].Stage == member.Serving && !s.m[p.Node].Deaf && !s.m[p.Node].slow
 }
 
 func (d *Duty) scene(ctx context.Context) (*scene, error) {
@@ -216,6 +220,7 @@
 			}
 		}
 	}
+	d.lags(s)
 	for n, m := range s.m {
 		delete(d.gone, n)
 		if !m.Deaf {
@@ -234,6 +239,36 @@
 	return s, nil
 }
 
+const slower = 8
+
+// lags finds machines whose pulses take much longer than is usual among those with a disk, and for how long.
+func (d *Duty) lags(s *scene) {
+	var ls []int64
+	for _, m := range s.m {
+		ls = append(ls, m.Lag)
+	}
+	slices.Sort(ls)
+	if len(ls) == 0 {
+		return
+	}
+	s.usual = time.Duration(ls[len(ls)/2]) * time.Microsecond
+	for n, m := range s.m {
+		lag := time.Duration(m.Lag) * time.Microsecond
+		switch since := d.slow[n]; {
+		case lag > max(slower*s.usual, d.Bounds.Slow()):
+			if since.IsZero() {
+				since = s.now
+				d.slow[n] = s.now
+			}
+			m.slow, m.slowFor = true, s.now.Sub(since)
+		case lag < max(slower*s.usual, d.Bounds.Slow())/2:
+			delete(d.slow, n)
+		default:
+			m.slow = !since.IsZero()
+		}
+	}
+}
+
 func (d *Duty) refresh(ctx context.Context) {
 	for p, r := range d.recs {
 		if b := d.Board.Record(p); b.Writes > r.Writes {
@@ -399,6 +434,11 @@
 		reason = "the owner is stopping"
 	case m.Deaf && s.now.Sub(d.deaf[r.Owner]) >= d.Bounds.Previous():
 		reason = "the owner has no licence: it is heard but does not hear"
+	case m.slow && m.slowFor >= d.Bounds.Session()/2:
+		if _, ok := d.heir(s, r, r.Owner); !ok || !r.Settled {
+			return false
+		}
+		reason = fmt.Sprintf("the owner is slow: its pulses take %s, %s are usual", time.Duration(m.Lag)*time.Microsecond, s.usual)
 	case m.out && len(r.Replicas) <= replicas:
 		if h, ok := d.heir(s, r, r.Owner); !ok || s.m[h.Node].out || !r.Settled {
 			return false
--- /dev/null
+++ b/internal/proof/sim/lag_test.go
@@ -0,0 +1,55 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/partition"
+)
+
+// All that a store sends takes 300 ms longer, for 40 s. Its partitions are decided elsewhere before callers of other nodes feel it long; one pause of the same
+// length moves nothing.
+func TestSlowStoreLosesItsDuties(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(2)) {
+		stand(t, siteOf(seed), 360+seed, func(t *testing.T, w *World) {
+			_, err := w.Put("c1", load.Describe(0))
+			assert.NilError(t, err)
+			time.Sleep(w.Site.Bounds.Spread)
+			o, topic := "", ""
+			for i := 0; o == "" || o == w.Machines["a1"].Opts.Name; i++ {
+				topic = fmt.Sprintf("kept/t%d", i)
+				o = w.records()[partition.Of(topic, false, w.Machines["a1"].Node().Roster().Layout)].Owner
+			}
+			tok := attach(t, w, "a1", "v").Token
+			before := w.moves()
+			w.Freeze(o)
+			time.Sleep(300 * time.Millisecond)
+			w.Thaw(o)
+			time.Sleep(8 * time.Second)
+			assert.Equal(t, w.moves(), before, "a pause of 300 ms moved something")
+			w.Slow(o, 300*time.Millisecond)
+			begun, felt, calls := time.Now(), time.Duration(0), 0
+			for n := uint64(1); time.Since(begun) < 40*time.Second; n++ {
+				at := time.Now()
+				_, err := w.Port("a1").Send(w.ctx, tok, topic, n, []byte(`1`))
+				for ; err != nil; _, err = w.Port("a1").Send(w.ctx, tok, topic, n, []byte(`1`)) {
+					time.Sleep(w.Site.Bounds.Retry() / 2)
+				}
+				calls++
+				if d := time.Since(at); d > 150*time.Millisecond {
+					felt += d
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			for p, x := range w.records() {
+				assert.Check(t, x.Owner != o, "partition %d is still decided by %s", p, o)
+			}
+			t.Logf("callers felt it for %s of 40 s, %d calls taken, %d moves", felt, calls, w.moves()-before)
+			assert.Assert(t, felt < 8*time.Second, "callers felt it for %s of 40 s", felt)
+		})
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -165,6 +165,26 @@
 	until time.Time
 	live  bool
 	known []member.Info
+	lags  []time.Duration
+}
+
+const lagsMost = 5
+
+func (k *Keeper) took(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lags = append(k.lags, d)
+	k.lags = k.lags[max(0, len(k.lags)-lagsMost):]
+}
+
+// Lag gives the median of the last few pulses' times, 0 before there are enough.
+func (k *Keeper) Lag() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.lags) < lagsMost {
+		return 0
+	}
+	return slices.Sorted(slices.Values(k.lags))[lagsMost/2]
 }
 
 // Licensed tells whether this node may serve now.
@@ -268,6 +288,7 @@
 		a, err = Pulse.Call(cx, k.Net, k.Opts.Name, with.Fellows, q)
 		stop()
 	}
+	k.took(k.Clock.Now().Sub(sent))
 	if err != nil {
 		return err
 	}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -72,6 +72,7 @@
 guard urgent-never-waits internal/visitor/follow.go 's/go func\(\) \{\n\t\tes, err := f\.After/func() {\n\t\tes, err := f.After/' $S 'UrgentGoes'
 guard urgent-writes-alone internal/disk/journal/journal.go 's/if len\(ps\) > 0 \{\n\t\t\tbreak\n\t\t\}//' ./internal/disk/journal 'WrittenAlone'
 guard scrub-in-slices internal/disk/journal/journal.go 's/scrubSlice  = 256/scrubSlice  = 1 << 30/' ./internal/disk/journal 'ScrubLets'
+guard slow-passed-over internal/placement/duty/duty.go 's/case m\.slow && m\.slowFor/case false \&\& m.slow \&\& m.slowFor/' $S 'SlowStore'
 guard load-counts internal/placement/duty/duty.go 's/return idle \+ m\.Loads\[r\.Partition\]/return idle/' $S 'SkewedLoad'
 guard told-at-once internal/ledger/desk/desk.go 's/if over && d\.Board/if false \&\& over \&\& d.Board/' $S 'ToldAtOnce'
 guard urgent-lane internal/visitor/service.go 's/if t.Verb == VerbSend && t.spaces\[0\].Urgent \{/if false {/' $S 'UrgentUnderFlood'
