Disk: the probe of a failed disk writes, as a sync alone passes when it is full

Cause: after a failed write a node asks its disk whether it works again by a put without records: nothing is written, the sync succeeds, and the fault was forgotten at once. Found by the rule that a run in which the named fault did not hit is void: in 'a store's disk fills up' no owner ever changed. Now the probe writes 4 KiB that no part restores. Guard probe-writes. Conclusion: a check of writing has to write.

--- a/internal/disk/journal/journal.go
+++ b/internal/disk/journal/journal.go
@@ -442,9 +442,11 @@
 	return j.fault
 }
 
-// Probe checks that the disk takes a sync.
+const probeBytes = 4096
+
+// Probe checks that the disk takes a write and a sync; a sync alone goes through on a full disk.
 func (j *Journal) Probe(ctx context.Context, limit time.Duration) error {
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
-	return j.Put(ctx, true, nil)
+	return j.Put(ctx, true, nil, Rec{Kind: kinds.Probe, Body: make([]byte, probeBytes)})
 }
--- a/internal/kinds/kinds.go
+++ b/internal/kinds/kinds.go
@@ -14,4 +14,5 @@
 	Directory
 	AnewBegins
 	AnewEnds
+	Probe
 )
--- a/internal/proof/sim/faults_test.go
+++ b/internal/proof/sim/faults_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"postjunction/internal/proof/history"
 )
 
 func settle(w *World) { time.Sleep(14 * time.Second) }
@@ -137,6 +139,34 @@
 	}},
 }
 
+// hits tells what a script must have brought about for its run to show anything: owners that changed, or disks that came back as others.
+var hits = map[string]func(r history.Report, fresh int) bool{
+	"owner killed mid-append and mid-batch":     ownersChanged,
+	"owner paused past its licence and resumed": ownersChanged,
+	"owner cut off and still writing":           ownersChanged,
+	"store loses power with a torn tail":        ownersChanged,
+	"every store restarted in turn":             ownersChanged,
+	"the whole fleet loses power":               ownersChanged,
+	"a store's disk fills up":                   ownersChanged,
+	"store disk wiped":                          disksForgot,
+	"control disk wiped just after it promised": disksForgot,
+}
+
+func ownersChanged(r history.Report, _ int) bool { return r.Judged[history.Fenced] }
+
+func disksForgot(_ history.Report, fresh int) bool { return fresh > 0 }
+
+// incarnations lists the disks' names.
+func (w *World) incarnations() map[string]bool {
+	m := map[string]bool{}
+	for _, n := range w.Names {
+		if x := w.Machines[n].Node(); x != nil && x.Info().Incarnation != "" {
+			m[x.Info().Incarnation] = true
+		}
+	}
+	return m
+}
+
 var underRace = map[string]bool{"owner killed mid-append and mid-batch": true, "control disk wiped just after it promised": true, "store disk wiped": true}
 
 func TestFaults(t *testing.T) {
@@ -146,7 +176,20 @@
 			if raced && !underRace[n] {
 				t.Skip("runs without the race detector, which slows simulated fleets too much")
 			}
-			play(t, s.site, 7, s.site.Bounds.Recovery, s.script)
+			fresh := 0
+			r := play(t, s.site, 7, s.site.Bounds.Recovery, func(t *testing.T, w *World) {
+				was := w.incarnations()
+				s.script(t, w)
+				for i := range w.incarnations() {
+					if !was[i] {
+						fresh++
+					}
+				}
+			})
+			assert.Assert(t, len(r.Covered) > 0, "void: nothing went wrong")
+			if f := hits[n]; f != nil {
+				assert.Assert(t, f(r, fresh), "void: the fault named did not hit")
+			}
 		})
 	}
 }
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -8,6 +8,10 @@
 trap 'rm -rf "$work"' EXIT
 missed=0
 want=("$@")
+known=$(sed -n 's/^guard \([a-z-]*\) .*/\1/p' "$0")
+for w in "${want[@]}"; do
+  if ! grep -qx -- "$w" <<<"$known"; then echo "guards.sh: there is no guard \"$w\"; there are:" $known >&2; exit 2; fi
+done
 
 guard() { # name, file, perl expression, package, test regex
   local name=$1 file=$2 expr=$3 pkg=$4 tests=$5
@@ -65,6 +69,7 @@
 guard trim-behind-input internal/ledger/owner/takeover.go 's/min\(l\.Older\(now\.Add\(-o\.d\.Bounds\.Kept\(\)\)\), in\)/l.Older(now.Add(-o.d.Bounds.Kept()))+0*in/' $S 'TrimmingWaits'
 guard deaf-passed-over internal/placement/duty/duty.go 's/case m\.Deaf && s\.now/case false \&\& m.Deaf \&\& s.now/' $S 'DeafOwner'
 guard anew-whole internal/disk/journal/journal.go 's/if k := unfinished\(fs\); k < len\(fs\) \{/if k := unfinished(fs); false \&\& k < len(fs) {/' ./internal/proof/crash 'AfterEveryWrite'
+guard probe-writes internal/disk/journal/journal.go 's/return j\.Put\(ctx, true, nil, Rec\{Kind: kinds\.Probe, Body: make\(\[\]byte, probeBytes\)\}\)/return j.Put(ctx, true, nil)/' $S 'Faults.*disk_fills'
 guard torn-or-damaged internal/disk/journal/journal.go 's/if bad != 0 && bad <= mark \{/if false {/' ./internal/disk/walog 'Tails'
 guard failed-write internal/disk/journal/journal.go 's/if last > j.mark \{/if false {/' ./internal/disk/walog 'FullDisk'
 guard urgent-home internal/ledger/desk/desk.go 's/urgent = urgent && d\.TwoHomes\(\)/urgent = false/' $S 'UrgentGoes'
