--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -119,6 +119,22 @@
 	assert.Equal(t, len(boot(t, d, "i").Partitions()), 0, "a dropped partition comes back")
 }
 
+// A state directory of an older day counts while its point is on the changelog, and not once another owner replaced that part of it.
+func TestDirectoryOfAnOlderDay(t *testing.T) {
+	r := boot(t, memlog.New(), "i")
+	p := put(t, r, line.Changelog, 1, line.Point{}, "a", "b")
+	assert.NilError(t, r.Keep(ctx, Directory{Partition: 1, At: p, Input: 7, State: []byte(`{}`)}))
+	q := put(t, r, line.Changelog, 1, p, "c", "d")
+	_, ok := r.Directory(1)
+	assert.Assert(t, ok, "the changelog went on, the directory's point is still on it")
+	assert.NilError(t, r.CutTo(ctx, to(1), line.Changelog, 1, false))
+	first, _ := r.Line(1, line.Changelog).Point(1)
+	put(t, r, line.Changelog, 2, first, "B", "C", "D")
+	_, ok = r.Directory(1)
+	assert.Assert(t, !ok, "the directory stands on a tail that was replaced")
+	assert.Assert(t, q != r.Line(1, line.Changelog).Last())
+}
+
 // An owner held up between sealing and adopting once cut what a later owner had put on the disk since.
 func TestFencedOwnerCutsNothing(t *testing.T) {
 	r := boot(t, memlog.New(), "i")
--- a/internal/proof/fleet/links.go
+++ b/internal/proof/fleet/links.go
@@ -56,9 +56,12 @@
 				b, _ := io.ReadAll(a.Body)
 				_ = a.Body.Close()
 				stop()
-				if a.StatusCode < http.StatusInternalServerError {
+				if a.StatusCode < http.StatusBadRequest {
 					return string(b), nil
 				}
+				if a.StatusCode < http.StatusInternalServerError {
+					return "", failed(b)
+				}
 				continue
 			}
 		}
@@ -152,6 +155,14 @@
 	}
 }
 
+func failed(b []byte) error {
+	p := &problem.Problem{}
+	if json.Unmarshal(b, p) != nil {
+		return problem.New(problem.Malformed, "%.80s", b)
+	}
+	return p
+}
+
 func drained(answer, node string) bool {
 	var a struct{ Drains []drain.Drain }
 	if json.Unmarshal([]byte(answer), &a) != nil {
