--- /dev/null
+++ b/internal/proof/sim/flood_all_test.go
@@ -0,0 +1,99 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/partition"
+	"postjunction/internal/problem"
+)
+
+// Routine callers flood every node and every owner at once; then a store is lost beside the flood, and comes back with an empty disk, so that
+// take-overs and repair of routine partitions run beside it too. Urgent calls keep their time.
+func TestUrgentUnderFloodThroughAllNodes(t *testing.T) {
+	t.Parallel()
+	if raced {
+		t.Skip("runs without the race detector, which slows simulated fleets too much")
+	}
+	s := Armor
+	stand(t, s, 400, func(t *testing.T, w *World) {
+		for _, m := range w.Machines {
+			o := m.Opts
+			o.Backlog = 8
+			assert.NilError(t, m.Node().Apply(o))
+		}
+		_, err := w.Put("c1", load.Describe(0))
+		assert.NilError(t, err)
+		time.Sleep(s.Bounds.Spread)
+		l := w.Machines["a1"].Node().Roster().Layout
+		lead := attach(t, w, "a1", "lead")
+		urgent := []string{w.records()[partition.Of("stop/line", true, l)].Owner, w.records()[partition.OfVisitor("lead", true, l)].Owner}
+		n := uint64(0)
+		longest := func(d time.Duration) time.Duration {
+			var most time.Duration
+			for begun := time.Now(); time.Since(begun) < d; {
+				n++
+				at := time.Now()
+				_, err := w.Port("a1").Send(w.ctx, lead.Token, "stop/line", n, []byte(`"stop"`))
+				assert.NilError(t, err, "an urgent call was turned away")
+				most = max(most, time.Since(at))
+				time.Sleep(20 * time.Millisecond)
+			}
+			return most
+		}
+		calm := longest(time.Second)
+		ctx, stop := context.WithCancel(w.ctx)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		taken, shed := 0, 0
+		tokens := make([]string, 10*len(w.Names))
+		for i := range tokens {
+			tokens[i] = attach(t, w, "c1", fmt.Sprintf("flood%d", i)).Token
+		}
+		for i, tok := range tokens {
+			through := w.Names[i%len(w.Names)]
+			wg.Go(func() {
+				for c := uint64(1); ctx.Err() == nil; {
+					cx, done := context.WithTimeout(ctx, s.Bounds.Spread)
+					_, err := w.Port(through).Send(cx, tok, fmt.Sprintf("kept/t%d", i%load.Topics), c, []byte(`1`))
+					done()
+					mu.Lock()
+					if err == nil {
+						c++
+						taken++
+					} else if problem.Has(err, problem.Overloaded) {
+						shed++
+					}
+					mu.Unlock()
+					if err != nil {
+						time.Sleep(3 * time.Millisecond)
+					}
+				}
+			})
+		}
+		flooded := longest(700 * time.Millisecond)
+		lost := ""
+		for _, x := range w.Names {
+			if x[0] == 's' && !slices.Contains(urgent, x) {
+				lost = x
+			}
+		}
+		w.Wipe(lost)
+		beside := longest(4500 * time.Millisecond)
+		assert.NilError(t, w.Start(lost))
+		repaired := longest(time.Second)
+		stop()
+		wg.Wait()
+		t.Logf("urgent, longest: calm %s, flooded %s, beside a lost store %s, beside its repair %s; routine taken %d, shed %d", calm, flooded, beside, repaired, taken, shed)
+		assert.Assert(t, shed > taken/10, "void: the flood was none")
+		for what, d := range map[string]time.Duration{"a flood": flooded, "a lost store": beside, "a repair": repaired} {
+			w.History.Overtaken("stop/line", what, d, 3*calm+2*time.Millisecond)
+		}
+	})
+}
