Owners: a restarted owner asks for its record until it gets an answer

Cause: a store that restarts within its session is still named in its records, under epochs that its disk has used. It waits a moment, reads the record and asks for a new epoch; when that one reading failed, since the control nodes were down or cut off just then, nobody ever asked again. Placement saw a live owner and a settled record: the partition stayed closed for good, and with it all streams that follow it. Ruled out: the streams (their feed waits for an owner that does not decide), the placement duty (it held the duty throughout and had no reason to act), lost messages (all were read back elsewhere). Before: TestRestartedOwnerKeepsAskingForItsRecord fails, the partition closed 3 s after the control keys were back; after: open. Guard reread-again. Conclusion: what only one node can notice, that node must not give up on.

--- a/internal/node/owners/owners.go
+++ b/internal/node/owners/owners.go
@@ -137,21 +137,24 @@
 		delete(k.m, o.Rec.Partition)
 	}
 	k.mu.Unlock()
-	if alone && k.Clock.Sleep(ctx, k.Bounds.Retry()) == nil {
-		k.reread(ctx, o.Rec.Partition)
+	for alone && k.Clock.Sleep(ctx, k.Bounds.Retry()) == nil {
+		alone = !k.reread(ctx, o.Rec.Partition)
 	}
 }
 
-func (k *Keeper) reread(ctx context.Context, p int) {
+// reread looks whether the record still names this node, though nobody decides here, and asks for a new epoch then. It tells whether it
+// came to an end: until the record was read, nobody else would notice.
+func (k *Keeper) reread(ctx context.Context, p int) bool {
 	cx, stop := context.WithTimeout(ctx, k.Bounds.Settle())
 	defer stop()
 	r, err := k.read(cx, p)
-	if err != nil || r.Owner != k.Self || k.Board.Record(p).Epoch > r.Epoch || !k.named(r) {
-		return
+	if err != nil {
+		return false
 	}
-	if k.spent(p, r.Epoch) {
-		k.Renew(cx, r)
+	if r.Owner != k.Self || k.Board.Record(p).Epoch > r.Epoch || !k.named(r) || !k.spent(p, r.Epoch) {
+		return true
 	}
+	return k.Renew(cx, r)
 }
 
 func (k *Keeper) named(r record.Record) bool {
@@ -207,10 +210,10 @@
 	})
 }
 
-// Renew asks for a new epoch, since this disk used the record's in an earlier run.
-func (k *Keeper) Renew(ctx context.Context, r record.Record) {
+// Renew asks for a new epoch, and tells whether it got one, since this disk used the record's in an earlier run.
+func (k *Keeper) Renew(ctx context.Context, r record.Record) bool {
 	k.Log.Say(event.OwnerRenew, "partition", r.Partition, "epoch", r.Epoch)
-	k.Change(ctx, r.Partition, r.Epoch, func(x record.Record) (record.Record, bool) {
+	return k.Change(ctx, r.Partition, r.Epoch, func(x record.Record) (record.Record, bool) {
 		return x.Next(k.Self, x.Replicas, "the owner came back on its machine", k.Clock.Now()), x.Owner == k.Self
 	})
 }
--- a/internal/proof/sim/wiped_test.go
+++ b/internal/proof/sim/wiped_test.go
@@ -33,3 +33,25 @@
 		})
 	}
 }
+
+// A store restarts and can't reach the control keys for a while, though its sessions stand. It once asked for its record a single time: the placement duty saw a
+// live owner, and the partition stayed closed for good.
+func TestRestartedOwnerKeepsAskingForItsRecord(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(2)) {
+		play(t, siteOf(seed), 420+seed, time.Hour, func(t *testing.T, w *World) {
+			o := busiest(w)
+			w.Kill(o)
+			time.Sleep(200 * time.Millisecond)
+			release, hits := w.Hold(func(x Point) bool { return x.From == o && strings.Contains(x.Path, "/postjunction.Control/") })
+			assert.NilError(t, w.Start(o))
+			time.Sleep(w.Site.Bounds.Settle() * 3)
+			assert.Assert(t, hits() > 0, "void: nothing was held")
+			release()
+			time.Sleep(w.Site.Bounds.Settle())
+			for p, r := range w.records() {
+				assert.Assert(t, r.Owner != o || r.Epoch > 1, "partition %d is closed: its owner %s never asked again", p, o)
+			}
+		})
+	}
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -49,6 +49,7 @@
 guard offset-after-batch internal/samza/changelog/changelog.go 's/len\(parts\) < b.Parts \{/false {/' ./internal/samza/changelog 'Whole'
 guard directory-check internal/ledger/replica/replica.go 's/return d, ok && at == d.At/return d, ok \&\& at != line.Point{}/' ./internal/ledger/replica 'Directory'
 guard renew-named-disk internal/node/owners/owners.go 's/ \|\| !k\.named\(r\) \{/ {/' $S 'WipedStoreAsks'
+guard reread-again internal/node/owners/owners.go 's/alone = !k\.reread\(ctx, o\.Rec\.Partition\)/_, alone = k.reread(ctx, o.Rec.Partition), false/' $S 'KeepsAsking'
 guard disk-incarnation internal/ledger/replica/replica.go 's/if t.Incarnation != r.incarnation \{/if false \&\& t.Incarnation != r.incarnation {/' ./internal/ledger/replica 'Incarnation'
 guard voter-incarnation internal/control/voter/voter.go 's/if inc != v.incarnation \{/if false \&\& inc != v.incarnation {/' ./internal/control/voter 'Wiped'
 guard voter-roster internal/control/voter/voter.go 's/if v.roster.Sequence != b.Roster \|\| b.Roster == 0 \{/if b.Roster == 0 {/' ./internal/control/voter 'Roster'
