--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -48,7 +48,7 @@
 guard reprocess internal/ledger/owner/takeover.go 's/todo := led.line.Slice\(input\+1, led.commit/todo := led.line.Slice(led.commit+1, led.commit/' $S 'Faults|Reprocess'
 guard offset-after-batch internal/samza/changelog/changelog.go 's/len\(parts\) < b.Parts \{/false {/' ./internal/samza/changelog 'Whole'
 guard directory-check internal/ledger/replica/replica.go 's/return d, ok && at == d.At/return d, ok \&\& at != line.Point{}/' ./internal/ledger/replica 'Directory'
-guard renew-named-disk internal/node/owners/owners.go 's/ \|\| !k\.named\(r\) \{/ {/' $S 'WipedStoreAsks'
+guard renew-named-disk internal/node/owners/owners.go 's/ \|\| !k\.named\(r\)//' $S 'WipedStoreAsks'
 guard reread-again internal/node/owners/owners.go 's/alone = !k\.reread\(ctx, o\.Rec\.Partition\)/_, alone = k.reread(ctx, o.Rec.Partition), false/' $S 'KeepsAsking'
 guard disk-incarnation internal/ledger/replica/replica.go 's/if t.Incarnation != r.incarnation \{/if false \&\& t.Incarnation != r.incarnation {/' ./internal/ledger/replica 'Incarnation'
 guard voter-incarnation internal/control/voter/voter.go 's/if inc != v.incarnation \{/if false \&\& inc != v.incarnation {/' ./internal/control/voter 'Wiped'
@@ -79,7 +79,7 @@
 guard urgent-writes-alone internal/disk/journal/journal.go 's/if len\(ps\) > 0 \{\n\t\t\tbreak\n\t\t\}//' ./internal/disk/journal 'WrittenAlone'
 guard scrub-in-slices internal/disk/journal/journal.go 's/scrubSlice  = 256/scrubSlice  = 1 << 30/' ./internal/disk/journal 'ScrubLets'
 guard slow-passed-over internal/placement/duty/duty.go 's/case m\.slow && m\.slowFor/case false \&\& m.slow \&\& m.slowFor/' $S 'SlowStore'
-guard load-counts internal/placement/duty/duty.go 's/return idle \+ m\.Loads\[r\.Partition\]/return idle/' $S 'SkewedLoad'
+guard load-counts internal/placement/duty/duty.go 's/return idle \+ m\.Loads\[r\.Partition\]/_ = m\n\t\treturn idle/' $S 'SkewedLoad'
 guard told-at-once internal/ledger/desk/desk.go 's/if over && d\.Board/if false \&\& over \&\& d.Board/' $S 'ToldAtOnce'
-guard urgent-lane internal/visitor/service.go 's/if t.Verb == VerbSend && t.spaces\[0\].Urgent \{/if false {/' $S 'UrgentUnderFlood'
+guard urgent-lane internal/visitor/service.go 's/if t\.urgent\(\) \{\n\t\tl = /if false {\n\t\tl = /' $S 'UrgentUnderFlood'
 exit $missed
