Fleet: ports below those that the system gives out by itself

Cause: a process's port was found by listening on any free one and closing it again; the relay's listeners, and every connection of other tests, could be given the same one before the process started. Ruled out: founding (its log would name it; such a failure now carries the end of each unready machine's log). Conclusion: what has to be free later must not lie where the system looks for free ports.

--- a/internal/proof/fleet/day.go
+++ b/internal/proof/fleet/day.go
@@ -190,7 +190,7 @@
 	wg.Go(func() { f.Watch(ctx) })
 	for t := time.Now(); !f.AllReady(); wait(ctx, 100*time.Millisecond) {
 		if time.Since(t) > 30*time.Second || ctx.Err() != nil {
-			return history.Report{}, problem.New(problem.Internal, "the fleet was not ready in 30 s")
+			return history.Report{}, problem.New(problem.Internal, "the fleet was not ready in 30 s: %s", f.unready())
 		}
 	}
 	d.say("all %d machines are ready", len(f.Processes))
--- a/internal/proof/fleet/fleet.go
+++ b/internal/proof/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,13 +61,31 @@
 	ready     map[string]bool
 }
 
+const (
+	portsFrom = 12000
+	portsTo   = 30000
+)
+
+var nextPort = struct {
+	sync.Mutex
+	n int
+}{n: portsFrom + rand.IntN(portsTo-portsFrom)}
+
+// free finds a port that nobody listens on, below those that the system gives to connections and to listeners without a wish: one of
+// those could be taken by the time the process that it is meant for starts.
 func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", problem.Wrap(problem.Internal, err, "find a free port")
+	nextPort.Lock()
+	defer nextPort.Unlock()
+	for range portsTo - portsFrom {
+		if nextPort.n++; nextPort.n >= portsTo {
+			nextPort.n = portsFrom
+		}
+		a := fmt.Sprintf("127.0.0.1:%d", nextPort.n)
+		if l, err := net.Listen("tcp", a); err == nil {
+			return a, problem.Wrap(problem.Internal, l.Close(), "give back port %d", nextPort.n)
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", problem.New(problem.Internal, "no port from %d to %d is free", portsFrom, portsTo)
 }
 
 // New writes the settings of a site's machines under dir. With base 0 the ports are free ones,
@@ -287,6 +306,22 @@
 	return n == len(f.Processes)
 }
 
+// unready names the machines that are not, each with the end of its log.
+func (f *Fleet) unready() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := ""
+	for _, p := range f.Processes {
+		if !f.ready[p.Name] {
+			b, _ := os.ReadFile(filepath.Join(p.dir, p.Name+".log"))
+			s += fmt.Sprintf("\n%s: %s", p.Name, b[max(0, len(b)-logEnd):])
+		}
+	}
+	return s
+}
+
+const logEnd = 600
+
 // Ports gives the access machines of a zone that are ready, or of any zone when none is.
 func (f *Fleet) Ports(zone string) []port.Port {
 	f.mu.Lock()
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -81,3 +83,20 @@
 	assert.NilError(t, os.WriteFile(p.file, []byte("{"), 0o600))
 	poll.WaitOn(t, logged(p, "unexpected EOF"), poll.WithTimeout(10*time.Second))
 }
+
+// Ports came from the range that the system gives out by itself; a relay or a connection could take one before its process started, and the
+// fleet was never ready.
+func TestPortsLieBelowThoseTheSystemGivesOut(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		a, err := free()
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[a], "%s was given twice", a)
+		seen[a] = true
+		_, port, err := net.SplitHostPort(a)
+		assert.NilError(t, err)
+		n, err := strconv.Atoi(port)
+		assert.NilError(t, err)
+		assert.Assert(t, n >= portsFrom && n < portsTo, "%d", n)
+	}
+}
