--- a/internal/proof/sim/chaos_test.go
+++ b/internal/proof/sim/chaos_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -13,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"postjunction/internal/clock"
+	"postjunction/internal/problem"
 	"postjunction/internal/proof/history"
 )
 
@@ -75,6 +78,29 @@
 	}
 }
 
+// operate reads the description back through one node and puts the next one through another, time and again.
+func (w *World) operate(ctx context.Context) {
+	r := rand.New(rand.NewPCG(w.Seed, 11))
+	for {
+		_ = clock.Real{}.Sleep(ctx, time.Duration(5+r.IntN(5))*time.Second)
+		from, to := w.pick(r, ""), w.pick(r, "")
+		if ctx.Err() != nil {
+			return
+		}
+		cx, stop := context.WithTimeout(ctx, w.Site.Bounds.Recovery)
+		asked := time.Now()
+		cur, err := w.Port(from).Get(cx)
+		stop()
+		if err != nil {
+			continue
+		}
+		w.History.ReadBack(cur, asked)
+		if _, err := w.Put(to, w.load.Describe(cur)); problem.Has(err, problem.DescriptionBad) {
+			w.History.Violate(history.Invalid, "a sound description was turned away through %s: %v", to, err)
+		}
+	}
+}
+
 // coverage counts, for each fault and line, the runs in which the line had something to be judged by.
 type coverage struct {
 	mu    sync.Mutex
@@ -144,7 +170,12 @@
 func siteOf(seed uint64) Site { return []Site{Armor, Traductores}[seed%2] }
 
 func chaos(t *testing.T, seed uint64, steps []Step) {
-	r := play(t, siteOf(seed), seed, time.Hour, func(t *testing.T, w *World) { w.live(t, steps) })
+	r := play(t, siteOf(seed), seed, time.Hour, func(t *testing.T, w *World) {
+		ctx, stop := context.WithCancel(w.ctx)
+		defer stop()
+		w.wg.Go(func() { w.operate(ctx) })
+		w.live(t, steps)
+	})
 	covered.note(seed, steps, r)
 }
 
