Owners: two refusals read the stage after giving the lock back

Harmless to what was decided; now it is read before. Ruled out elsewhere by looking at every unlock that comes before a problem in the package.

--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -230,8 +230,9 @@
 		return state.Attached{}, state.Acked{}, problem.New(problem.NoOwner, "%d of %d copies of partition %d are members", n, len(o.Rec.Replicas), o.Rec.Partition)
 	}
 	if o.stage != Open && o.stage != Closing {
+		st := o.stage
 		o.mu.Unlock()
-		return state.Attached{}, state.Acked{}, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, o.stage)
+		return state.Attached{}, state.Acked{}, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, st)
 	}
 	if err := o.d.Licensed(); err != nil {
 		o.mu.Unlock()
@@ -269,8 +270,9 @@
 func (o *Owner) Trace(ctx context.Context, visitor, topic string, call uint64) (last uint64, at state.Taken, kept bool, err error) {
 	o.mu.Lock()
 	if o.stage != Open && o.stage != Closing {
+		st := o.stage
 		o.mu.Unlock()
-		return 0, at, false, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, o.stage)
+		return 0, at, false, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, st)
 	}
 	a := o.st.Accepted[state.Key(visitor, topic)]
 	o.mu.Unlock()
