--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -142,8 +142,8 @@
 	}
 	fmt.Printf("longest wait %s (%s at %s), undisturbed %s\n", r.Longest.Whole, r.Longest.Kind, r.Longest.Place, r.LongestUndisturbed.Undisturbed)
 	fmt.Printf("faults %v\n", r.Covered)
-	calls, cut, lost := f.Relay.Counts()
-	fmt.Printf("between machines: %d calls one way, %d cut, %d late\n", calls, cut, lost)
+	pieces, cut, lost := f.Relay.Counts()
+	fmt.Printf("between machines: %d pieces one way, %d held by a cut, %d late\n", pieces, cut, lost)
 	t, err := fleet.Totals(f)
 	if err == nil {
 		fmt.Println(t)
--- a/cmd/postjunction/main.go
+++ b/cmd/postjunction/main.go
@@ -14,6 +14,7 @@
 	"postjunction/internal/command/serve"
 	"postjunction/internal/node"
 	"postjunction/internal/problem"
+	"postjunction/platform"
 )
 
 func main() {
@@ -30,10 +31,11 @@
 }
 
 var own = map[string]func(args []string, s caller.Streams) error{
-	"serve":   func(a []string, s caller.Streams) error { return serve.Run(a, s.Err) },
-	"check":   check,
-	"version": func(_ []string, s caller.Streams) error { _, err := fmt.Fprintln(s.Out, node.Build); return err },
-	"help":    func(_ []string, s caller.Streams) error { usage(s.Out); return nil },
+	"platform": func(_ []string, s caller.Streams) error { return platform.Run(s.Err) },
+	"serve":    func(a []string, s caller.Streams) error { return serve.Run(a, s.Err) },
+	"check":    check,
+	"version":  func(_ []string, s caller.Streams) error { _, err := fmt.Fprintln(s.Out, node.Build); return err },
+	"help":     func(_ []string, s caller.Streams) error { usage(s.Out); return nil },
 }
 
 func check(a []string, s caller.Streams) error {
@@ -60,7 +62,7 @@
 }
 
 func usage(w io.Writer) {
-	_, _ = fmt.Fprint(w, "usage: postjunction VERB [flags] [argument]\n\n  serve      run a node\n  check      check settings without running\n  version    print the build\n  help       print this\n")
+	_, _ = fmt.Fprint(w, "usage: postjunction VERB [flags] [argument]\n\n  serve      run a node\n  platform   run a node by the platform's settings file\n  check      check settings without running\n  version    print the build\n  help       print this\n")
 	var ns []string
 	for n := range caller.Verbs {
 		ns = append(ns, n)
--- /dev/null
+++ b/internal/carrier/fan/bench_test.go
@@ -0,0 +1,29 @@
+package fan
+
+import (
+	"testing"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+)
+
+func BenchmarkTakeWithoutKeys(b *testing.B) {
+	f := &feed{topics: map[string]map[*Sub]bool{"a": {}}}
+	n := 0
+	for range 20 {
+		s := &Sub{Topic: "a", open: true, told: true, Give: func(line.Entry) { n++ }}
+		f.topics["a"][s] = true
+	}
+	a := &owner.Polled{}
+	for range 100 {
+		a.Entries = append(a.Entries, line.Entry{What: line.Message, Topic: "a"})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for i := range a.Entries {
+			a.To++
+			a.Entries[i].Offset = a.To
+		}
+		f.take(a, f.gen)
+	}
+}
--- /dev/null
+++ b/internal/carrier/fan/feed.go
@@ -0,0 +1,636 @@
+package fan
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"postjunction/internal/description"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+type feed struct {
+	h       *Hub
+	p       int
+	mu      sync.Mutex
+	topics  map[string]map[*Sub]bool
+	dirty   map[string]bool
+	waiting []*Sub
+	seq     uint64
+	acked   uint64
+	known   bool
+	lost    bool
+	to      uint64
+	base    uint64
+	epoch   uint64
+	writes  uint64
+	cut     context.CancelFunc
+	kick    chan struct{}
+	ready   chan struct{}
+	telling bool
+	polling bool
+	// due tells that the owner is to hear now what changed, drops that it will after a while.
+	due   bool
+	drops bool
+	// boot names what this feed holds; one that was told to begin anew, or that said it was done, goes on under another.
+	boot  string
+	boots int
+	// seen is the highest epoch that answered, gen is that of polls whose answers count.
+	seen uint64
+	gen  uint64
+	// marks are the withdrawals that were read while an answer to Follow is under way, which may be older.
+	asking bool
+	marks  marks
+	// reader tells that the owner may wait for this node to read withdrawals; known ends only when nothing with a key is held any more.
+	reader  bool
+	parting bool
+	parted  bool
+	shut    int
+	quit    context.CancelFunc
+}
+
+// stand is where messages stand that go together.
+type stand struct{ topic, key string }
+
+// marks are the offsets of withdrawals.
+type marks map[stand]uint64
+
+func (m marks) cover(topic, key string, offset uint64) bool { return offset < m[stand{topic, key}] }
+
+func (m *marks) add(e line.Entry) {
+	if *m == nil {
+		*m = marks{}
+	}
+	(*m)[stand{e.Topic, e.Key}] = e.Offset
+}
+
+const (
+	patience = 2
+	despair  = 6
+	// hasty is the part of a retry for which a place is waited for that needs no owner.
+	hasty = 2
+)
+
+func (f *feed) remove(s *Sub) {
+	s.left, s.held = true, nil
+	delete(f.topics[s.Topic], s)
+	if len(f.topics[s.Topic]) == 0 {
+		delete(f.topics, s.Topic)
+	}
+	f.dirty[s.Topic] = true
+	if len(f.topics) == 0 {
+		f.gen++
+	}
+}
+
+// later has the owner told of dropped topics after a while, if nothing else is to be told before: who drops a topic often comes back, and the
+// next word takes both along.
+func (f *feed) later() {
+	if f.drops {
+		return
+	}
+	f.drops = true
+	go func() {
+		_ = f.h.clk.Sleep(f.h.ctx, f.h.bounds.Hold())
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.drops = false
+		if len(f.dirty) > 0 {
+			f.wake()
+		}
+	}()
+}
+
+// wake has the owner told of all that changed.
+func (f *feed) wake() {
+	f.due = true
+	if !f.telling {
+		f.telling = true
+		go f.tell(f.h.ctx)
+		return
+	}
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// turn ends a poll that asks an owner who no longer decides.
+func (f *feed) turn(r record.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.Writes == f.writes && r.Epoch == f.epoch {
+		return
+	}
+	f.writes = r.Writes
+	if r.Epoch != f.epoch {
+		f.epoch = r.Epoch
+		if f.cut != nil {
+			f.cut()
+		}
+	}
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// want puts together what is to be told, nil when there is nothing.
+func (f *feed) want() (*owner.Want, []*Sub, []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.shut > 0 {
+		return nil, nil, nil
+	}
+	f.waiting = slices.DeleteFunc(f.waiting, func(s *Sub) bool { return s.left })
+	if f.reader && len(f.topics) == 0 && !f.known {
+		clear(f.dirty)
+		f.due, f.lost, f.parted = false, false, true
+		f.seq++
+		return &owner.Want{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.seq, Full: true, Marks: true, Done: true}, nil, nil
+	}
+	due := f.due && len(f.dirty) > 0
+	f.due = false
+	if !due && len(f.waiting) == 0 && !f.lost {
+		return nil, nil, nil
+	}
+	if len(f.topics) == 0 && !f.known {
+		clear(f.dirty)
+		f.lost = false
+		return nil, nil, nil
+	}
+	if f.parted {
+		f.anew()
+	}
+	f.seq++
+	f.asking = true
+	q := &owner.Want{Partition: f.p, Node: f.h.self, Boot: f.boot, Before: f.acked, Sequence: f.seq, Full: f.lost || !f.known, Topics: map[string]int{}, Marks: true}
+	if q.Full {
+		for t, m := range f.topics {
+			q.Topics[t] = len(m)
+		}
+	} else {
+		for t := range f.dirty {
+			q.Topics[t] = len(f.topics[t])
+		}
+	}
+	var ts []string
+	for t := range f.dirty {
+		ts = append(ts, t)
+	}
+	clear(f.dirty)
+	w := f.waiting
+	f.waiting = nil
+	for _, s := range w {
+		q.Brief = q.Brief || !s.told
+		if s.After == nil {
+			continue
+		}
+		if q.After == nil {
+			q.After = map[string]uint64{}
+		}
+		if at, ok := q.After[s.Topic]; !ok || *s.After < at {
+			q.After[s.Topic] = *s.After
+		}
+	}
+	return q, w, ts
+}
+
+func (f *feed) tell(ctx context.Context) {
+	for tries := 0; ctx.Err() == nil; tries++ {
+		q, w, ts := f.want()
+		if q == nil {
+			tries = -1
+			select {
+			case <-f.kick:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		cx, stop := context.WithTimeout(ctx, f.limit(q))
+		if q.Brief {
+			go f.hasten(cx, w)
+		}
+		if q.Done {
+			f.done(cx, stop, q, tries)
+			continue
+		}
+		a, err := f.h.src.Follow(cx, f.h.board.Record(f.p), q)
+		stop()
+		f.mu.Lock()
+		f.asking = false
+		if err == nil && a.Epoch < f.seen {
+			err = problem.New(problem.StaleEpoch, "epoch %d of partition %d has answered, this is %d", f.seen, f.p, a.Epoch)
+		}
+		if err == nil && a.Clean && q.Boot == f.boot {
+			f.waiting = append(w, f.waiting...)
+			f.clean()
+			f.mu.Unlock()
+			f.cleaned()
+			continue
+		}
+		if err != nil || a.Lost || q.Boot != f.boot {
+			f.marks = nil
+			f.reader = f.reader || err != nil
+			f.lost = true
+			for _, t := range ts {
+				f.dirty[t] = true
+			}
+			f.waiting = append(w, f.waiting...)
+			f.bear(f.waiting)
+			f.mu.Unlock()
+			if err != nil {
+				f.pause(ctx, tries)
+			}
+			continue
+		}
+		tries = 0
+		f.acked, f.lost, f.seen = q.Sequence, false, a.Epoch
+		f.reader = f.reader || a.Reader || keyed(a.Back)
+		f.base = a.Base
+		if !f.known {
+			f.known, f.to = true, a.Tail
+		}
+		f.begin(a, q, w)
+		f.marks = nil
+		if !f.polling {
+			f.polling = true
+			go f.poll(ctx)
+		}
+		close(f.ready)
+		f.ready = make(chan struct{})
+		f.mu.Unlock()
+	}
+}
+
+// limit is how long an answer is waited for: short while someone has not been told anything, since places are then found without an owner;
+// what is fetched for those that were told comes over links that may be slow.
+func (f *feed) limit(q *owner.Want) time.Duration {
+	if q.Brief {
+		return patience * f.h.bounds.Retry()
+	}
+	return f.h.bounds.Call()
+}
+
+// hasten opens those that need no owner for their place while its answer is under way.
+func (f *feed) hasten(ctx context.Context, w []*Sub) {
+	if f.h.clk.Sleep(ctx, f.h.bounds.Retry()/hasty) != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bear(w)
+}
+
+// done tells the owner that nothing is followed and held here any more. Who takes a topic up ends it.
+func (f *feed) done(ctx context.Context, stop context.CancelFunc, q *owner.Want, tries int) {
+	defer stop()
+	f.mu.Lock()
+	f.quit = stop
+	if len(f.topics) > 0 {
+		stop()
+	}
+	f.mu.Unlock()
+	a, err := f.h.src.Follow(ctx, f.h.board.Record(f.p), q)
+	f.mu.Lock()
+	f.quit = nil
+	ok := err == nil && !a.Lost && a.Epoch >= f.seen
+	f.reader = !ok
+	f.mu.Unlock()
+	if !ok {
+		f.pause(f.h.ctx, tries)
+	}
+}
+
+// anew goes on under another boot.
+func (f *feed) anew() {
+	f.boots++
+	f.boot = f.h.boot + "+" + strconv.Itoa(f.boots)
+	f.parted = false
+}
+
+// clean begins anew, as the owner no longer counts on what this node holds: who was promised anything is sent to come back.
+func (f *feed) clean() {
+	for _, m := range f.topics {
+		for s := range m {
+			s.held = nil
+			if s.told {
+				f.remove(s)
+				s.Broken()
+			}
+		}
+	}
+	clear(f.dirty)
+	f.anew()
+	f.gen++
+	f.marks = nil
+	f.known, f.lost, f.reader = false, false, false
+	if f.cut != nil {
+		f.cut()
+	}
+	f.shut++
+}
+
+// cleaned ends what clean began, once all that visitors have not got yet is let go.
+func (f *feed) cleaned() {
+	f.h.release(f.p, true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shut--
+	f.wake()
+}
+
+// idle ends polling.
+func (f *feed) idle() {
+	f.polling = false
+	switch {
+	case len(f.topics) > 0:
+	case len(f.dirty) > 0:
+		f.wake()
+	case !f.reader:
+		f.known = false
+	case !f.known:
+		f.wake()
+	case !f.parting:
+		f.parting = true
+		go f.part()
+	}
+}
+
+// part lets go of all messages with keys that were given and are not through, so that the owner can be told that this node is done. What a visitor has
+// not taken after a while ends its connection.
+func (f *feed) part() {
+	for cut := false; !f.release(cut) && f.h.ctx.Err() == nil; cut = true {
+		_ = f.h.clk.Sleep(f.h.ctx, f.h.bounds.Hold())
+	}
+}
+
+// release tells whether nothing is held any more, or a topic was taken up again.
+func (f *feed) release(cut bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.topics) > 0 || f.polling || !f.known {
+		f.parting = false
+		return true
+	}
+	f.shut++
+	f.mu.Unlock()
+	ok := f.h.release(f.p, cut)
+	f.mu.Lock()
+	f.shut--
+	f.wake()
+	if ok {
+		f.parting = false
+		f.known = f.known && (len(f.topics) > 0 || f.polling)
+	}
+	return ok
+}
+
+// begin opens the subscriptions that waited for an answer, each at its place. One that was given its place meanwhile is asked for from there.
+func (f *feed) begin(a *owner.Told, q *owner.Want, w []*Sub) {
+	for _, s := range w {
+		if s.left {
+			continue
+		}
+		if at, ok := q.After[s.Topic]; s.After != nil && (!ok || at > *s.After) {
+			f.waiting = append(f.waiting, s)
+			continue
+		}
+		if s.After == nil {
+			s.start(a.Tail)
+			s.catch()
+			continue
+		}
+		if a.Gone[s.Topic] > *s.After && f.kept(s.Topic) {
+			f.end(s, *s.After)
+			continue
+		}
+		s.start(*s.After)
+		for _, e := range a.Back {
+			if e.Topic == s.Topic && e.Offset <= a.Upto && !f.covered(e) {
+				s.give(e)
+			}
+		}
+		if a.Upto < a.Tail {
+			at := max(*s.After, a.Upto)
+			s.After = &at
+			f.waiting = append(f.waiting, s)
+			continue
+		}
+		s.catch()
+	}
+}
+
+// kept tells whether a topic's messages are owed to those who come back.
+func (f *feed) kept(topic string) bool {
+	sp, err := f.h.board.Index().Find(topic)
+	return err == nil && sp.Kind != description.Live
+}
+
+// end ends a subscription that can't go on after an offset, as what follows there is no longer held.
+func (f *feed) end(s *Sub, after uint64) {
+	f.remove(s)
+	if s.told {
+		s.Broken()
+		return
+	}
+	s.answered = true
+	s.Opened(0, problem.New(problem.CursorExpired, "messages of %s after offset %d are no longer held", s.Topic, after))
+}
+
+// bear opens subscriptions that have waited for an owner at places that need none: the cursor they came with, or what this node has seen.
+// It turns away those that have waited too long.
+func (f *feed) bear(w []*Sub) {
+	now, unit := f.h.clk.Now(), f.h.bounds.Retry()
+	for _, s := range w {
+		age := now.Sub(s.asked)
+		if s.told || s.left || s.answered || age < unit/hasty {
+			continue
+		}
+		switch {
+		case s.After != nil && (!f.known || *s.After >= f.base):
+			s.start(*s.After)
+		case s.After == nil && f.known:
+			at := f.to
+			s.After = &at
+			s.start(at)
+		case age > despair*unit:
+			f.remove(s)
+			s.answered = true
+			s.Opened(0, problem.New(problem.NoOwner, "partition %d could not be followed in time", f.p))
+		}
+	}
+}
+
+func (s *Sub) start(at uint64) {
+	if s.told {
+		return
+	}
+	s.told, s.answered, s.pos = true, true, at
+	s.Opened(at, nil)
+}
+
+func (s *Sub) give(e line.Entry) {
+	if s.left || e.Offset <= s.pos {
+		return
+	}
+	s.pos = e.Offset
+	s.Give(e)
+}
+
+func (s *Sub) catch() {
+	s.open = true
+	for _, e := range s.held {
+		s.give(e)
+	}
+	s.held = nil
+}
+
+func (f *feed) pause(ctx context.Context, tries int) {
+	cx, stop := context.WithCancel(ctx)
+	due := make(chan struct{})
+	go func() {
+		_ = f.h.clk.Sleep(cx, f.h.bounds.Grown(tries))
+		close(due)
+	}()
+	select {
+	case <-f.kick:
+	case <-due:
+	}
+	stop()
+}
+
+func (f *feed) poll(ctx context.Context) {
+	for tries := 0; ctx.Err() == nil; tries++ {
+		f.mu.Lock()
+		if len(f.topics) == 0 || !f.known {
+			f.idle()
+			f.mu.Unlock()
+			return
+		}
+		cx, cut := context.WithCancel(ctx)
+		f.cut = cut
+		r := f.h.board.Record(f.p)
+		f.epoch = r.Epoch
+		q := &owner.PollTask{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.acked, From: f.to, Hold: f.h.bounds.Spread, Marks: true}
+		ready, gen := f.ready, f.gen
+		f.mu.Unlock()
+		a, err := f.h.src.Poll(cx, r, q)
+		broken := cx.Err() != nil
+		cut()
+		switch {
+		case err != nil:
+			f.mu.Lock()
+			f.reader = true
+			f.mu.Unlock()
+			if !broken {
+				f.rest(ctx, ready, tries)
+			}
+		case a.Lost:
+			f.mu.Lock()
+			f.lost = true
+			f.wake()
+			f.mu.Unlock()
+			f.rest(ctx, ready, tries)
+		default:
+			tries = 0
+			f.take(a, gen)
+		}
+	}
+}
+
+func (f *feed) rest(ctx context.Context, ready <-chan struct{}, tries int) {
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	due := make(chan struct{})
+	go func() {
+		_ = f.h.clk.Sleep(cx, f.h.bounds.Grown(tries))
+		close(due)
+	}()
+	changed := f.h.board.Changed()
+	select {
+	case <-ready:
+	case <-changed:
+	case <-due:
+	}
+}
+
+// take gives what a poll brought, and takes back what was withdrawn before the next poll says so. The answer counts only if no topic was taken up after none was left.
+func (f *feed) take(a *owner.Polled, gen uint64) {
+	m, clean := f.taken(a, gen)
+	if clean {
+		f.cleaned()
+	}
+	if m != nil {
+		f.h.withdraw(f.p, m)
+	}
+}
+
+func (f *feed) taken(a *owner.Polled, gen uint64) (m marks, clean bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if gen != f.gen {
+		f.reader = f.reader || a.Reader || keyed(a.Entries)
+		return nil, false
+	}
+	if a.Clean {
+		f.clean()
+		return nil, true
+	}
+	f.base = a.Base
+	f.seen = max(f.seen, a.Epoch)
+	f.reader = f.reader || a.Reader
+	for t, g := range a.Gone {
+		for s := range f.topics[t] {
+			if s.open && g > max(s.pos, f.to) && f.kept(t) {
+				f.end(s, max(s.pos, f.to))
+				f.later()
+			}
+		}
+	}
+	for _, e := range a.Entries {
+		if e.Offset <= f.to {
+			continue
+		}
+		if e.Key != "" {
+			f.reader = true
+			if e.What == line.Withdraw {
+				m.add(e)
+				f.mark(e)
+			}
+		}
+		for s := range f.topics[e.Topic] {
+			if s.open {
+				s.give(e)
+			} else {
+				s.held = append(s.held, e)
+			}
+		}
+	}
+	f.to = max(f.to, a.To)
+	return m, false
+}
+
+func keyed(es []line.Entry) bool {
+	return slices.ContainsFunc(es, func(e line.Entry) bool { return e.Key != "" })
+}
+
+// mark takes back what a withdrawal covers.
+func (f *feed) mark(e line.Entry) {
+	if f.asking {
+		f.marks.add(e)
+	}
+	for s := range f.topics[e.Topic] {
+		s.held = slices.DeleteFunc(s.held, func(x line.Entry) bool { return x.What == line.Message && x.Key == e.Key && x.Offset < e.Offset })
+	}
+}
+
+// covered tells whether a mark that was read meanwhile covers a message.
+func (f *feed) covered(e line.Entry) bool {
+	return e.Key != "" && e.What == line.Message && f.marks.cover(e.Topic, e.Key, e.Offset)
+}
--- /dev/null
+++ b/internal/carrier/fan/hub.go
@@ -0,0 +1,162 @@
+// Package fan carries the messages of followed topics from their owners to the visits of one node: it tells each owner which topics are
+// followed here, and gets only these.
+package fan
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+)
+
+// Owners asks the owner that a record names, one time.
+type Owners interface {
+	Follow(ctx context.Context, r record.Record, q *owner.Want) (*owner.Told, error)
+	Poll(ctx context.Context, r record.Record, q *owner.PollTask) (*owner.Polled, error)
+}
+
+// Hub holds what one node follows, by partition.
+type Hub struct {
+	self, boot string
+	src        Owners
+	board      *gossip.Board
+	clk        clock.Clock
+	bounds     options.Bounds
+	ctx        context.Context
+	mu         sync.Mutex
+	m          map[int]*feed
+	holders    []Holder
+}
+
+// Holder keeps messages that subscriptions were given until visitors have them. Withdraw lets go of those with keys that are covered.
+// Release lets go of all that have keys in a partition; it tells whether none is left. What is being written to a visitor can only be let go of by ending its
+// connection: Withdraw does so, Release where it may cut. Nothing that was let go of is written after they return.
+type Holder interface {
+	Withdraw(p int, covered Covered)
+	Release(p int, cut bool) bool
+}
+
+// New makes a hub that lives as long as ctx; boot names this run of the node.
+func New(ctx context.Context, self, boot string, s Owners, g *gossip.Board, c clock.Clock, b options.Bounds) *Hub {
+	return &Hub{self: self, boot: boot, src: s, board: g, clk: c, bounds: b, ctx: ctx, m: map[int]*feed{}}
+}
+
+// Covered tells whether a message of a topic that stands under a key at an offset was withdrawn.
+type Covered func(topic, key string, offset uint64) bool
+
+// Hold has a holder told of what is to be let go of.
+func (h *Hub) Hold(x Holder) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.holders = append(h.holders, x)
+}
+
+func (h *Hub) held() []Holder {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holders
+}
+
+func (h *Hub) withdraw(p int, m marks) {
+	for _, x := range h.held() {
+		x.Withdraw(p, m.cover)
+	}
+}
+
+func (h *Hub) release(p int, cut bool) bool {
+	all := true
+	for _, x := range h.held() {
+		all = x.Release(p, cut) && all
+	}
+	return all
+}
+
+// Sub is one visit's interest in one topic. Opened is told once where it begins, or why it can't; Give gets each message and withdrawal after that
+// place, once, in order. Broken ends a subscription that was opened, since something that was to be given is no longer held anywhere. All are called
+// one at a time and must not block or call the hub.
+type Sub struct {
+	Topic  string
+	After  *uint64
+	Opened func(at uint64, err error)
+	Give   func(e line.Entry)
+	Broken func()
+
+	feed     *feed
+	pos      uint64
+	asked    time.Time
+	told     bool
+	answered bool
+	open     bool
+	left     bool
+	held     []line.Entry
+}
+
+func (h *Hub) feed(p int) *feed {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f, ok := h.m[p]
+	if !ok {
+		f = &feed{h: h, p: p, boot: h.boot, topics: map[string]map[*Sub]bool{}, dirty: map[string]bool{}, kick: make(chan struct{}, 1), ready: make(chan struct{})}
+		h.m[p] = f
+	}
+	return f
+}
+
+// Sub makes a subscription that Join takes up.
+func (h *Hub) Sub(p int, topic string) *Sub { return &Sub{Topic: topic, feed: h.feed(p)} }
+
+// Join takes a topic up. It never blocks.
+func (h *Hub) Join(s *Sub) {
+	f := s.feed
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.left {
+		return
+	}
+	s.asked = h.clk.Now()
+	if f.topics[s.Topic] == nil {
+		f.topics[s.Topic] = map[*Sub]bool{}
+	}
+	f.topics[s.Topic][s] = true
+	f.dirty[s.Topic] = true
+	f.waiting = append(f.waiting, s)
+	if f.quit != nil {
+		f.quit()
+	}
+	f.wake()
+}
+
+// Leave drops a topic; nothing is given after it returns. It tells whether Opened was called.
+func (h *Hub) Leave(s *Sub) bool {
+	f := s.feed
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.remove(s)
+	f.later()
+	return s.answered
+}
+
+// Run turns feeds to new owners at once until ctx ends.
+func (h *Hub) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		ch := h.board.Changed()
+		h.mu.Lock()
+		for p, f := range h.m {
+			f.turn(h.board.Record(p))
+		}
+		h.mu.Unlock()
+		select {
+		case <-ch:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Partition is where the topic's line stands.
+func (s *Sub) Partition() int { return s.feed.p }
--- /dev/null
+++ b/internal/carrier/fan/later_test.go
@@ -0,0 +1,101 @@
+package fan
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+)
+
+// clerk is an owner that counts what it is told.
+type clerk struct {
+	mu     sync.Mutex
+	told   int
+	topics map[string]int
+}
+
+func (c *clerk) Follow(_ context.Context, _ record.Record, q *owner.Want) (*owner.Told, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told++
+	if q.Full {
+		clear(c.topics)
+	}
+	for t, n := range q.Topics {
+		c.topics[t] = n
+		if n == 0 {
+			delete(c.topics, t)
+		}
+	}
+	return &owner.Told{Epoch: 1}, nil
+}
+
+func (c *clerk) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+	return &owner.Polled{Epoch: 1, To: q.From}, clock.Real{}.Sleep(ctx, q.Hold)
+}
+
+func (c *clerk) read() (int, map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told, maps.Clone(c.topics)
+}
+
+// Visitors whose connections break and who come back cost one word to the owner, not two; those who stay away are told of in time.
+func TestDropsAreToldWithWhatFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := options.DefaultBounds
+		ctx, stop := context.WithCancel(t.Context())
+		c := &clerk{topics: map[string]int{}}
+		h := New(ctx, "a1", "boot", c, gossip.NewBoard(nil), clock.Real{}, b)
+		opened := 0
+		join := func(topic string) *Sub {
+			s := h.Sub(0, topic)
+			s.Opened = func(_ uint64, err error) {
+				assert.NilError(t, err)
+				opened++
+			}
+			s.Give = func(line.Entry) {}
+			h.Join(s)
+			synctest.Wait()
+			return s
+		}
+		x, y := join("a"), join("b")
+		was, _ := c.read()
+		for range 5 {
+			h.Leave(x)
+			time.Sleep(b.Hold() / 8)
+			x = join("a")
+		}
+		is, topics := c.read()
+		assert.Equal(t, is-was, 5)
+		assert.Equal(t, opened, 7)
+		assert.DeepEqual(t, topics, map[string]int{"a": 1, "b": 1})
+		h.Leave(x)
+		time.Sleep(b.Hold())
+		synctest.Wait()
+		_, topics = c.read()
+		assert.DeepEqual(t, topics, map[string]int{"b": 1})
+		h.Leave(y)
+		time.Sleep(b.Hold() + b.Spread)
+		synctest.Wait()
+		_, topics = c.read()
+		assert.DeepEqual(t, topics, map[string]int{})
+		join("b")
+		_, topics = c.read()
+		assert.DeepEqual(t, topics, map[string]int{"b": 1})
+		assert.Equal(t, opened, 8)
+		stop()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/carrier/fan/slow_test.go
@@ -0,0 +1,71 @@
+package fan
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+// thin is an owner behind a link that takes longer for an answer with messages than a new subscription waits.
+type thin struct {
+	takes time.Duration
+	back  []line.Entry
+}
+
+func (s *thin) Follow(ctx context.Context, _ record.Record, q *owner.Want) (*owner.Told, error) {
+	if err := (clock.Real{}).Sleep(ctx, s.takes); err != nil {
+		return nil, problem.Because(problem.Unreachable, err, "no answer in time")
+	}
+	last := s.back[len(s.back)-1].Offset
+	a := &owner.Told{Epoch: 1, Tail: last, Upto: last}
+	for _, e := range s.back {
+		if at, ok := q.After[e.Topic]; ok && e.Offset > at {
+			a.Back = append(a.Back, e)
+		}
+	}
+	return a, nil
+}
+
+func (s *thin) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+	_ = clock.Real{}.Sleep(ctx, q.Hold)
+	return &owner.Polled{Epoch: 1, To: q.From}, nil
+}
+
+func TestMissedMessagesComeOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := options.DefaultBounds
+		ctx, stop := context.WithCancel(t.Context())
+		s := &thin{takes: 3 * b.Retry(), back: []line.Entry{{Offset: 4, What: line.Message, Topic: "a"}, {Offset: 7, What: line.Message, Topic: "a"}}}
+		h := New(ctx, "a1", "boot", s, gossip.NewBoard(nil), clock.Real{}, b)
+		x := h.Sub(0, "a")
+		at := uint64(3)
+		x.After = &at
+		var opened, got []uint64
+		x.Opened = func(at uint64, err error) {
+			assert.NilError(t, err)
+			opened = append(opened, at)
+		}
+		x.Give = func(e line.Entry) { got = append(got, e.Offset) }
+		h.Join(x)
+		time.Sleep(b.Call())
+		synctest.Wait()
+		assert.DeepEqual(t, opened, []uint64{3})
+		time.Sleep(2 * b.Call())
+		synctest.Wait()
+		assert.DeepEqual(t, got, []uint64{4, 7})
+		h.Leave(x)
+		stop()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/carrier/fan/soon_test.go
@@ -0,0 +1,144 @@
+package fan
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+)
+
+// far is an owner that keeps a line and takes a time for each way.
+type far struct {
+	mu     sync.Mutex
+	way    time.Duration
+	es     []line.Entry
+	topics map[string]bool
+	briefs []bool
+}
+
+func (s *far) add(topics ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range topics {
+		s.es = append(s.es, line.Entry{Offset: uint64(len(s.es) + 1), What: line.Message, Topic: t})
+	}
+}
+
+func (s *far) Follow(ctx context.Context, _ record.Record, q *owner.Want) (*owner.Told, error) {
+	if err := (clock.Real{}).Sleep(ctx, s.way); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	for t := range q.Topics {
+		s.topics[t] = true
+	}
+	s.briefs = append(s.briefs, q.Brief)
+	a := &owner.Told{Epoch: 1, Tail: uint64(len(s.es)), Upto: uint64(len(s.es))}
+	for _, e := range s.es {
+		if at, ok := q.After[e.Topic]; !ok || e.Offset <= at {
+			continue
+		}
+		if q.Brief && len(a.Back) > 0 {
+			a.Upto = e.Offset - 1
+			break
+		}
+		a.Back = append(a.Back, e)
+	}
+	s.mu.Unlock()
+	return a, clock.Real{}.Sleep(ctx, s.way)
+}
+
+func (s *far) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+	if err := (clock.Real{}).Sleep(ctx, time.Millisecond); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := &owner.Polled{Epoch: 1, To: uint64(len(s.es))}
+	for _, e := range s.es {
+		if e.Offset > q.From && s.topics[e.Topic] {
+			a.Entries = append(a.Entries, e)
+		}
+	}
+	return a, nil
+}
+
+type heard struct {
+	opened []uint64
+	at     time.Time
+	got    []uint64
+}
+
+func (x *heard) sub(h *Hub, topic string, after *uint64) *Sub {
+	s := h.Sub(0, topic)
+	s.After = after
+	s.Opened = func(at uint64, err error) {
+		if err == nil {
+			x.opened, x.at = append(x.opened, at), time.Now()
+		}
+	}
+	s.Give = func(e line.Entry) { x.got = append(x.got, e.Offset) }
+	h.Join(s)
+	return s
+}
+
+// Who comes back with a cursor is told its place before its owner answers, and gets all that it missed, once.
+func TestAPlaceThatNeedsNoOwnerIsToldSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := options.DefaultBounds
+		ctx, stop := context.WithCancel(t.Context())
+		s := &far{way: b.Retry() * 3 / 4, topics: map[string]bool{}}
+		h := New(ctx, "a1", "boot", s, gossip.NewBoard(nil), clock.Real{}, b)
+		s.add("a", "b", "a", "a", "b", "a")
+		begun, at := time.Now(), uint64(1)
+		var x heard
+		x.sub(h, "a", &at)
+		time.Sleep(b.Call())
+		s.add("a")
+		time.Sleep(10 * b.Call())
+		synctest.Wait()
+		assert.DeepEqual(t, x.opened, []uint64{1})
+		assert.Assert(t, x.at.Sub(begun) < b.Retry(), "told after %s", x.at.Sub(begun))
+		assert.DeepEqual(t, x.got, []uint64{3, 4, 6, 7})
+		assert.Assert(t, slices.Equal(s.briefs, []bool{true, false}), "%v", s.briefs)
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Who comes without a cursor while the owner's answer is under way is given the place that this node has read to, and nothing behind it is passed over.
+func TestWhatComesBetweenThePlaceAndTheAnswerIsGiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := options.DefaultBounds
+		ctx, stop := context.WithCancel(t.Context())
+		s := &far{way: b.Retry() * 3 / 4, topics: map[string]bool{}}
+		h := New(ctx, "a1", "boot", s, gossip.NewBoard(nil), clock.Real{}, b)
+		s.add("a", "a")
+		var x, y heard
+		x.sub(h, "a", nil)
+		time.Sleep(10 * b.Call())
+		y.sub(h, "b", nil)
+		time.Sleep(b.Retry() * 5 / 8)
+		s.add("b", "a")
+		time.Sleep(10 * b.Call())
+		s.add("b")
+		time.Sleep(10 * b.Call())
+		synctest.Wait()
+		assert.DeepEqual(t, y.opened, []uint64{2})
+		assert.DeepEqual(t, y.got, []uint64{3, 5})
+		assert.DeepEqual(t, x.got, []uint64{4})
+		stop()
+		synctest.Wait()
+	})
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -34,3 +34,30 @@
 func Jitter(d time.Duration, share, x float64) time.Duration {
 	return d + time.Duration(float64(d)*share*x)
 }
+
+// Wait waits for d, the end of ctx, or until news or other news, which may be nil, comes.
+func Wait(ctx context.Context, c Clock, d time.Duration, news, other <-chan struct{}) {
+	if _, ok := c.(Real); ok {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-news:
+		case <-other:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		return
+	}
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	due := make(chan struct{})
+	go func() {
+		_ = c.Sleep(cx, d)
+		close(due)
+	}()
+	select {
+	case <-news:
+	case <-other:
+	case <-due:
+	}
+}
--- a/internal/command/caller/caller.go
+++ b/internal/command/caller/caller.go
@@ -26,9 +26,9 @@
 }
 
 type want struct {
-	at, token, topic, cursor, n, format string
-	call                                uint64
-	lines                               int
+	at, token, topic, cursor, n, format, key, of string
+	call, upto                                   uint64
+	lines                                        int
 }
 
 // Verb is one word of the command line.
@@ -99,9 +99,31 @@
 	"send": {Help: "send a numbered message; BODY is JSON", Args: "BODY", set: func(fs *flag.FlagSet, w *want) {
 		tokenFlag(fs, w)
 		fs.StringVar(&w.topic, "topic", "", "`topic`, written space/topic")
-		fs.Uint64Var(&w.call, "call-seq", 0, "`number` of the message, from 1, without gaps per topic")
+		fs.Uint64Var(&w.call, "call-seq", 0, "`number` of the message, from 1, above those before it")
+		fs.StringVar(&w.key, "key", "", "`key` that the message stands under, to be withdrawn by")
 	}, run: func(ctx context.Context, s Streams, w *want, a []string) error {
-		return post(ctx, s, w, "/v1/send", map[string]any{"topic": w.topic, "call_seq": w.call, "body": json.RawMessage(a[0])})
+		m := map[string]any{"topic": w.topic, "call_seq": w.call, "body": json.RawMessage(a[0])}
+		if w.key != "" {
+			m["key"] = w.key
+		}
+		return post(ctx, s, w, "/v1/send", m)
+	}},
+	"withdraw": {Help: "withdraw what stands under a key, and wait until every node has forgotten it", set: func(fs *flag.FlagSet, w *want) {
+		tokenFlag(fs, w)
+		fs.StringVar(&w.topic, "topic", "", "`topic`, written space/topic")
+		fs.StringVar(&w.key, "key", "", "`key` of the messages")
+		fs.Uint64Var(&w.call, "call-seq", 0, "`number` of the withdrawal, counted with the messages; the same one again asks how it stands")
+		fs.StringVar(&w.of, "of", "", "`sender` whose messages may still be under way")
+		fs.Uint64Var(&w.upto, "upto", 0, "highest `number` of that sender which is not to be taken any more")
+	}, run: func(ctx context.Context, s Streams, w *want, _ []string) error {
+		m := map[string]any{"topic": w.topic, "key": w.key, "call_seq": w.call}
+		if w.of != "" {
+			m["of"] = w.of
+		}
+		if w.upto != 0 {
+			m["upto"] = w.upto
+		}
+		return post(ctx, s, w, "/v1/withdraw", m)
 	}},
 	"follow": {Help: "print a stream of topics", set: func(fs *flag.FlagSet, w *want) {
 		tokenFlag(fs, w)
@@ -243,9 +265,10 @@
 			return problem.Wrap(problem.Usage, err, "write a line")
 		}
 		var l struct {
-			Topic string `json:"topic"`
+			Topic     string `json:"topic"`
+			Withdrawn string `json:"withdrawn"`
 		}
-		if json.Unmarshal(sc.Bytes(), &l) == nil && l.Topic != "" {
+		if json.Unmarshal(sc.Bytes(), &l) == nil && l.Topic != "" && l.Withdrawn == "" {
 			n++
 		}
 		if w.lines > 0 && n >= w.lines {
--- /dev/null
+++ b/internal/command/serve/process_test.go
@@ -0,0 +1,181 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/event"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+)
+
+// paper is a log that can be waited on.
+type paper struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	more chan struct{}
+}
+
+func newRecord() *paper { return &paper{more: make(chan struct{}, 1)} }
+
+// Write takes log lines.
+func (l *paper) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text.Write(b)
+	select {
+	case l.more <- struct{}{}:
+	default:
+	}
+	return len(b), nil
+}
+
+func (l *paper) count(e event.Event) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), fmt.Sprintf("event=%d", e.Number))
+}
+
+func (l *paper) await(t *testing.T, e event.Event, n int) {
+	t.Helper()
+	for l.count(e) < n {
+		select {
+		case <-l.more:
+		case <-t.Context().Done():
+			t.Fatalf("event %d did not come %d times", e.Number, n)
+		}
+	}
+}
+
+func ports(t *testing.T, n int) []string {
+	var as []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		as = append(as, l.Addr().String())
+		defer func() { _ = l.Close() }()
+	}
+	return as
+}
+
+func settings(t *testing.T, a []string, more string) string {
+	f := filepath.Join(t.TempDir(), "o.json")
+	s := fmt.Sprintf(`{"name":"a1","zone":"z1","listen":%q,"fellow_listen":%q,"seeds":[%q,%q,%q]%s}`, a[0], a[1], a[2], a[3], a[4], more)
+	assert.NilError(t, os.WriteFile(f, []byte(s), 0o600))
+	return f
+}
+
+// A hang-up once ended the process. It has the settings read again, at once and changed or not; a broken pipe does nothing.
+func TestHangUpReadsTheSettingsAgain(t *testing.T) {
+	as := ports(t, 5)
+	f := settings(t, as, "")
+	l := newRecord()
+	done := make(chan error, 1)
+	go func() { done <- Run([]string{"-options", f}, l) }()
+	l.await(t, event.Listening, 1)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	l.await(t, event.OptionsTaken, 1)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGPIPE))
+	assert.NilError(t, os.WriteFile(f, []byte(`{"name":"other"}`), 0o600))
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	l.await(t, event.OptionsTurned, 1)
+	select {
+	case err := <-done:
+		t.Fatalf("the process ended: %v", err)
+	default:
+	}
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	assert.NilError(t, <-done)
+}
+
+// The previous process still holds the port: the start waits until it lets go.
+func TestStartWaitsForItsPort(t *testing.T) {
+	as := ports(t, 5)
+	held, err := net.Listen("tcp", as[0])
+	assert.NilError(t, err)
+	l := newRecord()
+	done := make(chan error, 1)
+	go func() { done <- Run([]string{"-options", settings(t, as, "")}, l) }()
+	l.await(t, event.StartWaits, 1)
+	assert.NilError(t, held.Close())
+	l.await(t, event.Listening, 1)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	assert.NilError(t, <-done)
+}
+
+// A port that stays held ends the start after the recovery bound; a disk that takes no writes never does; what can't pass does at once.
+func TestPatience(t *testing.T) {
+	for k, want := range map[problem.Kind]time.Duration{
+		problem.Held: options.DefaultBounds.Recovery, problem.DiskFull: time.Hour, problem.DiskFailed: time.Hour, problem.OptionsBad: 0, problem.DiskForeign: 0,
+	} {
+		t.Run(string(k), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stop := make(chan struct{})
+				p := &patience{clk: clock.Real{}, bounds: options.DefaultBounds, log: event.NewLogger(hclog.NewNullLogger()), stop: stop}
+				end := time.AfterFunc(time.Hour, func() { close(stop) })
+				defer end.Stop()
+				at := time.Now()
+				_, err := patient(p, func() (int, error) { return 0, problem.New(k, "not now") })
+				assert.Assert(t, problem.Has(err, k))
+				got := time.Since(at)
+				assert.Assert(t, got >= want && got <= want+options.DefaultBounds.Retry(), "%s", got)
+			})
+		})
+	}
+}
+
+type breaking struct {
+	served chan net.Listener
+	fail   chan error
+}
+
+// Serve gives up when told to.
+func (b *breaking) Serve(l net.Listener) error {
+	b.served <- l
+	return <-b.fail
+}
+
+// Shutdown does nothing.
+func (b *breaking) Shutdown(context.Context) error { return nil }
+
+// Close does nothing.
+func (b *breaking) Close() error { return nil }
+
+// A listener that breaks is opened again; it once ended the process.
+func TestBrokenListenerIsOpenedAgain(t *testing.T) {
+	a := ports(t, 1)[0]
+	l := newRecord()
+	p := &patience{clk: clock.Real{}, bounds: options.DefaultBounds, log: event.NewLogger(hclog.New(&hclog.LoggerOptions{Output: l}))}
+	d := Door{Field: "listen", Address: a}
+	first, err := d.listen()
+	assert.NilError(t, err)
+	b := &breaking{served: make(chan net.Listener), fail: make(chan error)}
+	done := make(chan struct{})
+	go func() {
+		p.serve(d, b, first)
+		close(done)
+	}()
+	<-b.served
+	b.fail <- problem.New(problem.Internal, "broken")
+	second := <-b.served
+	assert.Equal(t, second.Addr().String(), a)
+	assert.Equal(t, l.count(event.ServeFailed), 1)
+	p.end()
+	b.fail <- problem.New(problem.Internal, "broken")
+	<-done
+	assert.NilError(t, second.Close())
+}
--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -10,7 +10,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
+	"runtime"
+	"sync"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"postjunction/internal/clock"
 	"postjunction/internal/door"
+	"postjunction/internal/door/lines"
 	"postjunction/internal/event"
 	"postjunction/internal/node"
 	"postjunction/internal/options"
@@ -67,104 +69,196 @@
 	if err != nil {
 		return err
 	}
-	h := hclog.New(&hclog.LoggerOptions{Name: "postjunction", Level: hclog.LevelFromString(o.Level), Output: errs, TimeFn: time.Now})
+	again := func() (options.Options, error) {
+		o, _, err := Read(args, io.Discard)
+		return o, err
+	}
+	return Process(Task{Options: o, File: path, Again: again, Errs: errs})
+}
+
+// Task is what a process runs: one node, and the doors that a main adds to those of the settings.
+type Task struct {
+	Options options.Options
+	// File, if any, is followed for changes and read by Again.
+	File  string
+	Again func() (options.Options, error)
+	// Callers, if any, wraps the handler of callers and operators.
+	Callers func(n *node.Node, h http.Handler) http.Handler
+	// Words are those of visits, the product's own if none.
+	Words lines.Codec
+	Doors []Door
+	Errs  io.Writer
+}
+
+// Door is one more listener, and what serves it.
+type Door struct {
+	Field   string
+	Address string
+	// Most bounds the connections open at once, 0 for the share of its field.
+	Most int
+	// Swept tells that the server closes silent connections itself, so that the system need not look after each.
+	Swept bool
+	Open  func(n *node.Node) Server
+}
+
+// Server serves a listener until it is shut down or closed.
+type Server interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
+// Process serves until a signal asks to stop.
+func Process(t Task) error {
+	o := t.Options
+	h := hclog.New(&hclog.LoggerOptions{Name: "postjunction", Level: hclog.LevelFromString(o.Level), Output: t.Errs, TimeFn: time.Now})
 	log := event.NewLogger(h.With("node", o.Name))
-	w := node.World{Clock: clock.Real{}, Net: wire.Real(o.Bounds().Call())}
+	frugal(o.Memory, o.Processor)
+	w := node.World{Clock: clock.Real{}, Net: wire.Real(o.Bounds())}
+	s := listen()
+	defer s.end()
+	p := &patience{clk: clock.Real{}, bounds: o.Bounds(), log: log, stop: s.stop}
+	runtime.GOMAXPROCS(threads(o.Disk, runtime.GOMAXPROCS(0)))
 	if o.Disk != options.DiskNone {
-		release, err := lock(o.Data)
+		release, err := patient(p, func() (func(), error) { return lock(o.Data) })
 		if err != nil {
 			return err
 		}
 		defer release()
-		g, err := walog.Open(o.Data)
-		if problem.Has(err, problem.DiskDamaged) {
-			log.Say(event.DiskDamaged, "problem", err)
-			err = g.SetAside()
-		}
+		g, err := patient(p, func() (*walog.Log, error) {
+			g, err := walog.Open(o.Data)
+			if problem.Has(err, problem.DiskDamaged) {
+				log.Say(event.DiskDamaged, "problem", err)
+				err = g.SetAside()
+			}
+			return g, err
+		})
 		if err != nil {
 			return err
 		}
 		defer func() { _ = g.Close() }()
 		w.Disk = g
 	}
-	fl, err := net.Listen("tcp", o.Fellows)
-	if err != nil {
-		return problem.Wrap(problem.OptionsBad, err, "fellow_listen %s", o.Fellows)
+	callers := func(n *node.Node) http.Handler { return n.Door().Handler() }
+	if t.Callers != nil {
+		callers = func(n *node.Node) http.Handler { return t.Callers(n, n.Door().Handler()) }
 	}
-	vl, err := net.Listen("tcp", o.Listen)
-	if err != nil {
-		return problem.Wrap(problem.OptionsBad, err, "listen %s", o.Listen)
+	doors := append([]Door{
+		{Field: "fellow_listen", Address: o.Fellows, Open: func(n *node.Node) Server { return wire.Server(n.Fellows(), o.Bounds()) }},
+		{Field: "listen", Address: o.Listen, Open: func(n *node.Node) Server { return door.Server(callers(n), o.Bounds()) }},
+	}, t.Doors...)
+	if o.Visits != "" {
+		doors = append(doors, Door{Field: "visit_listen", Address: o.Visits, Swept: true, Open: func(n *node.Node) Server { return visits(n, o, t.Words) }})
+	}
+	var ls []net.Listener
+	for _, d := range doors {
+		l, err := patient(p, d.listen)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }()
+		ls = append(ls, bounded(l, share(d, o.Descriptors)))
 	}
-	sig := make(chan os.Signal, 2)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
-	n, err := node.Start(context.Background(), o, w, log)
+	n, err := patient(p, func() (*node.Node, error) {
+		n, err := node.Start(context.Background(), o, w, log)
+		if err != nil && w.Disk != nil {
+			_ = w.Disk.Reopen()
+		}
+		return n, err
+	})
 	if err != nil {
 		return err
 	}
-	fs := &http.Server{Handler: n.Fellows(), ReadHeaderTimeout: o.Bounds().Recovery}
-	vs := door.Server(n.Door().Handler(), o.Bounds())
-	failed := make(chan error, 2)
-	for s, l := range map[*http.Server]net.Listener{fs: fl, vs: vl} {
-		go func() {
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				failed <- problem.Wrap(problem.Internal, err, "serve on %s", l.Addr())
-			}
-		}()
+	var ss []Server
+	for i, d := range doors {
+		s := d.Open(n)
+		ss = append(ss, s)
+		go p.serve(d, s, ls[i])
 	}
 	log.Say(event.Listening, "callers", o.Listen, "fellows", o.Fellows)
 	watch, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
-	if path != "" {
-		go follow(watch, path, args, n, log)
-	}
-	select {
-	case <-sig:
-	case err = <-failed:
-		log.Say(event.ServeFailed, "problem", err)
+	if t.File != "" {
+		go follow(watch, t, s.again, n, log)
 	}
+	<-s.stop
+	p.end()
 	cut := time.AfterFunc(o.Bounds().Stop(), func() { os.Exit(0) })
 	defer cut.Stop()
 	n.Stop()
 	cx, stop := context.WithTimeout(context.Background(), o.Bounds().Stop()/8)
 	defer stop()
-	_ = vs.Shutdown(cx)
-	_ = fs.Close()
-	return err
+	var wg sync.WaitGroup
+	for _, s := range ss[1:] {
+		wg.Go(func() { _ = s.Shutdown(cx) })
+	}
+	wg.Wait()
+	for _, s := range ss {
+		_ = s.Close()
+	}
+	return nil
 }
 
-func follow(ctx context.Context, path string, args []string, n *node.Node, log *event.Logger) {
-	last, _ := os.ReadFile(path)
+// follow takes changes of the settings file up, within a second, or at once and changed or not when it is asked to.
+func follow(ctx context.Context, t Task, again <-chan struct{}, n *node.Node, log *event.Logger) {
+	last, _ := os.ReadFile(t.File)
 	was := sha256.Sum256(last)
-	for (clock.Real{}).Sleep(ctx, time.Second) == nil {
-		b, err := os.ReadFile(path)
+	for ctx.Err() == nil {
+		asked := false
+		due, stop := context.WithTimeout(ctx, time.Second)
+		select {
+		case <-again:
+			asked = true
+		case <-due.Done():
+		}
+		stop()
+		b, err := os.ReadFile(t.File)
 		is := sha256.Sum256(b)
-		if err != nil || is == was {
+		if err != nil && !asked || is == was && !asked {
 			continue
 		}
 		was = is
-		o, _, err := Read(args, io.Discard)
+		o, err := t.Again()
 		if err == nil {
 			err = n.Apply(o)
 		}
 		if err != nil {
-			log.Say(event.OptionsTurned, "file", path, "problem", err)
+			log.Say(event.OptionsTurned, "file", t.File, "problem", err)
 			continue
 		}
-		log.Say(event.OptionsTaken, "file", path)
+		log.Say(event.OptionsTaken, "file", t.File)
 	}
 }
 
 func lock(dir string) (func(), error) {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
-		return nil, problem.Wrap(problem.OptionsBad, err, "data folder %s", dir)
+		return nil, folder(err, dir)
 	}
 	f, err := os.OpenFile(dir+"/lock", os.O_CREATE|os.O_RDWR, 0o640)
 	if err != nil {
-		return nil, problem.Wrap(problem.OptionsBad, err, "data folder %s", dir)
+		return nil, folder(err, dir)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = f.Close()
-		return nil, problem.Wrap(problem.DiskForeign, err, "data folder %s is in use by another process", dir)
+		return nil, problem.Wrap(problem.Held, err, "data folder %s is in use by another process", dir)
 	}
 	return func() { _ = f.Close() }, nil
 }
+
+// folder tells a disk that takes no writes from a folder that can't be one.
+func folder(err error, dir string) error {
+	k := problem.DiskFailed
+	if errors.Is(err, os.ErrPermission) || errors.Is(err, syscall.ENOTDIR) || errors.Is(err, syscall.EROFS) {
+		k = problem.OptionsBad
+	}
+	return problem.Wrap(k, err, "data folder %s", dir)
+}
+
+// threads is how many threads may run Go code: one core is not one thread, since the thread that waits for a sync of the disk keeps its place
+// for up to 10 ms, and all calls would stand still meanwhile.
+func threads(disk string, have int) int {
+	if disk == options.DiskNone {
+		return have
+	}
+	return max(have, 2)
+}
--- /dev/null
+++ b/internal/command/serve/threads_test.go
@@ -0,0 +1,46 @@
+package serve
+
+import (
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/options"
+)
+
+func TestOneThreadIsToSpareBesideADisk(t *testing.T) {
+	assert.Equal(t, threads(options.DiskStorage, 1), 2)
+	assert.Equal(t, threads(options.DiskControl, 1), 2)
+	assert.Equal(t, threads(options.DiskNone, 1), 1)
+	assert.Equal(t, threads(options.DiskStorage, 8), 8)
+}
+
+// With the threads of a machine with a disk, others go on while one waits in the kernel.
+func TestOthersRunWhileADiskIsWaitedFor(t *testing.T) {
+	was := runtime.GOMAXPROCS(threads(options.DiskStorage, 1))
+	defer runtime.GOMAXPROCS(was)
+	f, err := os.Create(filepath.Join(t.TempDir(), "x"))
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	turns, done := 0, make(chan struct{})
+	go func() {
+		for range 50 {
+			_, _ = f.Write(make([]byte, 4096))
+			_ = f.Sync()
+		}
+		close(done)
+	}()
+	for {
+		select {
+		case <-done:
+			assert.Assert(t, turns > 0)
+			return
+		default:
+			turns++
+			runtime.Gosched()
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/serve/visits.go
@@ -0,0 +1,43 @@
+package serve
+
+import (
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/door/lines"
+	"postjunction/internal/door/lines/plain"
+	"postjunction/internal/node"
+	"postjunction/internal/options"
+	"postjunction/internal/visitor/visit"
+)
+
+const (
+	descriptorParts = 4
+	visitParts      = 3
+)
+
+// house lets a node's house be a host of lines.
+type house struct{ *visit.House }
+
+// Enter begins a visit.
+func (h house) Enter(out visit.Out) lines.Guest { return h.House.Enter(out) }
+
+// visits makes the server of line sessions. Of a bounded number of descriptors, a quarter stays for fellows and files.
+func visits(n *node.Node, o options.Options, words lines.Codec) Server {
+	if words == nil {
+		words = plain.Codec{}
+	}
+	return lines.New(lines.Settings{
+		Host: house{n.House}, Codec: words, Clock: clock.Real{},
+		Keepalive: time.Duration(o.Keepalive), Retry: o.Bounds().Retry(),
+		Body: func() int { return body(o.Body, n.Board.Description().Limits.Body) }, Most: o.Descriptors * visitParts / descriptorParts,
+	})
+}
+
+// body is the largest body in bytes: that of the settings, or less if the description says so.
+func body(settings, described int) int {
+	if described > 0 {
+		return min(settings, described)
+	}
+	return settings
+}
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -5,6 +5,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	mrand "math/rand/v2"
+	"slices"
+	"sync"
 
 	"postjunction/internal/control/holder"
 	"postjunction/internal/control/voter"
@@ -21,6 +24,8 @@
 	bounds options.Bounds
 	view   func() []member.Info
 	local  *holder.Holder
+	mu     sync.Mutex
+	good   string
 }
 
 // New makes a client; local is the node's own holder, nil without a control disk.
@@ -29,9 +34,87 @@
 }
 
 func (c *Client) nodes() []member.Info {
-	return member.Pick(c.view(), func(i member.Info) bool {
+	is := member.Pick(c.view(), func(i member.Info) bool {
 		return i.Disk == options.DiskControl && i.Stage == member.Serving && i.Name != c.self
 	})
+	c.mu.Lock()
+	good := c.good
+	c.mu.Unlock()
+	if k := slices.IndexFunc(is, func(i member.Info) bool { return i.Name == good }); k > 0 {
+		is = append(slices.Clone(is[k:]), is[:k]...)
+	}
+	return is
+}
+
+const openMost = 3
+
+type answer[A any] struct {
+	a    A
+	err  error
+	from string
+}
+
+// race asks control nodes until one says yes or see ends it: the next one at once after a problem, and also when the last one asked is
+// silent for a while. see hears each problem, and how many other calls are open.
+func race[A any](ctx context.Context, c *Client, f func(ctx context.Context, addr string) (A, error), see func(err error, open int) bool) (a A, ok bool) {
+	ns := c.nodes()
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	ch := make(chan answer[A], len(ns))
+	next, open := 0, 0
+	ask := func() {
+		if next == len(ns) || open == openMost {
+			return
+		}
+		i := ns[next]
+		next++
+		open++
+		go func() {
+			cx, stop := context.WithTimeout(cx, c.bounds.Call())
+			defer stop()
+			a, err := f(cx, i.Fellows)
+			ch <- answer[A]{a, err, i.Name}
+		}()
+	}
+	ask()
+	for open > 0 {
+		hx, halt := context.WithTimeout(cx, c.bounds.Hedge())
+		select {
+		case g := <-ch:
+			halt()
+			open--
+			if g.err == nil {
+				c.mu.Lock()
+				c.good = g.from
+				c.mu.Unlock()
+				return g.a, true
+			}
+			if see(g.err, open) {
+				return a, false
+			}
+			ask()
+		case <-hx.Done():
+			halt()
+			if ctx.Err() != nil {
+				see(problem.Because(problem.Unreachable, ctx.Err(), "no control node answered in time"), open)
+				return a, false
+			}
+			ask()
+		}
+	}
+	return a, false
+}
+
+// Once has one control node do what a node without a control disk would else do itself. sent tells that it may have heard of it.
+func Once[Q, A any](ctx context.Context, c *Client, p *wire.Procedure[Q, A], q *Q) (sent bool, err error) {
+	ns := c.nodes()
+	if c.local != nil || len(ns) == 0 {
+		return false, problem.New(problem.Unreachable, "no control node to hand it to")
+	}
+	cx, stop := context.WithTimeout(ctx, c.bounds.Call())
+	defer stop()
+	_, err = p.Call(cx, c.net, c.self, ns[mrand.IntN(len(ns))].Fellows, q)
+	return true, err
 }
 
 // Name makes a fresh name for a change.
@@ -50,16 +133,14 @@
 			return *v, nil
 		}
 	}
-	for _, i := range c.nodes() {
-		cx, stop := context.WithTimeout(ctx, c.bounds.Call())
-		v, e := holder.Read.Call(cx, c.net, c.self, i.Fellows, &holder.ReadTask{Key: key})
-		stop()
-		if err = e; err == nil {
-			return *v, nil
-		}
-		if ctx.Err() != nil {
-			break
-		}
+	v, ok := race(ctx, c, func(ctx context.Context, addr string) (*voter.Value, error) {
+		return holder.Read.Call(ctx, c.net, c.self, addr, &holder.ReadTask{Key: key})
+	}, func(e error, _ int) bool {
+		err = e
+		return ctx.Err() != nil
+	})
+	if ok {
+		return *v, nil
 	}
 	return voter.Value{}, err
 }
@@ -72,9 +153,10 @@
 	q := &holder.ChangeTask{Key: key, Base: base, By: by, Body: body}
 	err := error(problem.New(problem.NotFounded, "no control node is known"))
 	doubt := false
-	see := func(e error) bool {
+	see := func(e error, open int) bool {
 		err = e
 		p := problem.Of(e)
+		doubt = doubt || open > 0
 		if settled[p.Kind] {
 			if doubt {
 				err = problem.New(problem.NoMajority, "%s changed after an unclear answer", key)
@@ -89,20 +171,15 @@
 		if e == nil {
 			return *v, nil
 		}
-		if see(e) {
+		if see(e, 0) {
 			return voter.Value{}, err
 		}
 	}
-	for _, i := range c.nodes() {
-		cx, stop := context.WithTimeout(ctx, c.bounds.Call())
-		v, e := holder.Change.Call(cx, c.net, c.self, i.Fellows, q)
-		stop()
-		if e == nil {
-			return *v, nil
-		}
-		if see(e) {
-			break
-		}
+	v, ok := race(ctx, c, func(ctx context.Context, addr string) (*voter.Value, error) {
+		return holder.Change.Call(ctx, c.net, c.self, addr, q)
+	}, see)
+	if ok {
+		return *v, nil
 	}
 	if doubt && !problem.Has(err, problem.NoMajority) {
 		err = problem.Wrap(problem.NoMajority, problem.New(problem.NoMajority, "%v", err), "the outcome of writing %s is not known", key)
--- a/internal/control/confirm/confirm.go
+++ b/internal/control/confirm/confirm.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -58,13 +59,29 @@
 	return d, err
 }
 
-// Run confirms every half pulse.
+// Run confirms every pulse; until it did so for the first time, it tries again soon and on news.
 func (f *Confirmer) Run(ctx context.Context) {
-	for f.Clock.Sleep(ctx, f.Bounds.Pulse()/2) == nil {
+	for ctx.Err() == nil {
+		news := f.Board.Changed()
 		f.once(ctx)
+		if f.begun() {
+			_ = f.Clock.Sleep(ctx, f.Bounds.Pulse())
+			continue
+		}
+		if f.Board.Roster().Sequence == 0 {
+			clock.Wait(ctx, f.Clock, f.Bounds.Pulse()/2, news, nil)
+			continue
+		}
+		_ = f.Clock.Sleep(ctx, clock.Jitter(f.Bounds.Soon(), 1, rand.Float64()))
 	}
 }
 
+func (f *Confirmer) begun() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.c.At != none
+}
+
 type peeks = []gather.Answer[roster.Seat, *voter.PeekAnswer]
 
 func (f *Confirmer) once(ctx context.Context) {
@@ -99,11 +116,18 @@
 		f.set(at, seq, top)
 		return
 	}
-	v, err := f.Holder.Read(cx, &holder.ReadTask{Key: Key})
-	if err != nil {
+	if !f.settle(r, same) {
 		return
 	}
-	d, err := Parse(*v)
+	v, ok := f.Holder.Glance(cx, Key)
+	if !ok {
+		w, err := f.Holder.Read(cx, &holder.ReadTask{Key: Key})
+		if err != nil {
+			return
+		}
+		v = *w
+	}
+	d, err := Parse(v)
 	if err != nil {
 		return
 	}
@@ -117,6 +141,24 @@
 	f.set(at, d.Sequence, top)
 }
 
+// settle tells whether the description may be read now. Copies that differ mostly do so while a change is on its way, and to read a key whose copies
+// differ may mean to claim it, which makes them differ for all others. So that is left to later pulses, while the last confirmation is young, and to a few
+// nodes.
+func (f *Confirmer) settle(r roster.Roster, same bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if same || f.c.At == none {
+		return true
+	}
+	return f.Clock.Now().Sub(f.c.At) >= f.Bounds.Licence()/youngShare && rand.IntN(len(r.Seats)) < fewNodes
+}
+
+// A confirmation is young for a part of the licence; fewNodes is how many read a key whose copies differ, on the average.
+const (
+	youngShare = 2
+	fewNodes   = 2
+)
+
 var none time.Time
 
 func (f *Confirmer) writes(s voter.Slot) bool { return f.at == s.Value.Writes && f.c.At != none }
--- a/internal/control/founding/founding.go
+++ b/internal/control/founding/founding.go
@@ -30,9 +30,15 @@
 // Plan gives the founding roster, once every node that may take part has answered.
 // A fleet that stands already, seen at any of them, ends the plan.
 func (f *Founder) Plan(ctx context.Context) (roster.Roster, error) {
+	if f.opts.Founding == options.FoundNever {
+		return roster.Roster{}, problem.New(problem.NotFounded, "this disk came back empty: it founds nothing and waits for a seat")
+	}
 	addrs := f.opts.Founders
 	named := len(addrs) > 0
-	if !named {
+	seeds := !named && f.opts.Founding == options.FoundSeeds
+	if seeds {
+		addrs = f.opts.Seeds
+	} else if !named {
 		addrs = append([]string{f.opts.Reached()}, f.opts.Seeds...)
 	}
 	slices.Sort(addrs)
@@ -63,10 +69,14 @@
 			return roster.Roster{}, problem.New(problem.NotFounded, "founder %s at %s has no control disk", a.A.Name, a.Who)
 		}
 	}
+	if len(seats) == 0 && seeds {
+		i := f.self()
+		seats = []roster.Seat{{Node: i.Name, Addr: i.Fellows, Incarnation: i.Incarnation}}
+	}
 	if len(seats) == 0 {
 		return roster.Roster{}, problem.New(problem.NotFounded, "no founding address has a control disk")
 	}
-	return roster.Found(seats, roster.Layout{Routine: f.opts.Routine, Urgent: f.opts.Urgent}), nil
+	return roster.Found(seats, roster.Layout{Routine: f.opts.Routine, Urgent: f.opts.Urgent, Losses: f.opts.Losses}), nil
 }
 
 // Agree checks a proposed founding against this node's own plan.
@@ -89,6 +99,20 @@
 	return strings.Join(s, ",")
 }
 
+// leave gets the leave to found alone from every seed, one after the other, so that of several voters at most one gets them all.
+func (f *Founder) leave(ctx context.Context, r roster.Roster) error {
+	addrs := slices.Sorted(slices.Values(f.opts.Seeds))
+	for _, a := range slices.Compact(addrs) {
+		cx, stop := context.WithTimeout(ctx, f.opts.Bounds().Call())
+		_, err := Leave.Call(cx, f.net, f.opts.Name, a, &LeaveTask{Node: f.opts.Name, Incarnation: r.Seats[0].Incarnation})
+		stop()
+		if err != nil {
+			return problem.Because(problem.NotFounded, err, "no seed has a control disk, and %s gave no leave to found alone", a)
+		}
+	}
+	return nil
+}
+
 // Try founds the fleet if this node is the first of the founders.
 func (f *Founder) Try(ctx context.Context) (roster.Roster, error) {
 	r, err := f.Plan(ctx)
@@ -98,6 +122,11 @@
 	if r.Seats[0].Node != f.opts.Name {
 		return r, problem.New(problem.NotFounded, "%s founds the fleet", r.Seats[0].Node)
 	}
+	if f.opts.Founding == options.FoundSeeds && len(f.opts.Founders) == 0 && !slices.Contains(f.opts.Seeds, f.opts.Reached()) {
+		if err := f.leave(ctx, r); err != nil {
+			return r, err
+		}
+	}
 	ask := func(do func(context.Context, roster.Seat) (*voter.Done, error)) error {
 		as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
 			cx, stop := context.WithTimeout(ctx, f.opts.Bounds().Call())
--- /dev/null
+++ b/internal/control/founding/leave.go
@@ -0,0 +1,57 @@
+package founding
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"postjunction/internal/control/voter"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/wire"
+)
+
+// LeaveTask asks a seed for leave to found a fleet of one control disk, where no seed has such a disk.
+type LeaveTask struct {
+	Node        string `json:"node"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Leave is the call for it.
+var Leave = wire.Name[LeaveTask, voter.Done]("Founding", "Leave")
+
+// Leaves gives leave to one disk at most in the life of the process. Only a process of the first start gives any, so a
+// restarted seed that forgot whom it gave leave to never gives it to another.
+type Leaves struct {
+	opts   options.Options
+	roster func() uint64
+	mu     sync.Mutex
+	given  LeaveTask
+}
+
+// NewLeaves makes the seeds' side; roster gives the sequence of the roster known here.
+func NewLeaves(o options.Options, roster func() uint64) *Leaves {
+	return &Leaves{opts: o, roster: roster}
+}
+
+// Leave gives leave to the first that asks.
+func (l *Leaves) Leave(_ context.Context, q *LeaveTask) (*voter.Done, error) {
+	if r := l.roster(); r > 0 {
+		return nil, problem.New(problem.StaleRoster, "the fleet is under roster %d already", r).At(r)
+	}
+	if l.opts.Founding != options.FoundSeeds || l.opts.Voter() {
+		return nil, problem.New(problem.NotFounded, "%s gives no leave to found", l.opts.Name)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.given.Node == "" {
+		l.given = *q
+	}
+	if l.given != *q {
+		return nil, problem.New(problem.NotFounded, "%s founds the fleet", l.given.Node)
+	}
+	return &voter.Done{}, nil
+}
+
+// Serve adds the call.
+func (l *Leaves) Serve(m *http.ServeMux) { Leave.Handle(m, l.Leave) }
--- a/internal/control/holder/holder.go
+++ b/internal/control/holder/holder.go
@@ -55,6 +55,8 @@
 	turnShards = 64
 	claimTries = 4
 	handsMost  = 2
+	claimPace  = 2
+	soonMore   = 2
 )
 
 // New makes a holder that holds nothing.
@@ -122,7 +124,7 @@
 	for n := *q; ; {
 		if a, ok := h.elsewhere(q.Key); ok && n.Handed < handsMost {
 			n.Handed++
-			v, err := Change.Call(ctx, h.net, h.self, a, &n)
+			v, err := toldBy(ctx, h, func(cx context.Context) (*voter.Value, error) { return Change.Call(cx, h.net, h.self, a, &n) })
 			if err == nil || !passing[problem.Of(err).Kind] {
 				return v, h.clear(err, doubt, q)
 			}
@@ -138,6 +140,13 @@
 	}
 }
 
+// toldBy asks the one thought to hold a key, for no longer than a holder may take: after that the key is claimed.
+func toldBy[A any](ctx context.Context, h *Holder, f func(context.Context) (A, error)) (A, error) {
+	cx, stop := context.WithTimeout(ctx, h.bounds.Hand())
+	defer stop()
+	return f(cx)
+}
+
 func (h *Holder) clear(err error, doubt bool, q *ChangeTask) error {
 	if doubt && problem.Has(err, problem.StaleBase) {
 		return problem.New(problem.NoMajority, "%s changed while the holder of the key was lost; the outcome is not known", q.Key)
@@ -177,7 +186,9 @@
 	for handed := q.Handed; ; {
 		if a, ok := h.elsewhere(q.Key); ok && handed < handsMost {
 			handed++
-			v, err := Read.Call(ctx, h.net, h.self, a, &ReadTask{Key: q.Key, Handed: handed})
+			v, err := toldBy(ctx, h, func(cx context.Context) (*voter.Value, error) {
+				return Read.Call(cx, h.net, h.self, a, &ReadTask{Key: q.Key, Handed: handed})
+			})
 			if err == nil {
 				return v, nil
 			}
@@ -208,6 +219,9 @@
 			return nil, problem.New(problem.NotHolder, "%s was claimed elsewhere", k)
 		}
 	}
+	if v, ok := h.Glance(ctx, k); ok {
+		return &v, nil
+	}
 	v, err := h.own(ctx, k, polite)
 	if err != nil {
 		return nil, err
@@ -215,6 +229,78 @@
 	return &v.value, nil
 }
 
+type peeks = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+
+// Glance reads a key without claiming it, whoever holds it: what a majority has accepted alike was decided, and nothing was decided after it before
+// the question. It waits a moment for more than a majority where the first copies differ. Only this node's own voter, or one voter more, gives the
+// value itself.
+func (h *Holder) Glance(ctx context.Context, k string) (voter.Value, bool) {
+	r := h.fellows.Roster()
+	if r.Sequence == 0 {
+		return voter.Value{}, false
+	}
+	cx, stop := context.WithTimeout(ctx, h.bounds.Hand())
+	defer stop()
+	peek := func(ctx context.Context, s roster.Seat, brief bool) (*voter.PeekAnswer, error) {
+		return voter.Peek.Call(ctx, h.net, h.self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{k}, Brief: brief})
+	}
+	waiting := false
+	g := gather.Good(gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
+		return peek(ctx, s, s.Node != h.self)
+	}, func(as peeks) bool {
+		g := gather.Good(as)
+		if len(g) < r.Majority() {
+			return false
+		}
+		if !waiting {
+			waiting = true
+			go func() {
+				_ = h.clk.Sleep(cx, soonMore*h.bounds.Soon())
+				stop()
+			}()
+		}
+		return len(alike(g, k)) >= r.Majority()
+	}))
+	for _, a := range g {
+		h.Hint(k, a.A.Slots[k].Promised, a.A.Slots[k].Value.Successor)
+	}
+	as := alike(g, k)
+	if len(as) < r.Majority() {
+		return voter.Value{}, false
+	}
+	for _, a := range as {
+		if a.Who.Node == h.self {
+			return a.A.Slots[k].Value, true
+		}
+	}
+	top := as[0].A.Slots[k]
+	if top.Accepted.Zero() {
+		return top.Value, true
+	}
+	late, more := context.WithTimeout(ctx, h.bounds.Hand())
+	defer more()
+	a, err := peek(late, as[0].Who, false)
+	if err != nil || a.Slots[k].Accepted != top.Accepted || a.Slots[k].Value.Writes != top.Value.Writes {
+		return voter.Value{}, false
+	}
+	return a.Slots[k].Value, true
+}
+
+// alike gives the answers that hold the highest copy.
+func alike(g peeks, k string) peeks {
+	var as peeks
+	for _, a := range g {
+		s := a.A.Slots[k]
+		if len(as) > 0 && s.Above(as[0].A.Slots[k]) {
+			as = nil
+		}
+		if len(as) == 0 || !as[0].A.Slots[k].Above(s) {
+			as = append(as, a)
+		}
+	}
+	return as
+}
+
 // Confirmed tells whether this node still holds a key, as a majority says.
 func (h *Holder) Confirmed(ctx context.Context, k string) bool {
 	back, err := h.turns.Take(ctx, k)
@@ -268,6 +354,7 @@
 		if h.isLeaving() {
 			return held{}, problem.New(problem.Leaving, "this control node is stopping")
 		}
+		begun := h.clk.Now()
 		v, err := h.claim(ctx, k, r)
 		if err == nil {
 			return v, nil
@@ -278,7 +365,11 @@
 		if try == claimTries || ctx.Err() != nil || problem.Has(err, problem.StaleRoster) {
 			return held{}, err
 		}
-		if e := h.clk.Sleep(ctx, clock.Jitter(h.bounds.Jitter()/claimTries, float64(claimTries), rand.Float64())); e != nil {
+		pause := h.bounds.Grown(claimPace*try) / 2
+		if problem.Has(err, problem.NotHolder) {
+			pause = max(pause, min(h.clk.Now().Sub(begun), h.bounds.Hand()))
+		}
+		if e := h.clk.Sleep(ctx, clock.Jitter(pause, 2, rand.Float64())); e != nil {
 			return held{}, err
 		}
 	}
@@ -430,7 +521,7 @@
 		return h.take(ctx, k, true)
 	}
 	hint := h.get(k).hint
-	w, err := Who.Call(ctx, h.net, h.self, a, &WhoTask{Key: k})
+	w, err := toldBy(ctx, h, func(cx context.Context) (*WhoAnswer, error) { return Who.Call(cx, h.net, h.self, a, &WhoTask{Key: k}) })
 	if err != nil || w.Holds {
 		return problem.Because(problem.NotHolder, err, "%s is held by %s", k, hint)
 	}
--- a/internal/control/reform/reform.go
+++ b/internal/control/reform/reform.go
@@ -43,10 +43,12 @@
 		return roster.Roster{}, err
 	}
 	as := gather.Ask(ctx, next.Seats, func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
-		cx, stop := f.call(ctx)
+		cx, stop := f.call(context.WithoutCancel(ctx))
 		defer stop()
 		return voter.Open.Call(cx, f.net, f.self, s.Addr, &voter.OpenTask{Incarnation: s.Incarnation, Roster: next, Slots: slots})
-	}, nil)
+	}, func(as []gather.Answer[roster.Seat, *voter.Done]) bool {
+		return len(gather.Good(as)) >= next.Majority()
+	})
 	if n := len(gather.Good(as)); n < next.Majority() {
 		return roster.Roster{}, problem.Because(problem.NoMajority, gather.First(as), "roster %d was opened on %d of %d disks", next.Sequence, n, len(next.Seats))
 	}
--- a/internal/control/repair/repair.go
+++ b/internal/control/repair/repair.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"postjunction/internal/control/roster"
 	"postjunction/internal/control/voter"
@@ -18,36 +19,40 @@
 	Bounds options.Bounds
 }
 
-type copies = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+type copy = gather.Answer[roster.Seat, *voter.PeekAnswer]
 
-// Keys compares the copies of the named keys, all when none are named, and brings old ones up. It gives how many it mended.
+// Keys compares the copies of the named keys, all when none are named, and brings old ones up. It gives how many it mended. Values are read only
+// where some copy is old, and then from one voter.
 func (m *Mender) Keys(ctx context.Context, r roster.Roster, keys ...string) int {
 	cx, stop := context.WithTimeout(ctx, m.Bounds.Call())
 	defer stop()
 	as := gather.Good(gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
-		return voter.Peek.Call(ctx, m.Net, m.Self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: keys})
+		return voter.Peek.Call(ctx, m.Net, m.Self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: keys, Brief: true})
 	}, nil))
-	top := map[string]voter.Slot{}
+	top, at := map[string]voter.Slot{}, map[string]roster.Seat{}
 	for _, a := range as {
 		for k, s := range a.A.Slots {
 			if s.Above(top[k]) {
-				top[k] = s
+				top[k], at[k] = s, a.Who
 			}
 		}
 	}
 	n := 0
 	for k, t := range top {
-		n += m.key(ctx, r, as, k, t)
+		old := slices.DeleteFunc(slices.Clone(as), func(a copy) bool { return !t.Above(a.A.Slots[k]) })
+		if len(old) == 0 {
+			continue
+		}
+		if v, ok := voter.Whole(cx, m.Net, m.Self, r, at[k], k, t); ok {
+			n += m.key(ctx, r, old, k, v)
+		}
 	}
 	return n
 }
 
-func (m *Mender) key(ctx context.Context, r roster.Roster, as copies, k string, t voter.Slot) int {
+func (m *Mender) key(ctx context.Context, r roster.Roster, old []copy, k string, t voter.Slot) int {
 	n := 0
-	for _, a := range as {
-		if !t.Above(a.A.Slots[k]) {
-			continue
-		}
+	for _, a := range old {
 		cx, stop := context.WithTimeout(ctx, m.Bounds.Call())
 		b, err := voter.Accept.Call(cx, m.Net, m.Self, a.Who.Addr, &voter.AcceptTask{Ballot: voter.Ballot{Roster: r.Sequence, Incarnation: a.Who.Incarnation, Key: k}, Epoch: t.Accepted, Value: t.Value})
 		stop()
--- a/internal/control/steward/steward.go
+++ b/internal/control/steward/steward.go
@@ -2,8 +2,12 @@
 package steward
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"postjunction/internal/clock"
@@ -12,6 +16,7 @@
 	"postjunction/internal/control/repair"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/event"
+	"postjunction/internal/gather"
 	"postjunction/internal/gossip"
 	"postjunction/internal/member"
 	"postjunction/internal/options"
@@ -27,25 +32,53 @@
 	Founder  *founding.Founder
 	Reformer *reform.Reformer
 	Live     func() []member.Info
-	Log      *event.Logger
-	Mender   *repair.Mender
-	said     string
-	swept    time.Time
+	// Changed gives what is closed at news of the members.
+	Changed func() <-chan struct{}
+	// Sealed gives the roster that is sealed on this disk, and Sealing what is closed when one is.
+	Sealed  func() uint64
+	Sealing func() <-chan struct{}
+	Log     *event.Logger
+	Mender  *repair.Mender
+	said    string
+	sealed  time.Time
+	swept   time.Time
+	gone    map[string]time.Time
+	zones   map[string]string
+	waits   bool
 }
 
-// Run tends the roster until ctx ends.
+// Run tends the roster until ctx ends: at once on news of a control disk, and at its own pace.
 func (s *Steward) Run(ctx context.Context) {
-	for s.Clock.Sleep(ctx, clock.Jitter(s.Bounds.Tend(), 1, rand.Float64())) == nil {
+	for ctx.Err() == nil {
+		ch, seal := s.Changed(), s.Sealing()
+		pace := clock.Jitter(s.Bounds.Tend(), 1, rand.Float64())
 		cx, stop := context.WithTimeout(ctx, s.Bounds.Recovery)
 		if r := s.Board.Roster(); r.Sequence == 0 {
 			s.found(cx)
+			pace = s.Bounds.Retry()
 		} else {
+			s.waits = false
 			s.tend(cx, r)
+			if s.waits {
+				pace = s.Bounds.Retry()
+			} else if r.Spare() > 0 {
+				pace /= spareShare
+			}
 		}
 		stop()
+		if s.Clock.Sleep(ctx, s.Bounds.Retry()/gatherShare) != nil {
+			return
+		}
+		clock.Wait(ctx, s.Clock, pace, ch, seal)
 	}
 }
 
+// gatherShare makes the pause in which disks that join together are gathered into one change.
+const gatherShare = 2
+
+// spareShare makes the pace at which voters that are gone are noticed where seats can be given up.
+const spareShare = 2
+
 func (s *Steward) found(ctx context.Context) {
 	r, err := s.Founder.Try(ctx)
 	if err == nil {
@@ -66,6 +99,7 @@
 			live[i.Name] = i
 		}
 	}
+	s.miss(r, live)
 	first := ""
 	for _, x := range r.Seats {
 		i, ok := live[x.Node]
@@ -74,34 +108,153 @@
 		}
 	}
 	if first != s.Self {
+		s.finish(ctx, r, live, first)
 		return
 	}
+	s.sealed = time.Time{}
 	s.sweep(ctx, r)
+	var ins []roster.Seat
+	var whys []string
+	var late []roster.Seat
 	for _, x := range r.Seats {
 		i, ok := live[x.Node]
-		if !ok {
-			continue
+		switch {
+		case !ok:
+		case i.Incarnation != x.Incarnation:
+			ins, whys = append(ins, seat(i)), append(whys, "disk of "+x.Node+" is another one")
+		case i.Fellows != x.Addr:
+			ins, whys = append(ins, seat(i)), append(whys, x.Node+" is reached at another address")
+		case i.Roster < r.Sequence:
+			late = append(late, x)
 		}
-		if i.Incarnation != x.Incarnation {
-			s.change(ctx, r, r.Replace(x.Node, seat(i)), "disk of "+x.Node+" is another one")
-			return
+	}
+	var news []member.Info
+	for _, n := range slices.Sorted(maps.Keys(live)) {
+		i := live[n]
+		if _, ok := r.Seat(n); !ok && i.Roster < r.Sequence && i.Stage == member.Serving {
+			news = append(news, i)
 		}
-		if i.Fellows != x.Addr {
-			s.change(ctx, r, r.Replace(x.Node, seat(i)), x.Node+" is reached at another address")
-			return
+	}
+	outs := s.pair(news)
+	var gone []string
+	for _, i := range news {
+		out, ok := outs[i.Name]
+		switch {
+		case !ok:
+			ins, whys = append(ins, seat(i)), append(whys, "a control disk joined: "+i.Name)
+		case s.ripe(out, i):
+			ins, gone, whys = append(ins, seat(i)), append(gone, out), append(whys, i.Name+" takes the seat of "+out+", which is gone")
+		default:
+			s.waits = true
+		}
+	}
+	if !s.waits {
+		for _, n := range s.surplus(r.Without(gone...).Replace(ins...)) {
+			gone, whys = append(gone, n), append(whys, n+" is gone, and the seats suffice without it")
+		}
+	}
+	if len(ins)+len(gone) > 0 {
+		s.change(ctx, r, r.Without(gone...).Replace(ins...), strings.Join(whys, "; "))
+		return
+	}
+	gather.Ask(ctx, late, func(ctx context.Context, x roster.Seat) (bool, error) {
+		err := s.Reformer.Catch(ctx, r, x)
+		if err != nil {
+			s.Log.Say(event.RosterTrouble, "problem", err)
+		}
+		return err == nil, err
+	}, nil)
+}
+
+// finish ends a change of the roster that another voter began, when the roster has been sealed here for longer than that takes: who began it may
+// be lost, and nobody decides anything until it ended. The voters step in one after the other; epochs settle it where two do.
+func (s *Steward) finish(ctx context.Context, r roster.Roster, live map[string]member.Info, first string) {
+	if s.Sealed() != r.Sequence {
+		s.sealed = time.Time{}
+		return
+	}
+	s.waits = true
+	now, wait := s.Clock.Now(), s.Bounds.Hand()
+	if s.sealed.IsZero() {
+		s.sealed = now
+	}
+	for _, x := range r.Seats {
+		if x.Node == s.Self {
+			break
 		}
-		if i.Roster < r.Sequence {
-			if err := s.Reformer.Catch(ctx, r, x); err != nil {
-				s.Log.Say(event.RosterTrouble, "problem", err)
+		if _, ok := live[x.Node]; ok && x.Node != first {
+			wait += s.Bounds.Session() / 2
+		}
+	}
+	if now.Sub(s.sealed) < wait {
+		return
+	}
+	s.sealed = now
+	s.change(ctx, r, r.Replace(), "the change that was begun does not end")
+}
+
+// miss notes which seats are not live and since when, and the zones of those that are.
+func (s *Steward) miss(r roster.Roster, live map[string]member.Info) {
+	was := s.gone
+	s.gone = map[string]time.Time{}
+	if s.zones == nil {
+		s.zones = map[string]string{}
+	}
+	for _, x := range r.Seats {
+		if i, ok := live[x.Node]; ok {
+			s.zones[x.Node] = i.Zone
+			continue
+		}
+		s.gone[x.Node] = s.Clock.Now()
+		if t, ok := was[x.Node]; ok {
+			s.gone[x.Node] = t
+		}
+	}
+}
+
+// pair gives newcomers the seats of voters that are gone, each at most one: that of their zone first, then the one that is gone for longest.
+func (s *Steward) pair(news []member.Info) map[string]string {
+	gone := slices.SortedFunc(maps.Keys(s.gone), func(a, b string) int {
+		return cmp.Or(s.gone[a].Compare(s.gone[b]), strings.Compare(a, b))
+	})
+	outs := map[string]string{}
+	for _, near := range []bool{true, false} {
+		for _, i := range news {
+			k := slices.IndexFunc(gone, func(g string) bool { return !near || s.zones[g] == i.Zone })
+			if _, ok := outs[i.Name]; ok || k < 0 {
+				continue
 			}
+			outs[i.Name] = gone[k]
+			gone = slices.Delete(gone, k, k+1)
 		}
 	}
-	for _, i := range live {
-		if _, ok := r.Seat(i.Name); !ok && i.Roster == 0 && i.Stage == member.Serving {
-			s.change(ctx, r, r.Replace("", seat(i)), "a control disk joined: "+i.Name)
-			return
+	return outs
+}
+
+// surplus lists the seats, among those beyond what the fleet was founded with, whose voters are gone: a newcomer was seated before they went.
+func (s *Steward) surplus(r roster.Roster) []string {
+	var gone []string
+	for _, x := range r.Seats {
+		t, ok := s.gone[x.Node]
+		if !ok || len(gone) >= r.Spare() {
+			continue
+		}
+		if s.Clock.Now().Sub(t) < s.Bounds.Session()/2 {
+			s.waits = true
+			continue
 		}
+		gone = append(gone, x.Node)
+	}
+	return gone
+}
+
+// ripe tells whether a voter is gone for long enough that its seat may be taken, which is longer for a newcomer of another zone.
+func (s *Steward) ripe(out string, i member.Info) bool {
+	wait := s.Bounds.Session()
+	if s.zones[out] == i.Zone {
+		wait /= 2
 	}
+	return s.Clock.Now().Sub(s.gone[out]) >= wait
 }
 
 func (s *Steward) sweep(ctx context.Context, r roster.Roster) {
--- a/internal/control/voter/calls.go
+++ b/internal/control/voter/calls.go
@@ -2,6 +2,8 @@
 package voter
 
 import (
+	"context"
+
 	"postjunction/internal/control/epoch"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/wire"
@@ -98,3 +100,13 @@
 
 // RosterKey is the register that names the next roster; accepting it seals the present one.
 const RosterKey = "roster"
+
+// Whole reads the slot that a voter told briefly, with its value; it is not ok when another one stands there by now.
+func Whole(ctx context.Context, n wire.Network, self string, r roster.Roster, s roster.Seat, k string, told Slot) (Slot, bool) {
+	a, err := Peek.Call(ctx, n, self, s.Addr, &PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{k}})
+	if err != nil {
+		return Slot{}, false
+	}
+	x := a.Slots[k]
+	return x, x.Accepted == told.Accepted && x.Value.Writes == told.Value.Writes
+}
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -22,6 +22,7 @@
 	slots       map[string]Slot
 	roster      roster.Roster
 	founding    *roster.Roster
+	sealing     chan struct{}
 	agree       func(roster.Roster) error
 	opened      func(roster.Roster)
 }
@@ -30,7 +31,7 @@
 
 // New makes a voter that has promised nothing.
 func New() *Voter {
-	return &Voter{slots: map[string]Slot{}, turns: turn.New(turnShards)}
+	return &Voter{slots: map[string]Slot{}, turns: turn.New(turnShards), sealing: make(chan struct{})}
 }
 
 // Start gives the voter its disk, its check of foundings, and whom to tell of a new roster.
@@ -72,8 +73,20 @@
 	return nil
 }
 
-// Dump gives the live records.
-func (v *Voter) Dump() []journal.Rec {
+// Live counts the live records.
+func (v *Voter) Live() (int, int64) {
+	rs := v.dump()
+	n := int64(0)
+	for _, r := range rs {
+		n += int64(len(r.Body))
+	}
+	return len(rs), n
+}
+
+// Slices gives the live records: the roster clears the slots that stand before them, so that they are one slice.
+func (v *Voter) Slices() []journal.Slice { return journal.Whole(v.dump) }
+
+func (v *Voter) dump() []journal.Rec {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	rs := []journal.Rec{rec(kinds.Roster, rosterRec{Roster: v.roster, Founding: v.founding, Clear: true})}
@@ -95,6 +108,23 @@
 	return v.roster
 }
 
+// Sealed gives the sequence of the roster that is sealed here and waits for the next one to be opened, 0 when none does.
+func (v *Voter) Sealed() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.sealed() {
+		return 0
+	}
+	return v.roster.Sequence
+}
+
+// Sealing gives what is closed when a roster is sealed here.
+func (v *Voter) Sealing() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.sealing
+}
+
 func (v *Voter) disk(inc string) error {
 	if inc != v.incarnation {
 		return problem.New(problem.WrongDisk, "this disk is %s, not %s", v.incarnation, inc)
@@ -129,7 +159,7 @@
 	return v.turns.Take(ctx, key)
 }
 
-func (v *Voter) enter(ctx context.Context, b Ballot) (Slot, func(), error) {
+func (v *Voter) enter(ctx context.Context, b Ballot) (Slot, *turn.Held, error) {
 	back, err := v.take(ctx, b.Key)
 	if err != nil {
 		return Slot{}, nil, err
@@ -139,36 +169,44 @@
 		back()
 		return s, nil, err
 	}
-	return s, back, nil
+	return s, turn.Hold(back), nil
 }
 
-func (v *Voter) alone(ctx context.Context, inc string) (func(), error) {
+func (v *Voter) alone(ctx context.Context, inc string) (*turn.Held, error) {
 	if err := v.disk(inc); err != nil {
 		return nil, err
 	}
-	return v.turns.All(ctx)
+	back, err := v.turns.All(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return turn.Hold(back), nil
 }
 
-func (v *Voter) store(ctx context.Context, key string, s Slot) error {
-	return v.journal.Put(ctx, true, func() {
+func (v *Voter) store(ctx context.Context, t *turn.Held, key string, s Slot) error {
+	return v.journal.PutIn(ctx, t, true, func() {
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		v.slots[key] = s
+		if key == RosterKey && v.sealed() {
+			close(v.sealing)
+			v.sealing = make(chan struct{})
+		}
 	}, rec(kinds.Slot, slotRec{Key: key, Slot: s}))
 }
 
 // Promise answers once the promise is synced.
 func (v *Voter) Promise(ctx context.Context, q *PromiseTask) (*SlotAnswer, error) {
-	s, back, err := v.enter(ctx, q.Ballot)
+	s, t, err := v.enter(ctx, q.Ballot)
 	if err != nil {
 		return nil, err
 	}
-	defer back()
+	defer t.Back()
 	if !s.Promised.Less(q.Epoch) {
 		return &SlotAnswer{OK: s.Promised == q.Epoch, Slot: s}, nil
 	}
 	s.Promised = q.Epoch
-	if err := v.store(ctx, q.Key, s); err != nil {
+	if err := v.store(ctx, t, q.Key, s); err != nil {
 		return nil, err
 	}
 	return &SlotAnswer{OK: true, Slot: s}, nil
@@ -176,16 +214,16 @@
 
 // Accept answers once the value is synced.
 func (v *Voter) Accept(ctx context.Context, q *AcceptTask) (*SlotAnswer, error) {
-	s, back, err := v.enter(ctx, q.Ballot)
+	s, t, err := v.enter(ctx, q.Ballot)
 	if err != nil {
 		return nil, err
 	}
-	defer back()
+	defer t.Back()
 	n := Slot{Promised: q.Epoch, Accepted: q.Epoch, Value: q.Value}
 	if q.Epoch.Less(s.Promised) || s.Above(n) {
 		return &SlotAnswer{Slot: s}, nil
 	}
-	if err := v.store(ctx, q.Key, n); err != nil {
+	if err := v.store(ctx, t, q.Key, n); err != nil {
 		return nil, err
 	}
 	return &SlotAnswer{OK: true, Slot: n}, nil
@@ -224,11 +262,11 @@
 
 // Open brings the voter under a higher roster; slots accepted under the old one are replaced by the copy.
 func (v *Voter) Open(ctx context.Context, q *OpenTask) (*Done, error) {
-	back, err := v.alone(ctx, q.Incarnation)
+	t, err := v.alone(ctx, q.Incarnation)
 	if err != nil {
 		return nil, err
 	}
-	defer back()
+	defer t.Back()
 	v.mu.Lock()
 	cur, f := v.roster, v.founding
 	v.mu.Unlock()
@@ -256,7 +294,7 @@
 		slots[k] = s
 		rs = append(rs, rec(kinds.Slot, slotRec{Key: k, Slot: s}))
 	}
-	err = v.journal.Put(ctx, true, func() {
+	err = v.journal.PutIn(ctx, t, true, func() {
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		v.roster, v.founding, v.slots = q.Roster, nil, slots
@@ -270,11 +308,11 @@
 
 // Found agrees to a founding roster while the disk is under none.
 func (v *Voter) Found(ctx context.Context, q *FoundTask) (*Done, error) {
-	back, err := v.alone(ctx, q.Incarnation)
+	t, err := v.alone(ctx, q.Incarnation)
 	if err != nil {
 		return nil, err
 	}
-	defer back()
+	defer t.Back()
 	if cur := v.Roster(); cur.Sequence > 0 {
 		return nil, problem.New(problem.StaleRoster, "this disk is under roster %d already", cur.Sequence).At(cur.Sequence)
 	}
@@ -282,7 +320,7 @@
 		return nil, err
 	}
 	r := q.Roster
-	err = v.journal.Put(ctx, true, func() {
+	err = v.journal.PutIn(ctx, t, true, func() {
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		v.founding = &r
--- a/internal/control/voter/voter_test.go
+++ b/internal/control/voter/voter_test.go
@@ -93,7 +93,7 @@
 	b.Roster = 2
 	_, err := v.Accept(ctx, &AcceptTask{Ballot: b, Epoch: at(9, "c1"), Value: Value{Writes: 1}})
 	assert.Assert(t, problem.Has(err, problem.StaleRoster), "%v", err)
-	n := first().Replace("c3", roster.Seat{Node: "c3", Incarnation: "j3"})
+	n := first().Replace(roster.Seat{Node: "c3", Incarnation: "j3"})
 	_, err = v.Open(ctx, &OpenTask{Incarnation: "i1", Roster: n, Slots: map[string]Slot{"k": {Accepted: at(4, "c2"), Value: Value{Writes: 7}}}})
 	assert.NilError(t, err)
 	_, err = v.Promise(ctx, &PromiseTask{Ballot: ballot("k"), Epoch: at(9, "c1")})
--- a/internal/description/description.go
+++ b/internal/description/description.go
@@ -1,10 +1,12 @@
 package description
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"regexp"
-	"strings"
+	"slices"
+	"unicode/utf8"
 
 	"github.com/mailru/easyjson"
 
@@ -12,36 +14,55 @@
 	"postjunction/internal/problem"
 )
 
-// Limits of a description.
+// Limits of a description. BytesMost bounds a document that is read and a source, PackedMost both together as they are kept;
+// TimeMost bounds every time in it, in milliseconds.
 const (
-	SpacesMost = 256
+	SpacesMost = 4096
 	TopicsMost = 10000
-	BytesMost  = 1 << 20
+	BytesMost  = 4 << 20
+	PackedMost = 3 * BytesMost
+	TimeMost   = 1 << 32
+	countMost  = 1 << 31
 )
 
 var shape = strict.Shape{
 	Kind:   strict.Object,
 	Needed: []string{"base", "spaces"},
 	Fields: map[string]strict.Shape{
-		"base":     {Kind: strict.Count},
-		"sequence": {Kind: strict.Count},
+		"base":           {Kind: strict.Count},
+		"sequence":       {Kind: strict.Count},
+		"source":         {Kind: strict.Text},
+		"standing_lanes": {Kind: strict.Flag},
+		"limits": {Kind: strict.Object, Fields: map[string]strict.Shape{
+			"topics": {Kind: strict.Above},
+			"body":   {Kind: strict.Above},
+		}},
 		"spaces": {Kind: strict.Array, Items: &strict.Shape{
 			Kind:   strict.Object,
-			Needed: []string{"name", "kind", "topics"},
+			Needed: []string{"name", "kind"},
 			Fields: map[string]strict.Shape{
-				"name":   {Kind: strict.Text},
-				"kind":   {Kind: strict.Text},
-				"urgent": {Kind: strict.Flag},
-				"topics": {Kind: strict.Array, Items: &strict.Shape{Kind: strict.Text}},
+				"name":        {Kind: strict.Text},
+				"kind":        {Kind: strict.Text},
+				"urgent":      {Kind: strict.Flag},
+				"topics":      {Kind: strict.Array, Items: &strict.Shape{Kind: strict.Text}},
+				"prefix":      {Kind: strict.Text},
+				"all":         {Kind: strict.Flag},
+				"keep_ms":     {Kind: strict.Count},
+				"deadline_ms": {Kind: strict.Above},
+				"aim_ms":      {Kind: strict.Above},
+				"order":       {Kind: strict.Text},
+				"weight":      {Kind: strict.Count},
 			},
 		}},
 	},
 }
 
 var (
-	spaceRule = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-	topicRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$`)
-	kinds     = map[string]bool{Kept: true, Live: true}
+	spaceRule  = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	topicRule  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$`)
+	prefixRule = regexp.MustCompile(`^[^\s\p{Cc}]{1,255}$`)
+	kinds      = map[string]bool{Kept: true, Live: true}
+	orders     = map[string]bool{"": true, BySender: true, ByTopic: true}
 )
 
 // Parse reads a description and finds every fault in it.
@@ -55,57 +76,96 @@
 		return d, err
 	}
 	if len(f) > 0 {
-		return d, bad(append(f, lenient(b)...))
+		more := slices.DeleteFunc(lenient(b), func(m problem.Fault) bool {
+			return slices.ContainsFunc(f, func(o problem.Fault) bool { return o.Place == m.Place })
+		})
+		return d, Bad(append(f, more...))
 	}
 	if err := easyjson.Unmarshal(b, &d); err != nil {
-		return d, bad([]problem.Fault{{Place: "$", Say: err.Error()}})
+		return d, Bad([]problem.Fault{{Place: "$", Say: err.Error()}})
 	}
-	return d, bad(d.faults())
+	return d, Bad(d.Faults())
 }
 
 func lenient(b []byte) []problem.Fault {
+	type loose struct {
+		Name       string   `json:"name"`
+		Kind       string   `json:"kind"`
+		Urgent     bool     `json:"urgent"`
+		Topics     []string `json:"topics"`
+		Prefix     string   `json:"prefix"`
+		All        bool     `json:"all"`
+		KeepMS     uint64   `json:"keep_ms"`
+		DeadlineMS uint64   `json:"deadline_ms"`
+		AimMS      uint64   `json:"aim_ms"`
+		Order      string   `json:"order"`
+		Weight     int      `json:"weight"`
+	}
 	var l struct {
 		Sequence, Base uint64
-		Spaces         []struct {
-			Name, Kind string
-			Urgent     bool
-			Topics     []string
-		}
+		Spaces         []loose
+		Limits         Limits
+		Source         string
+		StandingLanes  bool `json:"standing_lanes"`
 	}
 	if json.Unmarshal(b, &l) != nil {
 		return nil
 	}
-	d := Description{Sequence: l.Sequence, Base: l.Base}
+	d := Description{Sequence: l.Sequence, Base: l.Base, Limits: l.Limits, Source: l.Source, StandingLanes: l.StandingLanes}
 	for _, s := range l.Spaces {
 		d.Spaces = append(d.Spaces, Space(s))
 	}
-	return d.faults()
+	return d.Faults()
 }
 
-func bad(f []problem.Fault) error {
+// Bad makes one problem of faults, none of none.
+func Bad(f []problem.Fault) error {
 	if len(f) == 0 {
 		return nil
 	}
 	return problem.New(problem.DescriptionBad, "the first fault is at %s: %s", f[0].Place, f[0].Say).With(f)
 }
 
-func (d Description) faults() []problem.Fault {
+// Faults finds every fault of a description by itself.
+func (d Description) Faults() []problem.Fault {
 	var f []problem.Fault
 	add := func(ok bool, place, say string, a ...any) {
 		if !ok {
 			f = append(f, problem.Fault{Place: place, Say: fmt.Sprintf(say, a...)})
 		}
 	}
-	add(d.Sequence == 0 || d.Sequence == d.Base+1, "$.sequence", "must be base plus one (%d) or left out, is %d", d.Base+1, d.Sequence)
+	add(d.Sequence == 0 || d.Sequence > d.Base, "$.sequence", "must be above base (%d) or left out, is %d", d.Base, d.Sequence)
 	add(len(d.Spaces) <= SpacesMost, "$.spaces", "must be at most %d, are %d", SpacesMost, len(d.Spaces))
-	names, all := map[string]bool{}, 0
+	add(len(d.Source) <= BytesMost, "$.source", "must have at most %d bytes, has %d", BytesMost, len(d.Source))
+	add(utf8.ValidString(d.Source), "$.source", "must be UTF-8")
+	add(d.Limits.Topics >= 0 && d.Limits.Topics < countMost, "$.limits.topics", "must be from 0 to %d, is %d", countMost-1, d.Limits.Topics)
+	add(d.Limits.Body >= 0 && d.Limits.Body < countMost, "$.limits.body", "must be from 0 to %d, is %d", countMost-1, d.Limits.Body)
+	names, begins, all := map[string]bool{}, map[string]bool{}, 0
 	for i, s := range d.Spaces {
 		at := fmt.Sprintf("$.spaces[%d]", i)
-		add(spaceRule.MatchString(s.Name), at+".name", "must be 1 to 63 of a-z, 0-9 and -, is %q", s.Name)
+		if s.Open() {
+			add(s.All && s.Name == "" || prefixRule.MatchString(s.Name), at+".name", "must be 1 to 255 characters without spaces, is %q", s.Name)
+			add(s.All || prefixRule.MatchString(s.Prefix), at+".prefix", "must be 1 to 255 characters without spaces, is %q", s.Prefix)
+			add(!s.All || s.Prefix == "", at+".prefix", "must be left out beside all")
+			add(len(s.Topics) == 0, at+".topics", "must be left out of a space by prefix")
+			add(!begins[s.Prefix], at+".prefix", "%q stands twice", s.Prefix)
+			begins[s.Prefix] = true
+		} else {
+			add(spaceRule.MatchString(s.Name), at+".name", "must be 1 to 63 of a-z, 0-9 and -, is %q", s.Name)
+		}
 		add(!names[s.Name], at+".name", "%q stands twice", s.Name)
 		names[s.Name] = true
 		add(kinds[s.Kind], at+".kind", "must be kept or live, is %q", s.Kind)
-		add(len(s.Topics) > 0, at+".topics", "must name at least one topic")
+		add(orders[s.Order], at+".order", "must be sender or topic, is %q", s.Order)
+		add(s.KeepMS == 0 || s.Kind != Live, at+".keep_ms", "must be left out of a live space")
+		add(s.Weight >= 0 && s.Weight < countMost, at+".weight", "must be from 0 to %d, is %d", countMost-1, s.Weight)
+		for _, t := range []struct {
+			field string
+			ms    uint64
+		}{{".keep_ms", s.KeepMS}, {".deadline_ms", s.DeadlineMS}, {".aim_ms", s.AimMS}} {
+			add(t.ms <= TimeMost, at+t.field, "must be at most %d, is %d", TimeMost, t.ms)
+		}
+		add(s.Open() || len(s.Topics) > 0, at+".topics", "must name at least one topic")
 		seen := map[string]bool{}
 		for k, t := range s.Topics {
 			pl := fmt.Sprintf("%s.topics[%d]", at, k)
@@ -116,23 +176,71 @@
 		all += len(s.Topics)
 	}
 	add(all <= TopicsMost, "$.spaces", "must have at most %d topics in all, have %d", TopicsMost, all)
+	if d.StandingLanes {
+		return f
+	}
+	return append(f, d.mixed()...)
+}
+
+// mixed finds spaces of which one may hold a topic of the other, now or once that one is gone, with another urgency.
+func (d Description) mixed() []problem.Fault {
+	var in prefixes[int]
+	for i, s := range d.Spaces {
+		in.add(s.path(), i)
+	}
+	var f []problem.Fault
+	for i, s := range d.Spaces {
+		in.each(s.path(), func(_ string, k int) bool {
+			o := d.Spaces[k]
+			if o.Urgent != s.Urgent {
+				f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].urgent", i), Say: fmt.Sprintf("must be that of %q, whose topics those of %q are a part of", o.Name, s.Name)})
+				return false
+			}
+			return true
+		})
+	}
 	return f
 }
 
+// path is what the names of a space's topics begin with. Lines stand in partitions by urgency, so a path keeps its urgency for good.
+func (s Space) path() string {
+	if s.Open() {
+		return s.Prefix
+	}
+	return s.Name + "/"
+}
+
+// Whole gives a description with what may be left out filled in, so that two that mean the same are the same.
+func (d Description) Whole() Description {
+	if d.Sequence == 0 {
+		d.Sequence = d.Base + 1
+	}
+	if d.Spaces == nil {
+		d.Spaces = []Space{}
+	}
+	return d
+}
+
+// Same tells whether two descriptions are one and the same, source and all. The table of lanes is the fleet's and doesn't count.
+func (d Description) Same(o Description) bool {
+	d.Lanes, o.Lanes = Lanes{}, Lanes{}
+	return d.Base == o.Base && bytes.Equal(d.Whole().Pack(), o.Whole().Pack())
+}
+
 // Follows checks a description against the one it is built on: a space that stays keeps its urgency,
-// since its topics' lines stand in the partitions of that urgency.
+// since its topics' lines stand in the partitions of that urgency. A space by prefix is the same under any name.
 func (d Description) Follows(cur Description) error {
 	was := map[string]Space{}
 	for _, s := range cur.Spaces {
-		was[s.Name] = s
+		was[s.path()] = s
 	}
 	var f []problem.Fault
 	for i, s := range d.Spaces {
-		if o, ok := was[s.Name]; ok && o.Urgent != s.Urgent {
-			f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].urgent", i), Say: fmt.Sprintf("of the standing space %q can't change; make a new space", s.Name)})
+		if o, ok := was[s.path()]; ok && o.Urgent != s.Urgent {
+			f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].urgent", i), Say: fmt.Sprintf("of the standing space %q can't change; make a new space", o.Name)})
 		}
 	}
-	return bad(f)
+	return Bad(f)
 }
 
 // Pack writes a description.
@@ -140,34 +248,3 @@
 	b, _ := easyjson.Marshal(d)
 	return b
 }
-
-// Index finds topics by name.
-type Index struct {
-	Sequence uint64
-	topics   map[string]Space
-	spaces   map[string]bool
-}
-
-// NewIndex makes the index of a description.
-func NewIndex(d Description) *Index {
-	x := &Index{Sequence: d.Sequence, topics: map[string]Space{}, spaces: map[string]bool{}}
-	for _, s := range d.Spaces {
-		x.spaces[s.Name] = true
-		for _, t := range s.Topics {
-			x.topics[s.Name+"/"+t] = Space{Name: s.Name, Kind: s.Kind, Urgent: s.Urgent}
-		}
-	}
-	return x
-}
-
-// Find gives the space of a topic written space/topic.
-func (x *Index) Find(topic string) (Space, error) {
-	if s, ok := x.topics[topic]; ok {
-		return s, nil
-	}
-	n, _, ok := strings.Cut(topic, "/")
-	if !ok || !x.spaces[n] {
-		return Space{}, problem.New(problem.UnknownSpace, "description %d has no space for %q; topics are written space/topic", x.Sequence, topic).At(x.Sequence)
-	}
-	return Space{}, problem.New(problem.UnknownTopic, "description %d has no topic %q", x.Sequence, topic).At(x.Sequence)
-}
--- a/internal/description/retired.go
+++ b/internal/description/retired.go
@@ -3,16 +3,38 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"strings"
 
 	"postjunction/internal/problem"
 )
 
-// RetiredMost is how many names of removed spaces are kept.
+// RetiredMost is how many removed spaces are kept one by one.
 const RetiredMost = 4096
 
-// Retired holds the urgency of spaces that were removed, by name.
+// Retired holds the urgency of spaces that were removed: those of listed topics by name, those by prefix by "=" and the prefix.
+// Where they became too many, those that were not urgent are left out, and "*" says so.
 type Retired map[string]bool
 
+const (
+	byPrefix = "="
+	leftOut  = "*"
+)
+
+func (s Space) retired() string {
+	if s.Open() {
+		return byPrefix + s.Prefix
+	}
+	return s.Name
+}
+
+func retiredPath(key string) string {
+	if p, ok := strings.CutPrefix(key, byPrefix); ok {
+		return p
+	}
+	return key + "/"
+}
+
 // ParseRetired reads the removed spaces.
 func ParseRetired(b []byte) (Retired, error) {
 	r := Retired{}
@@ -28,27 +50,85 @@
 	return b
 }
 
-// Check holds a description against the removed spaces and adds those that it removes from the current one; it tells whether there were any.
+type past struct {
+	key    string
+	urgent bool
+}
+
+// Check holds a description against the current one and all removed spaces, and adds those that it removes; it tells whether there were any.
+// A space that comes back, or that shares topics with one that was there before, needs the urgency that these had.
 func (r Retired) Check(d, cur Description) (bool, error) {
-	stays, was := map[string]bool{}, map[string]bool{}
+	var before, after prefixes[past]
+	for k, u := range r {
+		if k != leftOut {
+			before.add(retiredPath(k), past{k, u})
+		}
+	}
 	for _, s := range cur.Spaces {
-		was[s.Name] = true
+		before.add(s.path(), past{s.retired(), s.Urgent})
+	}
+	for _, s := range d.Spaces {
+		after.add(s.path(), past{s.retired(), s.Urgent})
+	}
+	faults := map[string]string{}
+	clash := func(at string, p past, urgent bool) {
+		if p.urgent != urgent {
+			faults[at] = fmt.Sprintf("of %q was %v before it was removed, and its lines stand there; make a new space", strings.TrimPrefix(p.key, byPrefix), p.urgent)
+		}
+	}
+	for at, n := range after.by {
+		known := false
+		before.each(at, func(_ string, p past) bool {
+			known = true
+			clash(at, p, n.urgent)
+			return true
+		})
+		if !known && n.urgent && r.has(leftOut) {
+			faults[at] = "can't be true in a new space: too many spaces were removed to tell which were not urgent"
+		}
+	}
+	for path, p := range before.by {
+		after.each(path, func(at string, n past) bool {
+			clash(at, p, n.urgent)
+			return true
+		})
 	}
 	var f []problem.Fault
 	for i, s := range d.Spaces {
-		stays[s.Name] = true
-		if u, ok := r[s.Name]; ok && u != s.Urgent && !was[s.Name] {
-			f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].urgent", i), Say: fmt.Sprintf("of %q was %v before it was removed, and its lines stand there; make a new space", s.Name, u)})
+		if say, ok := faults[s.path()]; ok {
+			f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].urgent", i), Say: say})
 		}
 	}
-	more := false
+	return r.add(d, cur), Bad(append(f, r.full()...))
+}
+
+func (r Retired) has(k string) bool {
+	_, ok := r[k]
+	return ok
+}
+
+func (r Retired) add(d, cur Description) bool {
+	stays, more := map[string]bool{}, false
+	for _, s := range d.Spaces {
+		stays[s.path()] = true
+	}
 	for _, s := range cur.Spaces {
-		if _, ok := r[s.Name]; !ok && !stays[s.Name] {
-			r[s.Name], more = s.Urgent, true
+		k := s.retired()
+		if r.has(k) || stays[s.path()] || !s.Urgent && r.has(leftOut) {
+			continue
 		}
+		r[k], more = s.Urgent, true
 	}
-	if len(r) > RetiredMost {
-		f = append(f, problem.Fault{Place: "$.spaces", Say: fmt.Sprintf("would make %d names of removed spaces, %d can be kept; keep some or bring some back", len(r), RetiredMost)})
+	if len(r) > RetiredMost && !r.has(leftOut) {
+		maps.DeleteFunc(r, func(_ string, urgent bool) bool { return !urgent })
+		r[leftOut] = false
+	}
+	return more
+}
+
+func (r Retired) full() []problem.Fault {
+	if len(r) <= RetiredMost {
+		return nil
 	}
-	return more, bad(f)
+	return []problem.Fault{{Place: "$.spaces", Say: fmt.Sprintf("would make %d removed urgent spaces, %d can be kept; keep some or bring some back", len(r)-1, RetiredMost-1)}}
 }
--- a/internal/description/strict/strict.go
+++ b/internal/description/strict/strict.go
@@ -24,6 +24,7 @@
 	Array  = "an array"
 	Text   = "a string"
 	Count  = "a whole number from 0"
+	Above  = "a whole number above 0"
 	Flag   = "true or false"
 	Any    = ""
 )
@@ -55,20 +56,23 @@
 }
 
 var scalar = map[string]func(json.Token) bool{
-	Text: func(t json.Token) bool { _, ok := t.(string); return ok },
-	Flag: func(t json.Token) bool { _, ok := t.(bool); return ok },
-	Count: func(t json.Token) bool {
-		n, ok := t.(json.Number)
-		if !ok {
-			return false
-		}
-		i, err := n.Int64()
-		return err == nil && i >= 0
-	},
+	Text:   func(t json.Token) bool { _, ok := t.(string); return ok },
+	Flag:   func(t json.Token) bool { _, ok := t.(bool); return ok },
+	Count:  func(t json.Token) bool { return whole(t, 0) },
+	Above:  func(t json.Token) bool { return whole(t, 1) },
 	Object: func(json.Token) bool { return false },
 	Array:  func(json.Token) bool { return false },
 }
 
+func whole(t json.Token, least int64) bool {
+	n, ok := t.(json.Number)
+	if !ok {
+		return false
+	}
+	i, err := n.Int64()
+	return err == nil && i >= least
+}
+
 func (w *walker) value(place string, s *Shape) error {
 	t, err := w.d.Token()
 	if err != nil {
--- a/internal/description/types_easyjson.go
+++ b/internal/description/types_easyjson.go
@@ -76,6 +76,48 @@
 				}
 				in.Delim(']')
 			}
+		case "prefix":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Prefix = string(in.String())
+			}
+		case "all":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.All = bool(in.Bool())
+			}
+		case "keep_ms":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.KeepMS = uint64(in.Uint64())
+			}
+		case "deadline_ms":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.DeadlineMS = uint64(in.Uint64())
+			}
+		case "aim_ms":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.AimMS = uint64(in.Uint64())
+			}
+		case "order":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Order = string(in.String())
+			}
+		case "weight":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Weight = int(in.Int())
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -109,12 +151,10 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Urgent))
 	}
-	{
+	if len(in.Topics) != 0 {
 		const prefix string = ",\"topics\":"
 		out.RawString(prefix)
-		if in.Topics == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
-			out.RawString("null")
-		} else {
+		{
 			out.RawByte('[')
 			for v2, v3 := range in.Topics {
 				if v2 > 0 {
@@ -125,6 +165,41 @@
 			out.RawByte(']')
 		}
 	}
+	if in.Prefix != "" {
+		const prefix string = ",\"prefix\":"
+		out.RawString(prefix)
+		out.String(string(in.Prefix))
+	}
+	if in.All {
+		const prefix string = ",\"all\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.All))
+	}
+	if in.KeepMS != 0 {
+		const prefix string = ",\"keep_ms\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.KeepMS))
+	}
+	if in.DeadlineMS != 0 {
+		const prefix string = ",\"deadline_ms\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.DeadlineMS))
+	}
+	if in.AimMS != 0 {
+		const prefix string = ",\"aim_ms\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.AimMS))
+	}
+	if in.Order != "" {
+		const prefix string = ",\"order\":"
+		out.RawString(prefix)
+		out.String(string(in.Order))
+	}
+	if in.Weight != 0 {
+		const prefix string = ",\"weight\":"
+		out.RawString(prefix)
+		out.Int(int(in.Weight))
+	}
 	out.RawByte('}')
 }
 
@@ -151,7 +226,239 @@
 func (v *Space) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjson6601e8cdDecodePostjunctionInternalDescription(l, v)
 }
-func easyjson6601e8cdDecodePostjunctionInternalDescription1(in *jlexer.Lexer, out *Description) {
+func easyjson6601e8cdDecodePostjunctionInternalDescription1(in *jlexer.Lexer, out *Limits) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "topics":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Topics = int(in.Int())
+			}
+		case "body":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Body = int(in.Int())
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson6601e8cdEncodePostjunctionInternalDescription1(out *jwriter.Writer, in Limits) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.Topics != 0 {
+		const prefix string = ",\"topics\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Int(int(in.Topics))
+	}
+	if in.Body != 0 {
+		const prefix string = ",\"body\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int(int(in.Body))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Limits) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson6601e8cdEncodePostjunctionInternalDescription1(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Limits) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson6601e8cdEncodePostjunctionInternalDescription1(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Limits) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson6601e8cdDecodePostjunctionInternalDescription1(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Limits) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson6601e8cdDecodePostjunctionInternalDescription1(l, v)
+}
+func easyjson6601e8cdDecodePostjunctionInternalDescription2(in *jlexer.Lexer, out *Lanes) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "urgent":
+			if in.IsNull() {
+				in.Skip()
+				out.Urgent = nil
+			} else {
+				in.Delim('[')
+				if out.Urgent == nil {
+					if !in.IsDelim(']') {
+						out.Urgent = make([]string, 0, 4)
+					} else {
+						out.Urgent = []string{}
+					}
+				} else {
+					out.Urgent = (out.Urgent)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v4 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v4 = string(in.String())
+					}
+					out.Urgent = append(out.Urgent, v4)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "routine":
+			if in.IsNull() {
+				in.Skip()
+				out.Routine = nil
+			} else {
+				in.Delim('[')
+				if out.Routine == nil {
+					if !in.IsDelim(']') {
+						out.Routine = make([]string, 0, 4)
+					} else {
+						out.Routine = []string{}
+					}
+				} else {
+					out.Routine = (out.Routine)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v5 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v5 = string(in.String())
+					}
+					out.Routine = append(out.Routine, v5)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjson6601e8cdEncodePostjunctionInternalDescription2(out *jwriter.Writer, in Lanes) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if len(in.Urgent) != 0 {
+		const prefix string = ",\"urgent\":"
+		first = false
+		out.RawString(prefix[1:])
+		{
+			out.RawByte('[')
+			for v6, v7 := range in.Urgent {
+				if v6 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v7))
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Routine) != 0 {
+		const prefix string = ",\"routine\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v8, v9 := range in.Routine {
+				if v8 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v9))
+			}
+			out.RawByte(']')
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Lanes) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjson6601e8cdEncodePostjunctionInternalDescription2(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Lanes) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjson6601e8cdEncodePostjunctionInternalDescription2(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Lanes) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjson6601e8cdDecodePostjunctionInternalDescription2(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Lanes) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjson6601e8cdDecodePostjunctionInternalDescription2(l, v)
+}
+func easyjson6601e8cdDecodePostjunctionInternalDescription3(in *jlexer.Lexer, out *Description) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -185,7 +492,7 @@
 				in.Delim('[')
 				if out.Spaces == nil {
 					if !in.IsDelim(']') {
-						out.Spaces = make([]Space, 0, 1)
+						out.Spaces = make([]Space, 0, 0)
 					} else {
 						out.Spaces = []Space{}
 					}
@@ -193,17 +500,41 @@
 					out.Spaces = (out.Spaces)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v4 Space
+					var v10 Space
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v4).UnmarshalEasyJSON(in)
+						(v10).UnmarshalEasyJSON(in)
 					}
-					out.Spaces = append(out.Spaces, v4)
+					out.Spaces = append(out.Spaces, v10)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
+		case "limits":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Limits).UnmarshalEasyJSON(in)
+			}
+		case "source":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Source = string(in.String())
+			}
+		case "standing_lanes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.StandingLanes = bool(in.Bool())
+			}
+		case "lanes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Lanes).UnmarshalEasyJSON(in)
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -218,7 +549,7 @@
 		in.Consumed()
 	}
 }
-func easyjson6601e8cdEncodePostjunctionInternalDescription1(out *jwriter.Writer, in Description) {
+func easyjson6601e8cdEncodePostjunctionInternalDescription3(out *jwriter.Writer, in Description) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -245,38 +576,58 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Spaces {
-				if v5 > 0 {
+			for v11, v12 := range in.Spaces {
+				if v11 > 0 {
 					out.RawByte(',')
 				}
-				(v6).MarshalEasyJSON(out)
+				(v12).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
 	}
+	if (in.Limits).IsDefined() {
+		const prefix string = ",\"limits\":"
+		out.RawString(prefix)
+		(in.Limits).MarshalEasyJSON(out)
+	}
+	if in.Source != "" {
+		const prefix string = ",\"source\":"
+		out.RawString(prefix)
+		out.String(string(in.Source))
+	}
+	if in.StandingLanes {
+		const prefix string = ",\"standing_lanes\":"
+		out.RawString(prefix)
+		out.Bool(bool(in.StandingLanes))
+	}
+	if (in.Lanes).IsDefined() {
+		const prefix string = ",\"lanes\":"
+		out.RawString(prefix)
+		(in.Lanes).MarshalEasyJSON(out)
+	}
 	out.RawByte('}')
 }
 
 // MarshalJSON supports json.Marshaler interface
 func (v Description) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjson6601e8cdEncodePostjunctionInternalDescription1(&w, v)
+	easyjson6601e8cdEncodePostjunctionInternalDescription3(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Description) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjson6601e8cdEncodePostjunctionInternalDescription1(w, v)
+	easyjson6601e8cdEncodePostjunctionInternalDescription3(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Description) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjson6601e8cdDecodePostjunctionInternalDescription1(&r, v)
+	easyjson6601e8cdDecodePostjunctionInternalDescription3(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Description) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjson6601e8cdDecodePostjunctionInternalDescription1(l, v)
+	easyjson6601e8cdDecodePostjunctionInternalDescription3(l, v)
 }
--- a/internal/disk/frame/frame.go
+++ b/internal/disk/frame/frame.go
@@ -8,8 +8,8 @@
 	"postjunction/internal/problem"
 )
 
-// Format is the sequence number of the disk format.
-const Format = 1
+// Format is the sequence number of the disk format: 1 had bodies in JSON, 2 has the ledger's in CBOR, and writes it anew in slices.
+const Format = 2
 
 // Size is the length of the header.
 const Size = 40
--- a/internal/disk/identity/identity.go
+++ b/internal/disk/identity/identity.go
@@ -38,8 +38,13 @@
 	return journal.Rec{Kind: kinds.Identity, Body: b}
 }
 
-// Dump gives the record.
-func (p *Part) Dump() []journal.Rec { return []journal.Rec{p.rec(p.Get())} }
+// Live counts the record.
+func (p *Part) Live() (int, int64) { return 1, int64(len(p.rec(p.Get()).Body)) }
+
+// Slices gives the record.
+func (p *Part) Slices() []journal.Slice {
+	return journal.Whole(func() []journal.Rec { return []journal.Rec{p.rec(p.Get())} })
+}
 
 // Get gives the identity.
 func (p *Part) Get() Identity {
--- a/internal/disk/journal/journal.go
+++ b/internal/disk/journal/journal.go
@@ -9,6 +9,7 @@
 	"postjunction/internal/disk/frame"
 	"postjunction/internal/kinds"
 	"postjunction/internal/problem"
+	"postjunction/internal/turn"
 )
 
 // Rec is a record to be written.
@@ -19,10 +20,12 @@
 	Body   []byte
 }
 
-// Part is a holder of state in the journal: it takes back records at open and gives its live ones at compaction.
+// Part is a holder of state in the journal: it takes back records at open, tells how many of them live and, at most, how many bytes their
+// bodies have, and gives the live ones in slices when the log is written anew. What puts change is seen only by the journal's own steps.
 type Part interface {
 	Restore(r Rec) error
-	Dump() []Rec
+	Live() (records int, bytes int64)
+	Slices() []Slice
 }
 
 // Tally counts the journal's work.
@@ -41,15 +44,15 @@
 type put struct {
 	recs  []Rec
 	apply func()
+	after func()
 	done  chan error
-	scrub *scrub
 }
 
-// scrub is a reading of the whole log in slices, between which others have their turn.
-type scrub struct {
-	next, last      uint64
-	records, rotten int
-	cause           error
+func (p put) end(err error) {
+	if p.after != nil {
+		p.after()
+	}
+	p.done <- err
 }
 
 // Journal is one log with one writer; urgent puts go first.
@@ -69,11 +72,14 @@
 	tally  Tally
 	fault  error
 	doubt  bool
+	room   room
+	anew   *anew
+	scrubs []*scrub
+	passed int
 }
 
 const (
 	groupBytes  = 1 << 20
-	scrubSlice  = 256
 	minLive     = 4096
 	growth      = 4
 	frameBefore = 1
@@ -180,6 +186,9 @@
 	}
 	j.next, j.mark = last+1, last
 	j.base = last - uint64(len(fs))
+	for _, f := range fs {
+		j.room.used += size(len(f.Body))
+	}
 	return r, nil
 }
 
@@ -203,18 +212,21 @@
 	ls := j.lanes
 	j.lanes = [2][]put{}
 	j.mu.Unlock()
+	gone := problem.New(problem.Stopped, "the journal was stopped")
 	for _, l := range ls {
 		for _, p := range l {
-			p.done <- problem.New(problem.Stopped, "the journal was stopped")
+			p.end(gone)
 		}
 	}
+	j.drop(gone)
+	j.quit(gone)
 }
 
-func (j *Journal) take() []put {
+func (j *Journal) take() ([]put, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var ps []put
-	n := 0
+	n, urgent := 0, false
 	for k := range j.lanes {
 		if len(ps) > 0 {
 			break
@@ -226,47 +238,71 @@
 				n += len(r.Body) + frame.Size
 			}
 			ps = append(ps, p)
+			urgent = k == 0
 		}
 	}
-	return ps
+	return ps, urgent
 }
 
 func (j *Journal) round(ctx context.Context) bool {
-	ps := j.take()
+	ps, urgent := j.take()
 	if len(ps) == 0 {
-		return false
+		return j.aside() && ctx.Err() == nil
+	}
+	if ps = j.admit(ps); len(ps) == 0 {
+		return ctx.Err() == nil
 	}
 	err := j.mend()
 	if err == nil {
-		var rs []Rec
+		rs := j.along(urgent)
 		for _, p := range ps {
 			rs = append(rs, p.recs...)
 		}
 		err = j.commit(rs)
 	}
 	for _, p := range ps {
-		if err == nil && p.scrub != nil {
-			j.read(p)
-			continue
-		}
 		if err == nil && p.apply != nil {
 			p.apply()
 		}
-		p.done <- err
+		p.end(err)
 	}
-	if err == nil && j.next-j.base > max(minLive, growth*j.live) {
-		if err := j.compact(); err != nil {
-			j.spoil(err)
-		}
+	if err == nil {
+		j.end()
+	}
+	if err == nil && j.anew == nil && j.pays() {
+		j.begin(nil)
 	}
 	return ctx.Err() == nil
 }
 
+// pays tells whether writing anew is worth it: what lives is counted only when it looks so.
+func (j *Journal) pays() bool {
+	if !j.ripe() {
+		return false
+	}
+	j.count()
+	return j.ripe()
+}
+
+func (j *Journal) count() {
+	n, b := 0, int64(0)
+	for _, p := range j.order {
+		k, s := p.Live()
+		n, b = n+k, b+s
+	}
+	j.live, j.room.live = uint64(n), b+int64(n)*size(0)
+}
+
+func (j *Journal) ripe() bool {
+	return j.next-j.base > max(minLive, growth*j.live) || j.room.grown()
+}
+
 func (j *Journal) spoil(err error) {
 	j.mu.Lock()
 	j.doubt, j.fault = true, err
 	j.tally.Failures++
 	j.mu.Unlock()
+	j.drop(err)
 }
 
 func (j *Journal) mend() error {
@@ -324,55 +360,42 @@
 	}
 	j.next += uint64(len(bs))
 	j.mark = j.next - 1
+	for _, b := range bs {
+		j.room.used += size(len(b) - frame.Size)
+	}
 	j.mu.Lock()
-	j.fault = nil
+	if !j.room.tight {
+		j.fault = nil
+	}
 	j.tally.Records += uint64(len(bs))
 	j.tally.Batches++
 	j.mu.Unlock()
 	return nil
 }
 
-func (j *Journal) compact() error {
-	from := j.next
-	rs := []Rec{{Kind: kinds.AnewBegins}}
-	for _, p := range j.order {
-		rs = append(rs, p.Dump()...)
-	}
-	rs = append(rs, Rec{Kind: kinds.AnewEnds})
-	if err := j.commit(rs); err != nil {
-		return err
-	}
-	if err := j.log.CutFront(from); err != nil {
-		return err
-	}
-	j.base, j.live = from-1, uint64(len(rs))
-	j.mu.Lock()
-	j.tally.Compactions++
-	j.mu.Unlock()
-	return nil
+// Put makes records durable, then runs apply in the order of the log, then returns. When ctx ends first, the records may still come to stand.
+func (j *Journal) Put(ctx context.Context, urgent bool, apply func(), recs ...Rec) error {
+	return j.put(ctx, put{recs: recs, apply: apply, done: make(chan error, 1)}, lane[urgent])
 }
 
-// Put makes records durable, then runs apply in the order of the log, then returns.
-func (j *Journal) Put(ctx context.Context, urgent bool, apply func(), recs ...Rec) error {
-	k := 1
-	if urgent {
-		k = 0
-	}
-	return j.put(ctx, put{recs: recs, apply: apply, done: make(chan error, 1)}, k)
+// PutIn is Put in a turn in which the records were made from what stands. The turn is kept until it is settled whether they stand, also where
+// ctx ends before that: whoever has the next turn must not go by what stood before them.
+func (j *Journal) PutIn(ctx context.Context, t *turn.Held, urgent bool, apply func(), recs ...Rec) error {
+	return j.put(ctx, put{recs: recs, apply: apply, after: t.More(), done: make(chan error, 1)}, lane[urgent])
 }
 
+var lane = map[bool]int{true: 0, false: 1}
+
 func (j *Journal) put(ctx context.Context, p put, k int) error {
 	j.mu.Lock()
 	if j.closed {
 		j.mu.Unlock()
+		p.end(nil)
 		return problem.New(problem.Stopped, "the journal was stopped")
 	}
 	j.lanes[k] = append(j.lanes[k], p)
 	j.mu.Unlock()
-	select {
-	case j.wake <- struct{}{}:
-	default:
-	}
+	j.rouse()
 	select {
 	case err := <-p.done:
 		return err
@@ -381,51 +404,11 @@
 	}
 }
 
-func (j *Journal) read(p put) {
-	first, last, err := j.log.Bounds()
-	if err != nil {
-		p.done <- err
-		return
-	}
-	c := p.scrub
-	if c.last == 0 {
-		c.last = last
-	}
-	c.next = max(c.next, first)
-	for end := min(c.next+scrubSlice, c.last+1); c.next < end; c.next++ {
-		b, err := j.log.Read(c.next)
-		if err == nil {
-			_, err = frame.Unpack(c.next, b)
-		}
-		if err != nil {
-			c.rotten++
-			c.cause = err
-		}
-		c.records++
-	}
-	if c.next <= c.last {
-		j.mu.Lock()
-		j.lanes[1] = append(j.lanes[1], p)
-		j.mu.Unlock()
-		return
-	}
-	if c.cause != nil {
-		if err := j.compact(); err != nil {
-			j.spoil(err)
-			c.cause = err
-		}
-	}
-	p.done <- c.cause
-}
-
-// Scrub reads the whole log through, a slice at a time, and, when a record is damaged, writes all live ones anew from memory.
-func (j *Journal) Scrub(ctx context.Context) (records, damaged int, cause error) {
-	c := &scrub{}
-	err := j.put(ctx, put{scrub: c, done: make(chan error, 1)}, 1)
-	if ctx.Err() != nil {
-		return 0, 0, err
+func (j *Journal) rouse() {
+	select {
+	case j.wake <- struct{}{}:
+	default:
 	}
-	return c.records, c.rotten, err
 }
 
 // Tally gives the counts so far.
--- a/internal/disk/journal/journal_test.go
+++ b/internal/disk/journal/journal_test.go
@@ -113,3 +113,36 @@
 		assert.Assert(t, at < many/2, "an urgent write waited for %d of %d reads", at, many)
 	})
 }
+
+// Before its first writing anew a journal took every record for dead: it wrote all of them again, though none could go.
+func TestWritingAnewWaitsUntilItPays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 6000
+		s := &shelf{most: most}
+		j, _, err := journal.Open(memlog.New(), clock.Real{}, map[uint16]journal.Part{1: s}, []journal.Part{s})
+		assert.NilError(t, err)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go j.Run(ctx)
+		put := func(n int) {
+			for range n / 100 {
+				var rs []journal.Rec
+				for range 100 {
+					rs = append(rs, rec("r"))
+				}
+				assert.NilError(t, j.Put(t.Context(), false, func() {
+					for _, r := range rs {
+						s.add(r)
+					}
+				}, rs...))
+			}
+		}
+		put(most)
+		assert.Equal(t, j.Tally().Compactions, uint64(0), "all of %d records live", most)
+		put(2 * most)
+		assert.Equal(t, j.Tally().Compactions, uint64(0), "a third of the records lives")
+		put(2 * most)
+		synctest.Wait()
+		assert.Equal(t, j.Tally().Compactions, uint64(1))
+	})
+}
--- /dev/null
+++ b/internal/disk/journal/room_test.go
@@ -0,0 +1,215 @@
+package journal_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/disk/journal"
+	"postjunction/internal/disk/memlog"
+	"postjunction/internal/kinds"
+	"postjunction/internal/problem"
+)
+
+// shelf keeps the newest bodies, as many as it is told.
+type shelf struct {
+	mu   sync.Mutex
+	most int
+	recs []journal.Rec
+}
+
+// Restore takes a record back.
+func (s *shelf) Restore(r journal.Rec) error {
+	s.add(r)
+	return nil
+}
+
+// Live counts the live records.
+func (s *shelf) Live() (int, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := int64(0)
+	for _, r := range s.recs {
+		n += int64(len(r.Body))
+	}
+	return len(s.recs), n
+}
+
+// Slices gives the live records.
+func (s *shelf) Slices() []journal.Slice { return journal.Whole(s.dump) }
+
+func (s *shelf) dump() []journal.Rec {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]journal.Rec(nil), s.recs...)
+}
+
+func (s *shelf) add(r journal.Rec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recs = append(s.recs, r)
+	s.recs = s.recs[max(0, len(s.recs)-s.most):]
+}
+
+func (s *shelf) keep(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = n
+	s.recs = s.recs[max(0, len(s.recs)-n):]
+}
+
+// gauged is a disk that knows how much was on it at most.
+type gauged struct {
+	*memlog.Disk
+	peak atomic.Int64
+}
+
+// Write notes how much is on the disk after it.
+func (g *gauged) Write(first uint64, recs [][]byte) error {
+	if err := g.Disk.Write(first, recs); err != nil {
+		return err
+	}
+	f, l, err := g.Bounds()
+	if err != nil {
+		return err
+	}
+	n := 0
+	for i := f; i <= l; i++ {
+		b, err := g.Read(i)
+		if err != nil {
+			return err
+		}
+		n += len(b)
+	}
+	g.peak.Store(max(g.peak.Load(), int64(n)))
+	return nil
+}
+
+// The journal stays inside its room, whatever is put: it writes anew long before, turns large records away when what lives takes too much, still takes small ones, and takes
+// all again by itself once less lives, across a restart too.
+func TestJournalStaysInsideItsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const room, body = 1 << 20, 8 << 10
+		d, s := &gauged{Disk: memlog.New()}, &shelf{most: 10}
+		open := func() (*journal.Journal, func()) {
+			j, _, err := journal.Open(d, clock.Real{}, map[uint16]journal.Part{1: s}, []journal.Part{s})
+			assert.NilError(t, err)
+			j.Limit(room, time.Second)
+			ctx, stop := context.WithCancel(t.Context())
+			go j.Run(ctx)
+			return j, stop
+		}
+		j, stop := open()
+		put := func(n int) error {
+			r := journal.Rec{Kind: 1, Body: make([]byte, n)}
+			err := j.Put(t.Context(), false, func() { s.add(r) }, r)
+			assert.Assert(t, d.peak.Load() <= room, "%d bytes were on the disk", d.peak.Load())
+			return err
+		}
+		for range 1000 {
+			assert.NilError(t, put(body))
+		}
+		assert.Assert(t, j.Tally().Compactions > 10)
+		s.keep(1 << 20)
+		var err error
+		for k := 0; err == nil; k++ {
+			assert.Assert(t, k < room/body, "nothing was turned away")
+			err = put(body)
+		}
+		assert.Assert(t, problem.Has(err, problem.DiskFull), "%v", err)
+		assert.Assert(t, problem.Has(j.Fault(), problem.DiskFull), "a full disk that is not told of")
+		assert.NilError(t, put(100))
+		assert.Assert(t, problem.Has(j.Fault(), problem.DiskFull), "a small record that went in does not make it well")
+		assert.Assert(t, problem.Has(j.Probe(t.Context(), time.Second), problem.DiskFull))
+		stop()
+		synctest.Wait()
+		j, stop = open()
+		defer stop()
+		for range 20 {
+			if err = put(body); err != nil {
+				break
+			}
+		}
+		assert.Assert(t, problem.Has(err, problem.DiskFull), "%v", err)
+		s.keep(20)
+		time.Sleep(2 * time.Second)
+		_ = j.Probe(t.Context(), time.Second)
+		assert.NilError(t, j.Probe(t.Context(), time.Second))
+		assert.NilError(t, j.Fault())
+		for range 1000 {
+			assert.NilError(t, put(body))
+			s.keep(20)
+		}
+	})
+}
+
+// Entries in small puts once filled the disk up to its last share, so that not even a partition that had left could be forgotten.
+func TestSmallEntriesLeaveRoomToForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const room = 1 << 20
+		s := &shelf{most: 1 << 20}
+		j, _, err := journal.Open(memlog.New(), clock.Real{}, map[uint16]journal.Part{kinds.Entry: s}, []journal.Part{s})
+		assert.NilError(t, err)
+		j.Limit(room, time.Second)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go j.Run(ctx)
+		put := func() error {
+			r := journal.Rec{Kind: kinds.Entry, Body: make([]byte, 300)}
+			return j.Put(t.Context(), false, func() { s.add(r) }, r)
+		}
+		for err = nil; err == nil; {
+			err = put()
+		}
+		assert.Assert(t, problem.Has(err, problem.DiskFull), "%v", err)
+		assert.Assert(t, problem.Has(j.Fault(), problem.DiskFull))
+		for range 500 {
+			assert.NilError(t, j.Put(t.Context(), false, nil, journal.Rec{Kind: kinds.Forget, Body: make([]byte, 100)}))
+		}
+		s.keep(0)
+		time.Sleep(2 * time.Second)
+		_ = put()
+		assert.NilError(t, put())
+		assert.NilError(t, j.Fault())
+	})
+}
+
+// Entries of a few bytes once went on until the disk was full, and then the record that forgets them had no room either: the disk stayed full for good.
+func TestSmallEntriesLeaveRoomForWhatForgetsThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const room = 1 << 20
+		s := &shelf{most: 1 << 20}
+		j, _, err := journal.Open(memlog.New(), clock.Real{}, map[uint16]journal.Part{1: s}, []journal.Part{s})
+		assert.NilError(t, err)
+		j.Limit(room, time.Second)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go j.Run(ctx)
+		put := func(k uint16) error {
+			r := journal.Rec{Kind: k, Body: make([]byte, 400)}
+			return j.Put(t.Context(), false, func() { s.add(r) }, r)
+		}
+		for _, k := range []uint16{kinds.Entry, kinds.Directory} {
+			for n := 0; err == nil; n++ {
+				assert.Assert(t, n < room/400, "nothing was turned away")
+				err = put(k)
+			}
+			assert.Assert(t, problem.Has(err, problem.DiskFull), "%v", err)
+			err = nil
+		}
+		for range 100 {
+			assert.NilError(t, put(kinds.Forget))
+		}
+		s.keep(10)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, problem.Has(put(kinds.Entry), problem.DiskFull), "it is told of until a writing anew made place")
+		assert.NilError(t, put(kinds.Entry))
+		assert.NilError(t, j.Fault())
+	})
+}
--- a/internal/disk/walog/walog.go
+++ b/internal/disk/walog/walog.go
@@ -23,9 +23,15 @@
 	note *os.File
 	mark uint64
 	held int
+	// tail is the most that the last segment can hold: a new one may have begun once it reaches a segment.
+	tail int
 }
 
-const notePlaces = 24
+const (
+	notePlaces = 24
+	segment    = 1 << 20
+	prefix     = binary.MaxVarintLen64
+)
 
 var byErrno = map[syscall.Errno]problem.Kind{
 	syscall.ENOSPC: problem.DiskFull,
@@ -65,11 +71,11 @@
 	if err := cutShortTail(l.path()); err != nil {
 		return wrap(err, "look for a short last record")
 	}
-	g, err := wal.Open(l.path(), &wal.Options{NoSync: true, SegmentSize: 4 << 20, SegmentCacheSize: 2, AllowEmpty: true, DirPerms: 0o750, FilePerms: 0o640})
+	g, err := wal.Open(l.path(), &wal.Options{NoSync: true, SegmentSize: segment, SegmentCacheSize: 1, AllowEmpty: true, DirPerms: 0o750, FilePerms: 0o640})
 	if err != nil {
 		return wrap(err, "open the journal")
 	}
-	l.log, l.held = g, 0
+	l.log, l.held, l.tail = g, 0, segment
 	n, err := os.OpenFile(filepath.Join(l.dir, "synced"), os.O_CREATE|os.O_RDWR, 0o640)
 	if err != nil {
 		return wrap(err, "open the note of the last sync")
@@ -150,6 +156,7 @@
 	var b wal.Batch
 	for i, r := range recs {
 		b.Write(first+uint64(i), r)
+		l.tail += len(r) + prefix
 	}
 	return wrap(l.log.WriteBatch(&b), "write to the journal")
 }
@@ -162,6 +169,22 @@
 	if err := l.log.Sync(); err != nil {
 		return wrap(err, "sync the journal")
 	}
+	if err := l.syncNew(); err != nil {
+		return err
+	}
+	_, last, err := l.Bounds()
+	if err != nil {
+		return err
+	}
+	l.mark = last
+	_, _ = l.note.WriteAt([]byte(fmt.Sprintf("%020d\n", last)), 0)
+	return nil
+}
+
+func (l *Log) syncNew() error {
+	if l.tail < segment {
+		return nil
+	}
 	s, err := segments(l.path())
 	if err != nil {
 		return wrap(err, "list the segments")
@@ -170,14 +193,15 @@
 		if err := l.syncFolders(); err != nil {
 			return err
 		}
-		l.held = len(s)
 	}
-	_, last, err := l.Bounds()
-	if err != nil {
-		return err
+	l.held, l.tail = len(s), 0
+	if len(s) > 0 {
+		i, err := os.Stat(s[len(s)-1])
+		if err != nil {
+			return wrap(err, "look at the last segment")
+		}
+		l.tail = int(i.Size())
 	}
-	l.mark = last
-	_, _ = l.note.WriteAt([]byte(fmt.Sprintf("%020d\n", last)), 0)
 	return nil
 }
 
@@ -202,6 +226,7 @@
 	if err := l.log.TruncateFront(i); err != nil {
 		return wrap(err, "cut the front of the journal")
 	}
+	l.tail = segment
 	return l.syncFolders()
 }
 
@@ -210,6 +235,7 @@
 	if err := l.log.TruncateBack(i); err != nil {
 		return wrap(err, "cut the back of the journal")
 	}
+	l.tail = segment
 	return l.syncFolders()
 }
 
--- a/internal/disk/walog/walog_test.go
+++ b/internal/disk/walog/walog_test.go
@@ -25,7 +25,11 @@
 	return nil
 }
 
-func (p *part) Dump() []journal.Rec {
+func (p *part) Live() (int, int64) { return len(p.got), 0 }
+
+func (p *part) Slices() []journal.Slice { return journal.Whole(p.dump) }
+
+func (p *part) dump() []journal.Rec {
 	var rs []journal.Rec
 	for _, s := range p.got {
 		rs = append(rs, journal.Rec{Kind: kind, Body: []byte(s)})
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"reflect"
 	"regexp"
 	"sort"
 	"strings"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/golden"
 
 	"postjunction/internal/event"
+	"postjunction/internal/options"
 	"postjunction/internal/problem"
 )
 
@@ -73,7 +75,7 @@
 	return string(b)
 }
 
-// Every test and guard that the map of the brief and the never-list name must be there.
+// Every test and guard that the map of the brief, the never-list and the incidents name must be there.
 func TestChecksNamedInTheMapExist(t *testing.T) {
 	var code strings.Builder
 	assert.NilError(t, filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
@@ -84,7 +86,7 @@
 	}))
 	guards := read(t, "tools/guards.sh")
 	tests, names := regexp.MustCompile("`(Test[A-Za-z0-9]+)`"), regexp.MustCompile("guards?:? ((?:`[a-z-]+`(?:, )?)+)")
-	for _, page := range []string{"docs/brief.md", "docs/never.md"} {
+	for _, page := range []string{"docs/brief.md", "docs/never.md", "docs/incidents.md"} {
 		s := read(t, page)
 		found := tests.FindAllStringSubmatch(s, -1)
 		assert.Assert(t, len(found) > 10, "%s names %d tests", page, len(found))
@@ -98,3 +100,33 @@
 		}
 	}
 }
+
+// The operators' page names every field of the settings file.
+func TestOperatorsPageNamesEverySetting(t *testing.T) {
+	page := read(t, "docs/operating.md")
+	page = page[:strings.Index(page, "## Starting and stopping")]
+	d := reflect.ValueOf(options.Default())
+	for i := range d.NumField() {
+		n, _, _ := strings.Cut(d.Type().Field(i).Tag.Get("json"), ",")
+		assert.Assert(t, n != "" && strings.Contains(page, "`"+n+"`"), "the page lacks %s", n)
+	}
+}
+
+// Journal entries that pages name by id must be there.
+func TestJournalEntriesNamedOnPagesExist(t *testing.T) {
+	es, err := filepath.Glob("../../journal/*.json")
+	assert.NilError(t, err)
+	known := map[string]bool{}
+	for _, e := range es {
+		_, id, _ := strings.Cut(strings.TrimSuffix(filepath.Base(e), ".json"), "-")
+		known[id] = true
+	}
+	ids := regexp.MustCompile("[^`0-9a-f]([0-9a-f]{8})[^`0-9a-z]")
+	for _, page := range []string{"docs/incidents.md", "docs/measurements.md"} {
+		found := ids.FindAllStringSubmatch(read(t, page), -1)
+		assert.Assert(t, len(found) > 10, "%s names %d entries", page, len(found))
+		for _, m := range found {
+			assert.Assert(t, known[m[1]], "%s names %s, which is not in the journal", page, m[1])
+		}
+	}
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -8,8 +8,8 @@
 	"math"
 	"net/http"
 	"strconv"
-	"time"
 
+	"postjunction/internal/description"
 	"postjunction/internal/description/strict"
 	"postjunction/internal/operator"
 	"postjunction/internal/options"
@@ -44,6 +44,7 @@
 	d.add("/live", map[string]call{"GET": func(http.ResponseWriter, *http.Request) (any, error) { return map[string]bool{"live": true}, nil }})
 	d.add("/v1/attach", map[string]call{"POST": d.attach})
 	d.add("/v1/send", map[string]call{"POST": d.send})
+	d.add("/v1/withdraw", map[string]call{"POST": d.withdraw})
 	d.add("/v1/stream", map[string]call{"GET": d.stream})
 	d.add("/v1/ack", map[string]call{"POST": d.ack})
 	d.add("/v1/count", map[string]call{"GET": d.count})
@@ -139,10 +140,11 @@
 }
 
 var (
-	attachShape = object([]string{"visitor"}, map[string]string{"visitor": strict.Text})
-	sendShape   = object([]string{"topic", "call_seq", "body"}, map[string]string{"topic": strict.Text, "call_seq": strict.Count, "body": strict.Any})
-	ackShape    = object([]string{"cursor"}, map[string]string{"cursor": strict.Text})
-	drainShape  = object([]string{"node"}, map[string]string{"node": strict.Text})
+	attachShape   = object([]string{"visitor"}, map[string]string{"visitor": strict.Text})
+	sendShape     = object([]string{"topic", "call_seq", "body"}, map[string]string{"topic": strict.Text, "call_seq": strict.Count, "key": strict.Text, "body": strict.Any})
+	ackShape      = object([]string{"cursor"}, map[string]string{"cursor": strict.Text})
+	withdrawShape = object([]string{"topic", "key", "call_seq"}, map[string]string{"topic": strict.Text, "key": strict.Text, "call_seq": strict.Count, "of": strict.Text, "upto": strict.Above})
+	drainShape    = object([]string{"node"}, map[string]string{"node": strict.Text})
 )
 
 func (d *Door) ready(http.ResponseWriter, *http.Request) (any, error) {
@@ -171,6 +173,7 @@
 	var q struct {
 		Topic string          `json:"topic"`
 		Call  uint64          `json:"call_seq"`
+		Key   *string         `json:"key"`
 		Body  json.RawMessage `json:"body"`
 	}
 	t, err := bearer(r)
@@ -180,7 +183,25 @@
 	if err := document(w, r, sendShape, &q); err != nil {
 		return nil, err
 	}
-	return d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbSend, Token: t, Topics: []string{q.Topic}, Call: q.Call, Body: q.Body})
+	return d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbSend, Token: t, Topics: []string{q.Topic}, Call: q.Call, Key: q.Key, Body: q.Body})
+}
+
+func (d *Door) withdraw(w http.ResponseWriter, r *http.Request) (any, error) {
+	var q struct {
+		Topic string  `json:"topic"`
+		Key   *string `json:"key"`
+		Call  uint64  `json:"call_seq"`
+		Of    string  `json:"of"`
+		Upto  uint64  `json:"upto"`
+	}
+	t, err := bearer(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := document(w, r, withdrawShape, &q); err != nil {
+		return nil, err
+	}
+	return d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbWithdraw, Token: t, Topics: []string{q.Topic}, Call: q.Call, Key: q.Key, Of: q.Of, Upto: q.Upto})
 }
 
 func (d *Door) ack(w http.ResponseWriter, r *http.Request) (any, error) {
@@ -229,23 +250,9 @@
 	if err := query(r, "topic", "cursor"); err != nil {
 		return nil, err
 	}
-	c := http.NewResponseController(w)
-	begun := false
-	emit := func(b []byte) error {
-		if !begun {
-			begun = true
-			w.Header().Set("Content-Type", "application/x-ndjson")
-			w.Header().Set("Cache-Control", "no-store")
-			w.WriteHeader(http.StatusOK)
-		}
-		_ = c.SetWriteDeadline(time.Now().Add(d.Bounds.Recovery / writeShare))
-		if _, err := w.Write(b); err != nil {
-			return problem.Wrap(problem.SlowReader, err, "write a line")
-		}
-		return problem.Wrap(problem.SlowReader, c.Flush(), "flush a line")
-	}
-	_, err = d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbFollow, Token: t, Topics: r.URL.Query()["topic"], Cursor: r.URL.Query().Get("cursor"), Emit: emit})
-	if begun {
+	p := &paper{w: w, c: http.NewResponseController(w), most: d.Bounds.Recovery / writeShare}
+	_, err = d.Visitors.Do(r.Context(), &visitor.Task{Verb: visitor.VerbFollow, Token: t, Topics: r.URL.Query()["topic"], Cursor: r.URL.Query().Get("cursor"), Emit: p.emit, Cut: p.cut})
+	if p.begun {
 		return nil, nil
 	}
 	return nil, err
@@ -256,7 +263,7 @@
 }
 
 func (d *Door) putDescription(w http.ResponseWriter, r *http.Request) (any, error) {
-	b, err := body(w, r, callBytes)
+	b, err := body(w, r, description.BytesMost)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/door/lines/bench_test.go
@@ -0,0 +1,30 @@
+package lines
+
+import (
+	"bytes"
+	"net"
+	"testing"
+
+	"postjunction/internal/visitor/visit"
+)
+
+type deaf struct{ net.Conn }
+
+func (deaf) Write(b []byte) (int, error) { return len(b), nil }
+
+type short struct{ Codec }
+
+func (short) Append(b []byte, a visit.Answer) []byte { return append(b, a.Body...) }
+
+func BenchmarkAnswersWithoutKeys(b *testing.B) {
+	c := &conn{v: &Server{s: Settings{Codec: short{}}}, n: deaf{}}
+	a := visit.Answer{What: visit.Message, Topic: "a", Cursor: "c", From: "v", Call: 7, Body: bytes.Repeat([]byte("1"), 100)}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.writing = true
+		for range 16 {
+			c.put(a)
+		}
+		c.flush()
+	}
+}
--- /dev/null
+++ b/internal/door/lines/plain/plain.go
@@ -0,0 +1,147 @@
+// Package plain is the product's own codec of visits: one JSON object a line, each way.
+package plain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+
+	"postjunction/internal/description/strict"
+	"postjunction/internal/door/lines"
+	"postjunction/internal/plain"
+	"postjunction/internal/problem"
+	"postjunction/internal/visitor/visit"
+)
+
+// Codec reads and writes JSON lines.
+type Codec struct{}
+
+type task struct {
+	Verb    visit.Verb      `json:"verb"`
+	Visitor string          `json:"visitor,omitempty"`
+	Topic   string          `json:"topic,omitempty"`
+	Cursor  string          `json:"cursor,omitempty"`
+	Call    uint64          `json:"call_seq,omitempty"`
+	Body    json.RawMessage `json:"body,omitempty"`
+	Key     *string         `json:"key,omitempty"`
+	Of      string          `json:"of,omitempty"`
+	Upto    uint64          `json:"upto,omitempty"`
+}
+
+type answer struct {
+	What    visit.What      `json:"what"`
+	Re      visit.Verb      `json:"re,omitempty"`
+	Topic   string          `json:"topic,omitempty"`
+	From    string          `json:"from,omitempty"`
+	Call    uint64          `json:"call_seq,omitempty"`
+	Cursor  string          `json:"cursor,omitempty"`
+	Key     string          `json:"key,omitempty"`
+	Count   *int            `json:"count,omitempty"`
+	Body    json.RawMessage `json:"body,omitempty"`
+	Address string          `json:"address,omitempty"`
+	Already bool            `json:"already,omitempty"`
+	GivenUp []string        `json:"given_up,omitempty"`
+	Code    problem.Kind    `json:"code,omitempty"`
+	Say     string          `json:"say,omitempty"`
+	Advice  string          `json:"advice,omitempty"`
+	Current *uint64         `json:"current,omitempty"`
+	RetryMS int64           `json:"retry_after_ms,omitempty"`
+}
+
+// roomBytes is what a line may have besides its body.
+const roomBytes = 2 << 10
+
+var (
+	text   = strict.Shape{Kind: strict.Text}
+	fields = map[string]strict.Shape{
+		"visitor": text, "topic": text, "cursor": text,
+		"call_seq": {Kind: strict.Count}, "body": {Kind: strict.Any},
+		"key": text, "of": text, "upto": {Kind: strict.Count},
+	}
+	needs = map[visit.Verb][]string{
+		visit.Attach: {"visitor"},
+		visit.Join:   {"topic"},
+		visit.Leave:  {"topic"},
+		visit.Send:   {"topic", "call_seq", "body"},
+		visit.Count:  {"topic"},
+		visit.Pulse:  nil,
+
+		visit.Withdraw: {"topic", "key", "call_seq"},
+	}
+	may    = map[visit.Verb][]string{visit.Join: {"cursor"}, visit.Send: {"key"}, visit.Withdraw: {"of", "upto"}}
+	shapes = func() map[visit.Verb]strict.Shape {
+		m := map[visit.Verb]strict.Shape{}
+		for v, fs := range needs {
+			s := strict.Shape{Kind: strict.Object, Needed: append([]string{"verb"}, fs...), Fields: map[string]strict.Shape{"verb": text}}
+			for _, f := range append(may[v], fs...) {
+				s.Fields[f] = fields[f]
+			}
+			m[v] = s
+		}
+		return m
+	}()
+)
+
+// Read reads one line as a task.
+func (Codec) Read(r *bufio.Reader, body int) (visit.Task, error) {
+	b, err := lines.Line(r, body+roomBytes)
+	if err != nil {
+		return visit.Task{}, err
+	}
+	var q task
+	if err := json.Unmarshal(b, &q); err != nil {
+		return visit.Task{}, lines.Malformed(true, "the line is no JSON object of a task")
+	}
+	t := visit.Task{Verb: q.Verb, Visitor: q.Visitor, Topic: q.Topic, Cursor: q.Cursor, Call: q.Call, Body: q.Body, Of: q.Of, Upto: q.Upto}
+	if q.Key != nil {
+		t.Key = *q.Key
+	}
+	s, ok := shapes[q.Verb]
+	if !ok {
+		return visit.Task{}, lines.Malformed(true, "there is no verb %q", q.Verb)
+	}
+	f, err := strict.Check(b, s)
+	if err != nil {
+		return t, &lines.Fault{Problem: err, Sure: true}
+	}
+	if len(f) > 0 {
+		return t, &lines.Fault{Problem: problem.New(problem.Malformed, "%s: %s", f[0].Place, f[0].Say).With(f), Sure: true}
+	}
+	if q.Key != nil && t.Key == "" {
+		return t, lines.Malformed(true, "$.key: is empty")
+	}
+	if len(q.Body) > body {
+		t.Body = nil
+		return t, &lines.Fault{Problem: problem.New(problem.Oversize, "the body has %d bytes, the limit is %d", len(q.Body), body), Sure: true}
+	}
+	return t, nil
+}
+
+// Append writes an answer as one line.
+func (Codec) Append(b []byte, a visit.Answer) []byte {
+	x := answer{What: a.What, Re: a.Re, Topic: a.Topic, From: a.From, Call: a.Call, Cursor: a.Cursor, Key: a.Key, Address: a.Address, Already: a.Already, GivenUp: a.GivenUp}
+	if a.What == visit.Counted {
+		x.Count = &a.Count
+	}
+	if a.Body != nil {
+		x.Body = value(a.Body)
+	}
+	if a.Err != nil {
+		p := problem.Of(a.Err)
+		x.Code, x.Say, x.Advice, x.Current, x.RetryMS = p.Kind, p.Say, p.Advice(), p.Current, p.RetryMS
+	}
+	l, err := plain.JSON(x)
+	if err != nil {
+		l, _ = plain.JSON(answer{What: visit.Turned, Re: a.Re, Topic: a.Topic, Call: a.Call, Code: problem.Internal})
+	}
+	return append(append(b, l...), '\n')
+}
+
+// value gives a body that is one line of JSON as it is, and any other as a string.
+func value(b []byte) json.RawMessage {
+	if json.Valid(b) && !bytes.ContainsAny(b, "\r\n") {
+		return b
+	}
+	s, _ := json.Marshal(string(b))
+	return s
+}
--- /dev/null
+++ b/internal/door/lines/plain/plain_test.go
@@ -0,0 +1,116 @@
+package plain
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"postjunction/internal/door/lines"
+	"postjunction/internal/problem"
+	"postjunction/internal/visitor/visit"
+)
+
+func TestAnswersAreApproved(t *testing.T) {
+	var b []byte
+	for _, a := range []visit.Answer{
+		{What: visit.Attached},
+		{What: visit.Joined, Topic: "a/b", Cursor: "c1"},
+		{What: visit.Message, Topic: "a/b", Cursor: "c2", From: "v1", Call: 7, Body: []byte(`{"x":"<&>"}`)},
+		{What: visit.Message, Topic: "a/b", Cursor: "c3", From: "v1", Call: 8, Body: []byte("no json\nat all")},
+		{What: visit.Taken, Topic: "a/b", Call: 7},
+		{What: visit.Left, Topic: "a/b"},
+		{What: visit.Counted, Topic: "a/b"},
+		{What: visit.Alive},
+		{What: visit.Turned, Re: visit.Send, Topic: "a/b", Call: 9, Err: problem.New(problem.Overloaded, "64 wait")},
+		{What: visit.Turned, Re: visit.Join, Topic: "a/b", Err: io.EOF},
+		{What: visit.Moved, Address: "127.0.0.1:7400"},
+		{What: visit.Message, Topic: "a/b", Cursor: "c4", From: "v1", Call: 10, Body: []byte(`1`), Key: "k1", Partition: 3, Offset: 9},
+		{What: visit.Withdrawn, Topic: "a/b", Cursor: "c5", From: "v1", Call: 11, Key: "k1", Partition: 3, Offset: 10},
+		{What: visit.Forgotten, Topic: "a/b", Call: 11, Key: "k1"},
+		{What: visit.Forgotten, Topic: "a/b", Call: 12, Key: "k1", Already: true, GivenUp: []string{"a3"}},
+		{What: visit.Turned, Re: visit.Withdraw, Topic: "a/b", Call: 13, Key: "k1", GivenUp: []string{"a3"}, Err: problem.New(problem.WithdrawalOpen, "a2")},
+	} {
+		b = Codec{}.Append(b, a)
+	}
+	golden.Assert(t, string(b), "answers.jsonl")
+}
+
+func TestTasksAreRead(t *testing.T) {
+	cases := map[string]visit.Task{
+		`{"verb":"attach","visitor":"v1"}`:                          {Verb: visit.Attach, Visitor: "v1"},
+		`{"verb":"join","topic":"a/b"}`:                             {Verb: visit.Join, Topic: "a/b"},
+		`{"verb":"join","topic":"a/b","cursor":"c1"}`:               {Verb: visit.Join, Topic: "a/b", Cursor: "c1"},
+		`{"verb":"leave","topic":"a/b"}`:                            {Verb: visit.Leave, Topic: "a/b"},
+		`{"verb":"send","topic":"a/b","call_seq":7,"body":{"x":1}}`: {Verb: visit.Send, Topic: "a/b", Call: 7, Body: []byte(`{"x":1}`)},
+		`{"verb":"count","topic":"a/b"}`:                            {Verb: visit.Count, Topic: "a/b"},
+		`{"verb":"pulse"}`:                                          {Verb: visit.Pulse},
+
+		`{"verb":"send","topic":"a/b","call_seq":7,"body":1,"key":"k"}`:               {Verb: visit.Send, Topic: "a/b", Call: 7, Body: []byte(`1`), Key: "k"},
+		`{"verb":"withdraw","topic":"a/b","key":"k","call_seq":8}`:                    {Verb: visit.Withdraw, Topic: "a/b", Key: "k", Call: 8},
+		`{"verb":"withdraw","topic":"a/b","key":"k","call_seq":8,"of":"v2","upto":5}`: {Verb: visit.Withdraw, Topic: "a/b", Key: "k", Call: 8, Of: "v2", Upto: 5},
+	}
+	for s, want := range cases {
+		got, err := Codec{}.Read(bufio.NewReader(strings.NewReader(s+"\n")), 64)
+		assert.NilError(t, err, s)
+		assert.DeepEqual(t, got, want)
+	}
+}
+
+func TestFaultyTasksAreTurnedAway(t *testing.T) {
+	cases := map[string]string{
+		``:                             "malformed: the line is no JSON object of a task",
+		`[]`:                           "malformed: the line is no JSON object of a task",
+		`{"verb":"join"} 1`:            "malformed: the line is no JSON object of a task",
+		`{"verb":"Join","topic":"a"}`:  `malformed: there is no verb "Join"`,
+		`{"verb":"pulse","topic":"a"}`: "malformed: $.topic: is not a field of this document",
+		`{"verb":"join","topic":"a","topic":"b"}`:                "malformed: $.topic: stands twice",
+		`{"verb":"send","topic":"a","call_seq":-1,"body":1}`:     "malformed: the line is no JSON object of a task",
+		`{"verb":"send","topic":"a","body":1}`:                   "malformed: $.call_seq: is missing",
+		`{"verb":"send","topic":"a","call_seq":1,"body":123456}`: "oversize: the body has 6 bytes, the limit is 5",
+
+		`{"verb":"send","topic":"a","call_seq":1,"body":1,"key":""}`:               "malformed: $.key: is empty",
+		`{"verb":"send","topic":"a","call_seq":1,"body":1,"key":"k","key":"k"}`:    "malformed: $.key: stands twice",
+		`{"verb":"send","topic":"a","call_seq":1,"body":1,"of":"v"}`:               "malformed: $.of: is not a field of this document",
+		`{"verb":"join","topic":"a","key":"k"}`:                                    "malformed: $.key: is not a field of this document",
+		`{"verb":"withdraw","topic":"a","call_seq":1}`:                             "malformed: $.key: is missing",
+		`{"verb":"withdraw","topic":"a","key":"k"}`:                                "malformed: $.call_seq: is missing",
+		`{"verb":"withdraw","topic":"a","key":"k","call_seq":1,"body":1}`:          "malformed: $.body: is not a field of this document",
+		`{"verb":"withdraw","topic":"a","key":"k","call_seq":1,"upto":1,"upto":2}`: "malformed: $.upto: stands twice",
+	}
+	for s, want := range cases {
+		r := bufio.NewReader(strings.NewReader(s + "\n" + `{"verb":"pulse"}` + "\n"))
+		_, err := Codec{}.Read(r, 5)
+		assert.Error(t, err, want, s)
+		var f *lines.Fault
+		assert.Assert(t, errors.As(err, &f) && f.Sure, s)
+		next, err := Codec{}.Read(r, 5)
+		assert.NilError(t, err)
+		assert.Equal(t, next.Verb, visit.Pulse)
+	}
+}
+
+// Whatever comes, reading ends, keeps its bounds, and goes on at the next line.
+func FuzzRead(f *testing.F) {
+	for _, s := range []string{"", "\n", "{}\n", `{"verb":"pulse"}` + "\r\n", `{"verb":"send","topic":"a","call_seq":1,"body":"x"}` + "\n", `{"verb":"withdraw","topic":"a","key":"k","call_seq":1,"of":"v","upto":1}` + "\n", strings.Repeat("x", 5000) + "\n{}\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(b), 64)
+		for n := 0; ; n++ {
+			q, err := Codec{}.Read(r, 32)
+			assert.Assert(t, len(q.Body) <= 32)
+			var x *lines.Fault
+			if err != nil && !errors.As(err, &x) {
+				assert.ErrorIs(t, err, io.EOF)
+				assert.Assert(t, n <= bytes.Count(b, []byte("\n")))
+				return
+			}
+		}
+	})
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,9 +3,13 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"postjunction/internal/clock"
 	"postjunction/internal/control/roster"
@@ -21,28 +25,39 @@
 	Roster      uint64   `json:"r"`
 	Description uint64   `json:"d"`
 	Records     []uint64 `json:"p"`
+	// Changes tells that a description may come by its changes.
+	Changes bool `json:"c,omitempty"`
+	// Without tells that the description is asked of another fellow already.
+	Without bool `json:"w,omitempty"`
+	// Lean tells that records are wanted without their history.
+	Lean bool `json:"l,omitempty"`
 }
 
-// News is what one node has and another lacks.
+// News is what one node has and another lacks. A description comes whole, without its source, or by the changes to one that the other has.
 type News struct {
 	Roster      *roster.Roster           `json:"r,omitempty"`
 	Description *description.Description `json:"d,omitempty"`
+	Changes     []description.Change     `json:"c,omitempty"`
 	Records     []record.Record          `json:"p,omitempty"`
 }
 
 // Empty tells whether there is nothing new.
-func (n News) Empty() bool { return n.Roster == nil && n.Description == nil && len(n.Records) == 0 }
+func (n News) Empty() bool {
+	return n.Roster == nil && n.Description == nil && len(n.Changes) == 0 && len(n.Records) == 0
+}
 
-// ExchangeTask offers a digest, and news to those known to lack it.
+// ExchangeTask offers a digest, and news to those known to lack it. With a Hash of it, the digest leaves the records out.
 type ExchangeTask struct {
-	Digest Digest `json:"digest"`
-	News   News   `json:"news"`
+	Digest Digest `json:"digest,omitzero"`
+	News   News   `json:"news,omitzero"`
+	Hash   uint64 `json:"h,omitempty"`
 }
 
-// ExchangeAnswer gives the receiver's digest and what the asker lacks.
+// ExchangeAnswer gives the receiver's digest and what the asker lacks, or only that both have the Same.
 type ExchangeAnswer struct {
-	Digest Digest `json:"digest"`
-	News   News   `json:"news"`
+	Digest Digest `json:"digest,omitzero"`
+	News   News   `json:"news,omitzero"`
+	Same   bool   `json:"s,omitempty"`
 }
 
 // Exchange is the gossip call.
@@ -54,9 +69,13 @@
 	roster  roster.Roster
 	desc    description.Description
 	index   *description.Index
+	changes []description.Change
+	whole   bool
+	others  uint64
 	records map[int]record.Record
 	changed chan struct{}
 	hear    func(News)
+	hash    uint64
 }
 
 // NewBoard makes an empty board; hear is told of what was new.
@@ -71,9 +90,8 @@
 	if n.Roster != nil && n.Roster.Sequence > b.roster.Sequence && (b.roster.Fleet == "" || b.roster.Fleet == n.Roster.Fleet) {
 		b.roster, f.Roster = *n.Roster, n.Roster
 	}
-	if n.Description != nil && n.Description.Sequence > b.desc.Sequence {
-		b.desc, f.Description = *n.Description, n.Description
-		b.index = description.NewIndex(b.desc)
+	if f.Description = b.describe(n); f.Description != nil {
+		b.whole = false
 	}
 	for _, r := range n.Records {
 		if r.Writes > b.records[r.Partition].Writes {
@@ -81,7 +99,11 @@
 			f.Records = append(f.Records, r)
 		}
 	}
+	if f.Roster != nil || len(f.Records) > 0 {
+		b.others++
+	}
 	if !f.Empty() {
+		b.hash = 0
 		close(b.changed)
 		b.changed = make(chan struct{})
 	}
@@ -92,6 +114,80 @@
 	return f
 }
 
+const changesMost = 8
+
+// describe takes in a whole description or changes to the one that is here, and gives the new one, or nil. What doesn't come out as it has to
+// is left alone, and the next one has to come whole.
+func (b *Board) describe(n News) *description.Description {
+	was := b.desc
+	if d := n.Description; d != nil && d.Sequence > b.desc.Sequence {
+		x := *d
+		x.Source = ""
+		if b.desc.Sequence > 0 {
+			b.changes = append(b.changes, b.desc.Change(x))
+		}
+		b.index, b.desc = b.index.Next(b.desc, x), x
+	}
+	for _, c := range n.Changes {
+		if c.From != b.desc.Sequence {
+			continue
+		}
+		x, ok := b.desc.Apply(c)
+		if !ok {
+			b.whole = true
+			break
+		}
+		b.changes = append(b.changes, c)
+		b.index, b.desc = b.index.Next(b.desc, x), x
+	}
+	if b.desc.Sequence == was.Sequence {
+		return nil
+	}
+	if over := len(b.changes) - changesMost; over > 0 {
+		b.changes = slices.Clone(b.changes[over:])
+	}
+	x := b.desc
+	return &x
+}
+
+// Newer gives the description to one that has the one numbered seq: by changes where it takes them and they are known and small, else whole.
+func (b *Board) Newer(seq uint64, changes bool) (*description.Description, []description.Change) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.newer(seq, changes)
+}
+
+func (b *Board) newer(seq uint64, changes bool) (*description.Description, []description.Change) {
+	if b.desc.Sequence <= seq {
+		return nil, nil
+	}
+	if i := slices.IndexFunc(b.changes, func(c description.Change) bool { return c.From == seq }); changes && i >= 0 {
+		size := 0
+		for _, c := range b.changes[i:] {
+			size += c.Size()
+		}
+		if cs := b.changes[i:]; size <= len(b.desc.Spaces)/2 {
+			return nil, slices.Clone(cs)
+		}
+	}
+	x := b.desc
+	return &x, nil
+}
+
+// told counts the news of anything but descriptions.
+func (b *Board) told() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.others
+}
+
+// Takes tells whether changes are of use here; they aren't after some that didn't come out as they had to, until a whole description came.
+func (b *Board) Takes() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.whole
+}
+
 // Changed is closed at the next news.
 func (b *Board) Changed() <-chan struct{} {
 	b.mu.Lock()
@@ -127,11 +223,32 @@
 	return b.records[p]
 }
 
+// Hash gives a number that boards with the same news have in common, never 0.
+func (b *Board) Hash() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.hash != 0 {
+		return b.hash
+	}
+	d := b.digest()
+	var t [binary.MaxVarintLen64]byte
+	h := fnv.New64a()
+	for _, n := range append([]uint64{d.Roster, d.Description}, d.Records...) {
+		_, _ = h.Write(binary.AppendUvarint(t[:0], n))
+	}
+	b.hash = h.Sum64() | 1
+	return b.hash
+}
+
 // Digest says how new the board is.
 func (b *Board) Digest() Digest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	d := Digest{Roster: b.roster.Sequence, Description: b.desc.Sequence, Records: make([]uint64, b.roster.Layout.Count())}
+	return b.digest()
+}
+
+func (b *Board) digest() Digest {
+	d := Digest{Roster: b.roster.Sequence, Description: b.desc.Sequence, Changes: !b.whole, Records: make([]uint64, b.roster.Layout.Count())}
 	for i := range d.Records {
 		d.Records[i] = b.records[i].Writes
 	}
@@ -147,9 +264,8 @@
 		r := b.roster
 		n.Roster = &r
 	}
-	if b.desc.Sequence > d.Description {
-		x := b.desc
-		n.Description = &x
+	if !d.Without {
+		n.Description, n.Changes = b.newer(d.Description, d.Changes)
 	}
 	for p, r := range b.records {
 		if p >= len(d.Records) || r.Writes > d.Records[p] {
@@ -159,6 +275,18 @@
 	return n
 }
 
+// behind tells whether a digest knows newer records than the board has.
+func (b *Board) behind(d Digest) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for p, n := range d.Records {
+		if n > b.records[p].Writes {
+			return true
+		}
+	}
+	return false
+}
+
 // Gossip passes the board's news on.
 type Gossip struct {
 	Self   string
@@ -167,13 +295,68 @@
 	Bounds options.Bounds
 	Board  *Board
 	View   func() []member.Info
-	mu     sync.Mutex
-	sent   uint64
-	mended uint64
+	// Control tells that the node is a control node, from which others have their news; Disk that it has a disk of any kind, and passes news of
+	// ownership on to its share of those that have none. A node without a disk writes no records, and has them without their history.
+	Control bool
+	Disk    bool
+	mu      sync.Mutex
+	seen    uint64
+	asking  bool
+	sent    uint64
+	mended  uint64
+	coming  uint64
+	until   time.Time
+	untold  []record.Record
+	telling bool
+	rounds  int
+	alike   int
+	wide    bool
+	passed  Digest
+	over    uint64
 }
 
 const fellowsPerRound = 2
 
+// suited gives news as one fellow is to have it: records without their history where they are lean. A node without a disk gives records to lean ones only,
+// since those that write them need them whole.
+func (g *Gossip) suited(n News, lean bool) News {
+	if !lean {
+		if !g.Disk {
+			n.Records = nil
+		}
+		return n
+	}
+	n.Records = slices.Clone(n.Records)
+	for i, r := range n.Records {
+		n.Records[i] = r.Lean()
+	}
+	return n
+}
+
+func (g *Gossip) digest() Digest {
+	d := g.Board.Digest()
+	d.Lean = !g.Disk
+	return d
+}
+
+// answer says how new the board is to one that told how new its own is. A description that one fellow was let send stands as had towards the
+// others for a pulse, so that the whole of it doesn't come from all of them at once.
+func (g *Gossip) answer(theirs Digest) Digest {
+	d := g.digest()
+	if theirs.Description <= d.Description {
+		return d
+	}
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if theirs.Description <= g.coming && now.Before(g.until) {
+		d.Description = theirs.Description
+		return d
+	}
+	g.coming, g.until = theirs.Description, now.Add(g.Bounds.Pulse())
+	return d
+}
+
 // Counts gives the exchanges made and those that mended a gap.
 func (g *Gossip) Counts() (sent, mended uint64) {
 	g.mu.Lock()
@@ -181,24 +364,21 @@
 	return g.sent, g.mended
 }
 
-// Run exchanges with a few fellows every pulse, and at once when there is news.
+// Run exchanges with a few fellows at once when there is news, and again until several in a row had the same; else with one now and then.
 func (g *Gossip) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		ch := g.Board.Changed()
-		cx, stop := context.WithCancel(ctx)
-		due := make(chan struct{})
-		go func() {
-			_ = g.Clock.Sleep(cx, clock.Jitter(g.Bounds.Pulse()/2, 1, rand.Float64()))
-			close(due)
-		}()
-		select {
-		case <-ch:
-		case <-due:
-		}
-		stop()
-		fs := member.Pick(g.View(), func(i member.Info) bool { return i.Name != g.Self })
+		few, wide := fellowsPerRound, g.wide
+		switch {
+		case g.Disk && g.owners():
+			wide = g.warm(false)
+		case g.cooled():
+			few, wide = g.wait(ctx, ch)
+		}
+		g.pass(ctx)
+		fs := member.Pick(g.View(), func(i member.Info) bool { return i.Name != g.Self && (wide || kept(i)) })
 		rand.Shuffle(len(fs), func(a, b int) { fs[a], fs[b] = fs[b], fs[a] })
-		for _, f := range fs[:min(len(fs), fellowsPerRound)] {
+		for _, f := range fs[:min(len(fs), few)] {
 			go g.swap(ctx, f)
 		}
 		if err := g.Clock.Sleep(ctx, g.Bounds.Pulse()/fellowsPerRound/10); err != nil {
@@ -207,23 +387,220 @@
 	}
 }
 
+// wait waits for news or until it is time to ask someone, and says how many fellows to exchange with, and whether those without a disk are among them.
+func (g *Gossip) wait(ctx context.Context, ch <-chan struct{}) (few int, wide bool) {
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	due := make(chan struct{})
+	go func() {
+		_ = g.Clock.Sleep(cx, clock.Jitter(g.Bounds.Hold(), 1, rand.Float64()))
+		close(due)
+	}()
+	select {
+	case <-due:
+		return 1, true
+	case <-ch:
+	}
+	switch own := g.owners(); {
+	case own && g.Disk:
+		return fellowsPerRound, g.warm(false)
+	case !own && g.Control:
+		return fellowsPerRound, g.warm(true)
+	}
+	return 0, false
+}
+
+// alikeMost is how many exchanges in a row that find the same news end the rounds that some news began, and roundsMost how many rounds
+// there are at most.
+const (
+	alikeMost  = 6
+	roundsMost = 12
+)
+
+// owners tells whether there was news of ownership since the last time. That can't wait for the next pulse; of a description only control nodes tell
+// at once, and all others hear with their pulses, each in its own time, which spares a small machine two dozen exchanges at once.
+func (g *Gossip) owners() bool {
+	e := g.Board.told()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	was := g.seen
+	g.seen = e
+	return e != was
+}
+
+// warm begins rounds, wide ones with fellows of all kinds. Wide ones that go on stay so.
+func (g *Gossip) warm(wide bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wide = wide || g.wide && g.rounds > 0 && g.alike < alikeMost
+	g.rounds, g.alike = roundsMost, 0
+	return g.wide
+}
+
+func (g *Gossip) cooled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rounds--
+	return g.rounds < 0 || g.alike >= alikeMost
+}
+
+const (
+	toldPerNews = 16
+	gatherShare = 150
+	tellers     = 2
+)
+
+func kept(i member.Info) bool { return i.Disk != "" && i.Disk != options.DiskNone }
+
+// pass gives what is new of ownership, on a node with a disk, to those without one that are in its share: each is in that of two nodes, which all
+// find alike from the names. All that a node hears after its start is new to it, so it asks first whether it is to them.
+func (g *Gossip) pass(ctx context.Context) {
+	e := g.Board.told()
+	if !g.Disk || e == g.over {
+		return
+	}
+	was := g.passed
+	g.over, g.passed = e, g.Board.Digest()
+	was.Without = true
+	n := g.Board.Since(was)
+	var mine []member.Info
+	all := g.View()
+	by := member.Pick(all, kept)
+	if !slices.ContainsFunc(by, func(i member.Info) bool { return i.Name == g.Self }) {
+		by = append(by, member.Info{Name: g.Self})
+	}
+	for _, i := range all {
+		if !kept(i) && i.Name != g.Self && share(g.Self, by, i.Name) {
+			mine = append(mine, i)
+		}
+	}
+	for _, f := range mine {
+		if was.Roster == 0 {
+			go g.swap(ctx, f)
+			continue
+		}
+		go g.tell(ctx, f, n)
+	}
+}
+
+// share tells whether a node is among the few that pass news on to another.
+func share(self string, by []member.Info, to string) bool {
+	mine, before := weight(self, to), 0
+	for _, i := range by {
+		if w := weight(i.Name, to); w > mine || w == mine && i.Name < self {
+			before++
+		}
+	}
+	return before < tellers
+}
+
+func weight(by, to string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(by + " " + to))
+	x := h.Sum64()
+	x ^= x >> 32
+	x *= 0x9e3779b97f4a7c15
+	return x ^ x>>32
+}
+
+// tell gives news to a fellow, without asking for any description.
+func (g *Gossip) tell(ctx context.Context, f member.Info, n News) {
+	cx, stop := context.WithTimeout(ctx, g.Bounds.Call())
+	defer stop()
+	d := g.digest()
+	d.Description, d.Without = 0, true
+	_, _ = Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: d, News: g.suited(n, !kept(f))})
+}
+
+// Tell has records that were written here known at once: by those that they name, and by a few others with a disk that pass them on.
+func (g *Gossip) Tell(ctx context.Context, rs ...record.Record) {
+	g.Board.Offer(News{Records: rs})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.untold = append(g.untold, rs...)
+	if g.telling {
+		return
+	}
+	g.telling = true
+	go func() {
+		_ = g.Clock.Sleep(ctx, g.Bounds.Pulse()/gatherShare)
+		g.mu.Lock()
+		rs := g.untold
+		g.untold, g.telling = nil, false
+		g.mu.Unlock()
+		g.spread(ctx, rs)
+	}()
+}
+
+func (g *Gossip) spread(ctx context.Context, rs []record.Record) {
+	named := map[string]bool{}
+	for _, r := range rs {
+		for _, n := range r.Nodes() {
+			named[n] = true
+		}
+	}
+	fs := member.Pick(g.View(), func(i member.Info) bool { return i.Name != g.Self && kept(i) })
+	rand.Shuffle(len(fs), func(a, b int) { fs[a], fs[b] = fs[b], fs[a] })
+	more := toldPerNews
+	for _, f := range fs {
+		if !named[f.Name] {
+			if more--; more < 0 {
+				continue
+			}
+		}
+		go g.tell(ctx, f, News{Records: rs})
+	}
+}
+
+// first tells whether a description may come with an exchange: on a node that has none yet, only with one at a time, as it comes whole.
+func (g *Gossip) first() bool {
+	none := g.Board.Description().Sequence == 0
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if none && g.asking {
+		return false
+	}
+	g.asking = true
+	return true
+}
+
+func (g *Gossip) freed(mine bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asking = g.asking && !mine
+}
+
 func (g *Gossip) swap(ctx context.Context, f member.Info) {
 	cx, stop := context.WithTimeout(ctx, g.Bounds.Call())
 	defer stop()
-	a, err := Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: g.Board.Digest()})
+	d, hash := g.digest(), g.Board.Hash()
+	d.Records = nil
+	d.Without = !g.first()
+	defer g.freed(!d.Without)
+	a, err := Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: d, Hash: hash})
 	if err != nil {
 		return
 	}
-	got := !g.Board.Offer(a.News).Empty()
-	if n := g.Board.Since(a.Digest); !n.Empty() {
-		got = true
-		_, _ = Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: g.Board.Digest(), News: n})
+	got := false
+	if !a.Same {
+		got = !g.Board.Offer(a.News).Empty()
+		if n := g.suited(g.Board.Since(a.Digest), f.Disk == options.DiskNone); !n.Empty() || g.Board.behind(a.Digest) {
+			got = true
+			had := g.digest()
+			had.Without = d.Without
+			if a, err = Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: had, News: n}); err == nil {
+				g.Board.Offer(a.News)
+			}
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sent++
 	if got {
 		g.mended++
+		g.alike = 0
+	} else {
+		g.alike++
 	}
 }
 
@@ -231,6 +608,13 @@
 func (g *Gossip) Serve(m *http.ServeMux) {
 	Exchange.Handle(m, func(_ context.Context, q *ExchangeTask) (*ExchangeAnswer, error) {
 		g.Board.Offer(q.News)
-		return &ExchangeAnswer{Digest: g.Board.Digest(), News: g.Board.Since(q.Digest)}, nil
+		n := g.Board.Since(q.Digest)
+		if q.Hash != 0 {
+			if q.Hash == g.Board.Hash() {
+				return &ExchangeAnswer{Same: true}, nil
+			}
+			n.Records = nil
+		}
+		return &ExchangeAnswer{Digest: g.answer(q.Digest), News: g.suited(n, q.Digest.Lean)}, nil
 	})
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,13 +1,20 @@
 package gossip
 
 import (
+	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"postjunction/internal/clock"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/description"
+	"postjunction/internal/options"
 	"postjunction/internal/placement/record"
+	"postjunction/internal/wire"
 )
 
 func TestNewsNeverGoesBack(t *testing.T) {
@@ -26,7 +33,178 @@
 	assert.Equal(t, b.Description().Sequence, uint64(3))
 	assert.Equal(t, b.Record(1).Writes, uint64(5))
 	d := b.Digest()
-	assert.DeepEqual(t, d, Digest{Roster: 2, Description: 3, Records: []uint64{0, 5}})
+	assert.DeepEqual(t, d, Digest{Roster: 2, Description: 3, Records: []uint64{0, 5}, Changes: true})
 	assert.Assert(t, b.Since(d).Empty())
 	assert.Equal(t, len(b.Since(Digest{}).Records), 1)
 }
+
+func TestADescriptionComesFromOneFellowAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := options.DefaultBounds
+		g := &Gossip{Clock: clock.Real{}, Bounds: b, Board: NewBoard(nil)}
+		lacks := func(seq uint64) bool { return g.answer(Digest{Description: seq}).Description < seq }
+		assert.Assert(t, lacks(5))
+		assert.Assert(t, !lacks(5), "a second fellow was let send it at once")
+		assert.Assert(t, !lacks(4))
+		assert.Assert(t, lacks(6), "a newer one")
+		assert.Assert(t, !lacks(6))
+		time.Sleep(b.Pulse())
+		assert.Assert(t, lacks(6), "the fellow that was let send it never did")
+		g.Board.Offer(News{Description: &description.Description{Sequence: 6}})
+		assert.Equal(t, g.answer(Digest{Description: 6}).Description, uint64(6))
+		assert.Equal(t, g.answer(Digest{Description: 3}).Description, uint64(6))
+	})
+}
+
+func step(d description.Description) description.Description {
+	n := d
+	n.Base, n.Sequence = d.Sequence, d.Sequence+1
+	n.Spaces = slices.Clone(d.Spaces)
+	n.Spaces[0].DeadlineMS++
+	return n
+}
+
+func TestADescriptionTravelsByItsChanges(t *testing.T) {
+	a, b, late := NewBoard(nil), NewBoard(nil), NewBoard(nil)
+	d := description.Description{Sequence: 1, Source: "the document", Spaces: []description.Space{{Name: "a", Prefix: "a"}, {Name: "b", Prefix: "b"}, {Name: "c", Prefix: "c"}, {Name: "d", Prefix: "d"}}}
+	a.Offer(News{Description: &d})
+	assert.Equal(t, a.Description().Source, "", "the document goes round")
+	n := a.Since(b.Digest())
+	assert.Assert(t, n.Description != nil && len(n.Changes) == 0)
+	b.Offer(n)
+	for i := range uint64(changesMost + 3) {
+		d = step(d)
+		a.Offer(News{Description: &d})
+		if i < 2 {
+			late.Offer(News{Description: &d})
+		}
+		if i%2 == 0 {
+			continue
+		}
+		n := a.Since(b.Digest())
+		assert.Assert(t, n.Description == nil)
+		assert.Equal(t, len(n.Changes), 2)
+		b.Offer(n)
+		assert.DeepEqual(t, b.Description(), a.Description())
+		assert.Assert(t, b.Since(a.Digest()).Empty())
+		assert.Assert(t, b.Offer(n).Empty(), "the same again")
+	}
+	assert.Assert(t, a.Since(late.Digest()).Description != nil, "the changes to one so old are kept")
+	n = a.Since(Digest{Description: d.Sequence - 1})
+	assert.Assert(t, n.Description != nil, "one that knows nothing of changes was sent some")
+	late.Offer(News{Changes: a.Since(b.Digest()).Changes})
+	late.Offer(a.Since(late.Digest()))
+	assert.DeepEqual(t, late.Description(), a.Description())
+}
+
+func TestAfterAChangeThatDoesNotComeOutTheWholeComes(t *testing.T) {
+	a, b := NewBoard(nil), NewBoard(nil)
+	d := description.Description{Sequence: 1, Spaces: []description.Space{{Name: "a", Prefix: "a"}, {Name: "b", Prefix: "b"}}}
+	a.Offer(News{Description: &d})
+	other := step(d)
+	other.Sequence = 1
+	b.Offer(News{Description: &other})
+	d = step(d)
+	d.Spaces[1].Weight = 3
+	a.Offer(News{Description: &d})
+	d = step(d)
+	a.Offer(News{Description: &d})
+	was := b.Description()
+	n := News{Changes: []description.Change{{From: 1, Sequence: 2, Parts: []description.Part{{Count: 2}}, Sum: 5}}}
+	assert.Assert(t, b.Offer(n).Empty())
+	assert.DeepEqual(t, b.Description(), was)
+	assert.Assert(t, !b.Takes())
+	n = a.Since(b.Digest())
+	assert.Assert(t, n.Description != nil && len(n.Changes) == 0)
+	b.Offer(n)
+	assert.DeepEqual(t, b.Description(), a.Description())
+	assert.Assert(t, b.Takes())
+}
+
+func TestTheFirstDescriptionIsAskedOfOneFellowAtATime(t *testing.T) {
+	g := &Gossip{Board: NewBoard(nil)}
+	assert.Assert(t, g.first())
+	assert.Assert(t, !g.first())
+	g.freed(false)
+	assert.Assert(t, !g.first(), "the one that was told to do without freed it")
+	g.freed(true)
+	assert.Assert(t, g.first())
+	a := NewBoard(nil)
+	d := description.Description{Sequence: 1}
+	a.Offer(News{Description: &d})
+	assert.Assert(t, a.Since(Digest{Without: true}).Empty())
+	g.Board.Offer(a.Since(Digest{}))
+	assert.Assert(t, g.first(), "changes are small")
+	assert.Assert(t, g.first())
+}
+
+// Nodes without a disk hear who decides, not the history of it, which is most of a record; those with a disk, which write records, have them whole
+// and from one another only.
+func TestRecordsGoWithoutTheirHistoryToNodesWithoutADisk(t *testing.T) {
+	r := record.Record{Partition: 1, Writes: 1}
+	for range 9 {
+		r = r.Next("s1", []record.Place{{Node: "s1", Incarnation: "i1"}, {Node: "s2", Incarnation: "i2"}}, "the owner is gone: nothing is heard from it", time.Now())
+	}
+	store, front, other := &Gossip{Board: NewBoard(nil), Disk: true}, &Gossip{Board: NewBoard(nil)}, &Gossip{Board: NewBoard(nil)}
+	store.Board.Offer(News{Records: []record.Record{r}})
+	assert.Assert(t, !store.digest().Lean && front.digest().Lean && front.answer(Digest{}).Lean)
+
+	whole := store.suited(store.Board.Since(Digest{}), false)
+	assert.DeepEqual(t, whole.Records, []record.Record{r})
+	lean := store.suited(store.Board.Since(front.digest()), front.digest().Lean)
+	assert.Equal(t, len(lean.Records), 1)
+	assert.Equal(t, len(lean.Records[0].History), 0)
+	assert.Equal(t, lean.Records[0].Owner, "s1")
+	assert.Equal(t, len(store.Board.Record(1).History), 9, "the own record lost its history")
+	a, err := wire.Write(whole)
+	assert.NilError(t, err)
+	b, err := wire.Write(lean)
+	assert.NilError(t, err)
+	assert.Assert(t, len(b)*5 < len(a), "%d bytes whole, %d lean", len(a), len(b))
+
+	front.Board.Offer(lean)
+	assert.Equal(t, front.Board.Hash(), store.Board.Hash(), "they know the same")
+	passed := front.suited(front.Board.Since(other.digest()), other.digest().Lean)
+	other.Board.Offer(passed)
+	assert.Equal(t, other.Board.Record(1).Epoch, r.Epoch)
+	assert.Assert(t, front.suited(front.Board.Since(store.digest()), false).Empty(), "a record without its history went to one that may write it")
+}
+
+// Of a description of 514 spaces, what changed goes between nodes in a hundredth of the bytes of the whole.
+func TestAChangeIsSmallOnTheWire(t *testing.T) {
+	d := description.Description{Sequence: 70000, Base: 69999, StandingLanes: true}
+	for i := range 514 {
+		d.Spaces = append(d.Spaces, description.Space{Name: fmt.Sprintf("pick-line/aisle-%04d/", i), Prefix: fmt.Sprintf("pick-line/aisle-%04d/", i), Kind: description.Kept, Order: description.BySender, Urgent: i%4 == 0, KeepMS: 35000, DeadlineMS: 1500, AimMS: 150, Weight: 1})
+	}
+	d = d.Stand(description.Description{}, description.Retired{})
+	size := func(v any) int {
+		b, err := wire.Write(v)
+		assert.NilError(t, err)
+		return len(b)
+	}
+	whole := size(News{Description: &d})
+	changed := func(name string, f func(n *description.Description)) int {
+		b := NewBoard(nil)
+		b.Offer(News{Description: &d})
+		n := d
+		n.Sequence, n.Base, n.Spaces = d.Sequence+1, d.Sequence, slices.Clone(d.Spaces)
+		f(&n)
+		n = n.Stand(d, description.Retired{})
+		b.Offer(News{Description: &n})
+		x := b.Since(Digest{Description: d.Sequence, Changes: true})
+		assert.Assert(t, x.Description == nil, name)
+		t.Logf("%s: %d bytes, whole %d", name, size(x), whole)
+		return size(x)
+	}
+	one := changed("a space changed", func(n *description.Description) { n.Spaces[200].DeadlineMS++ })
+	assert.Assert(t, one*100 < whole)
+	changed("a space removed", func(n *description.Description) { n.Spaces = slices.Delete(n.Spaces, 200, 201) })
+	changed("ten spaces changed", func(n *description.Description) {
+		for i := range 10 {
+			n.Spaces[i*50].DeadlineMS++
+		}
+	})
+	changed("a space more, and with it the table of lanes", func(n *description.Description) {
+		n.Spaces = slices.Insert(n.Spaces, 200, description.Space{Name: "new", Prefix: "new/", Kind: description.Kept})
+	})
+}
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -56,13 +56,6 @@
 // Done is an answer without contents.
 type Done struct{}
 
-// ReadTask reads committed entries.
-type ReadTask struct {
-	Partition int           `json:"p"`
-	From      uint64        `json:"f"`
-	Hold      time.Duration `json:"h"`
-}
-
 // UsageTask asks how a partition's topics were used.
 type UsageTask struct {
 	Partition int `json:"p"`
@@ -70,7 +63,8 @@
 
 // UsageAnswer says so.
 type UsageAnswer struct {
-	Uses []owner.Use `json:"u"`
+	Uses  []owner.Use      `json:"u"`
+	Marks *owner.MarksView `json:"m,omitempty"`
 }
 
 // TraceTask asks what the ledger knows of a call.
@@ -80,7 +74,7 @@
 	Call    uint64 `json:"c"`
 }
 
-// Traced says so: whether the call was taken and where, who decided, and the last number taken.
+// Traced says so: whether the call was taken and where, who decided, and the last number taken. Forgotten is a call so old that it may have been taken.
 type Traced struct {
 	Partition int    `json:"partition"`
 	Owner     string `json:"owner"`
@@ -88,6 +82,14 @@
 	Taken     bool   `json:"taken"`
 	Offset    uint64 `json:"offset,omitempty"`
 	Last      uint64 `json:"last_call_seq"`
+	Forgotten bool   `json:"forgotten,omitempty"`
+}
+
+// ForgottenTask asks whether all readers of a partition have read behind a mark, waiting up to Hold.
+type ForgottenTask struct {
+	Partition int           `json:"p"`
+	Offset    uint64        `json:"o"`
+	Hold      time.Duration `json:"h"`
 }
 
 // The desk's calls.
@@ -98,7 +100,9 @@
 	Ack      = wire.Name[AckTask, Done]("Ledger", "Ack")
 	Trace    = wire.Name[TraceTask, Traced]("Ledger", "Trace")
 	Usage    = wire.Name[UsageTask, UsageAnswer]("Ledger", "Usage")
-	Read     = wire.Name[ReadTask, owner.Reading]("Ledger", "Read")
+	Read     = wire.Name[owner.ReadTask, owner.Reading]("Ledger", "Read")
+	// Forgotten tells who has not read behind a mark yet.
+	Forgotten = wire.Name[ForgottenTask, owner.Unheard]("Ledger", "Forgotten")
 )
 
 // Owners finds the owner that runs here.
@@ -115,20 +119,35 @@
 	Board  *gossip.Board
 	View   *member.View
 	Owners Owners
+	reigns reigns
+	// Backlog is how many messages may wait here for one partition; nil for any number.
+	Backlog func() int
+	// Packs has the messages of followed topics come with their bodies packed.
+	Packs bool
+
+	lanes lanes
 }
 
 func (d *Desk) here(p int) (*owner.Owner, error) { return d.Owners.Owner(p) }
 
-func (d *Desk) submit(ctx context.Context, q *owner.Task) (*owner.Decision, error) {
+func (d *Desk) place(q *owner.Task) (int, error) {
 	x := d.Board.Index()
 	if x.Sequence < q.Description {
-		return nil, problem.New(problem.NotReady, "the call was let in under description %d, this node has %d", q.Description, x.Sequence)
+		return 0, problem.New(problem.NotReady, "the call was let in under description %d, this node has %d", q.Description, x.Sequence)
 	}
 	s, err := x.Find(q.Topic)
+	if err != nil {
+		return 0, err
+	}
+	return partition.Of(q.Topic, s.Urgent, d.Board.Roster().Layout), nil
+}
+
+func (d *Desk) submit(ctx context.Context, q *owner.Task) (*owner.Decision, error) {
+	p, err := d.place(q)
 	if err != nil {
 		return nil, err
 	}
-	o, err := d.here(partition.Of(q.Topic, s.Urgent, d.Board.Roster().Layout))
+	o, err := d.here(p)
 	if err != nil {
 		return nil, err
 	}
@@ -165,12 +184,21 @@
 	return &Done{}, o.Ack(ctx, q.Visitor, q.Generation, q.Cursor)
 }
 
-func (d *Desk) read(ctx context.Context, q *ReadTask) (*owner.Reading, error) {
+func (d *Desk) read(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+	o, err := d.here(q.Partition)
+	if err != nil {
+		return nil, err
+	}
+	q.Hold = min(q.Hold, d.Bounds.Hold())
+	return o.Read(ctx, q)
+}
+
+func (d *Desk) forgotten(ctx context.Context, q *ForgottenTask) (*owner.Unheard, error) {
 	o, err := d.here(q.Partition)
 	if err != nil {
 		return nil, err
 	}
-	return o.Read(ctx, q.From, min(q.Hold, d.Bounds.Hold()))
+	return o.Forgotten(ctx, q.Offset, min(q.Hold, d.Bounds.Hold()))
 }
 
 func (d *Desk) usage(_ context.Context, q *UsageTask) (*UsageAnswer, error) {
@@ -179,7 +207,7 @@
 		return nil, err
 	}
 	us, err := o.Usage()
-	return &UsageAnswer{Uses: us}, err
+	return &UsageAnswer{Uses: us, Marks: o.Marks()}, err
 }
 
 func (d *Desk) trace(ctx context.Context, q *TraceTask) (*Traced, error) {
@@ -191,8 +219,8 @@
 	if err != nil {
 		return nil, err
 	}
-	last, at, kept, err := o.Trace(ctx, q.Visitor, q.Topic, q.Call)
-	t := &Traced{Partition: o.Rec.Partition, Owner: d.Self, Epoch: o.Rec.Epoch, Taken: q.Call <= last, Last: last}
+	a, at, kept, err := o.Trace(ctx, q.Visitor, q.Topic, q.Call)
+	t := &Traced{Partition: o.Rec.Partition, Owner: d.Self, Epoch: o.Rec.Epoch, Taken: kept, Last: a.Last, Forgotten: !kept && q.Call <= a.Floor}
 	if kept {
 		t.Offset = at.Offset
 	}
@@ -202,12 +230,15 @@
 // Serve adds the desk's calls.
 func (d *Desk) Serve(m *http.ServeMux) {
 	Submit.Handle(m, d.submit)
+	SubmitMany.Handle(m, d.submitMany)
 	Attach.Handle(m, d.attach)
 	Attached.Handle(m, d.attached)
 	Ack.Handle(m, d.ack)
 	Read.Handle(m, d.read)
 	Usage.Handle(m, d.usage)
+	Forgotten.Handle(m, d.forgotten)
 	Trace.Handle(m, d.trace)
+	d.serveFans(m)
 }
 
 var elsewhere = map[problem.Kind]bool{
@@ -217,19 +248,19 @@
 
 var unclear = map[problem.Kind]bool{problem.Unreachable: true, problem.OutcomeUnknown: true, problem.Internal: true}
 
-var final = map[problem.Kind]bool{problem.CallAltered: true, problem.CallGap: true, problem.CallForgotten: true, problem.TokenFenced: true}
+var final = map[problem.Kind]bool{problem.CallAltered: true, problem.CallPassed: true, problem.CallForgotten: true, problem.TokenFenced: true, problem.Malformed: true, problem.KeyUnknown: true}
 
 // handOver has a task done by the partition's owner, wherever that is. It tries again while something may come of it: at once after news of the record,
 // and else for a call's time after the last such news. When the node knows that nobody can decide for now, it says so after one more look.
 func handOver[Q, A any](ctx context.Context, d *Desk, p int, c *wire.Procedure[Q, A], local func(context.Context, *Q) (*A, error), q *Q) (*A, error) {
-	doubt, hopes := false, 0
+	doubt, hopes, short := false, 0, d.Bounds.Retry()/soonShare
 	var seen uint64
 	since := d.Clock.Now()
 	for {
 		ch := d.Board.Changed()
 		r := d.Board.Record(p)
 		if r.Writes != seen {
-			seen, since, hopes = r.Writes, d.Clock.Now(), 0
+			seen, since, hopes, short = r.Writes, d.Clock.Now(), 0, d.Bounds.Retry()/soonShare
 		}
 		begun := d.Clock.Now()
 		a, err := try(ctx, d, p, r, c, local, q)
@@ -252,7 +283,12 @@
 		if over && d.Board.Record(p).Writes == seen {
 			return nil, d.surrender(p, doubt, err)
 		}
-		cx, stop := context.WithTimeout(ctx, d.Bounds.Retry())
+		pause := d.Bounds.Retry()
+		if soon[k] {
+			short = min(2*short, pause)
+			pause = short
+		}
+		cx, stop := context.WithTimeout(ctx, pause)
 		select {
 		case <-ch:
 		case <-cx.Done():
@@ -264,6 +300,11 @@
 	}
 }
 
+// soon are the problems of a partition that is on its way from one owner to another, which takes milliseconds: pauses begin short.
+var soon = map[problem.Kind]bool{problem.NotOwner: true, problem.NotReady: true, problem.Leaving: true, problem.StaleEpoch: true}
+
+const soonShare = 32
+
 // looks is how often a problem is met, without news of the record in between, before a call is given up.
 var looks = map[problem.Kind]int{problem.NoOwner: 2, problem.Unreachable: 3}
 
@@ -290,6 +331,7 @@
 	if !ok {
 		return nil, problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, p)
 	}
+	defer context.AfterFunc(d.reigns.of(d.Board, r), stop)()
 	return c.Call(cx, d.Net, d.Self, i.Fellows, q)
 }
 
@@ -312,6 +354,16 @@
 	return d.Board.Roster().Layout.Urgent > 0
 }
 
+// Keys gives a problem until every member's build knows keys and withdrawals.
+func (d *Desk) Keys() error {
+	for _, i := range d.View.All() {
+		if !i.Keys {
+			return problem.New(problem.NotReady, "the build of %s knows no keys", i.Name)
+		}
+	}
+	return nil
+}
+
 // Home gives the partition that vouches for a visitor's urgent or routine calls.
 func (d *Desk) Home(visitor string, urgent bool) int {
 	return d.home(visitor, urgent && d.TwoHomes())
@@ -358,9 +410,14 @@
 	return err
 }
 
-// Read reads committed entries of a partition.
+// Read reads committed entries of a partition, without what stands under keys.
 func (d *Desk) Read(ctx context.Context, p int, from uint64, hold time.Duration) (*owner.Reading, error) {
-	return handOver(ctx, d, p, Read, d.read, &ReadTask{Partition: p, From: from, Hold: hold})
+	return d.ReadAs(ctx, &owner.ReadTask{Partition: p, From: from, Hold: hold})
+}
+
+// ReadAs reads committed entries of a partition as a reader that may mind withdrawals.
+func (d *Desk) ReadAs(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+	return handOver(ctx, d, q.Partition, Read, d.read, q)
 }
 
 // Trace asks what the ledger knows of a call.
@@ -368,6 +425,11 @@
 	return handOver(ctx, d, p, Trace, d.trace, q)
 }
 
+// Forgotten asks who has not read behind a mark of a partition yet, waiting up to hold until nobody is left.
+func (d *Desk) Forgotten(ctx context.Context, p int, offset uint64, hold time.Duration) (*owner.Unheard, error) {
+	return handOver(ctx, d, p, Forgotten, d.forgotten, &ForgottenTask{Partition: p, Offset: offset, Hold: hold})
+}
+
 // Usage asks how a partition's topics were used.
 func (d *Desk) Usage(ctx context.Context, p int) ([]owner.Use, error) {
 	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageTask{Partition: p})
@@ -377,5 +439,14 @@
 	return a.Uses, nil
 }
 
+// Marks asks which withdrawals of a partition stand and who reads what has keys; nil where nothing does.
+func (d *Desk) Marks(ctx context.Context, p int) (*owner.MarksView, error) {
+	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageTask{Partition: p})
+	if err != nil {
+		return nil, err
+	}
+	return a.Marks, nil
+}
+
 // Record gives the newest ownership record known here.
 func (d *Desk) Record(p int) record.Record { return d.Board.Record(p) }
--- /dev/null
+++ b/internal/ledger/desk/fan.go
@@ -0,0 +1,122 @@
+package desk
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+	"postjunction/internal/wire"
+)
+
+// ListenersTask asks how many listen to a topic.
+type ListenersTask struct {
+	Partition int    `json:"p"`
+	Topic     string `json:"t"`
+}
+
+// ListenersAnswer says so.
+type ListenersAnswer struct {
+	Count int `json:"n"`
+}
+
+// The calls of nodes that follow topics.
+var (
+	Follow    = wire.Name[owner.Want, owner.Told]("Ledger", "Follow")
+	Poll      = wire.Name[owner.PollTask, owner.Polled]("Ledger", "Poll")
+	Listeners = wire.Name[ListenersTask, ListenersAnswer]("Ledger", "Listeners")
+)
+
+func (d *Desk) follow(ctx context.Context, q *owner.Want) (*owner.Told, error) {
+	o, err := d.here(q.Partition)
+	if err != nil {
+		return nil, err
+	}
+	return o.Follow(ctx, q)
+}
+
+func (d *Desk) poll(ctx context.Context, q *owner.PollTask) (*owner.Polled, error) {
+	o, err := d.here(q.Partition)
+	if err != nil {
+		return nil, err
+	}
+	q.Hold = min(q.Hold, d.Bounds.Spread)
+	return o.Poll(ctx, q)
+}
+
+func (d *Desk) listeners(_ context.Context, q *ListenersTask) (*ListenersAnswer, error) {
+	o, err := d.here(q.Partition)
+	if err != nil {
+		return nil, err
+	}
+	n, err := o.Listeners(q.Topic)
+	return &ListenersAnswer{Count: n}, err
+}
+
+func (d *Desk) serveFans(m *http.ServeMux) {
+	Follow.Handle(m, packing(d.follow, func(q *owner.Want) bool { return q.Packs }))
+	Poll.Handle(m, packing(d.poll, func(q *owner.PollTask) bool { return q.Packs }))
+	Listeners.Handle(m, d.listeners)
+}
+
+// packing packs the bodies of what a fellow is told, where it asks for that.
+func packing[Q, A any, P interface {
+	*A
+	Pack()
+}](f func(context.Context, *Q) (P, error), asked func(*Q) bool) func(context.Context, *Q) (*A, error) {
+	return func(ctx context.Context, q *Q) (*A, error) {
+		a, err := f(ctx, q)
+		if err == nil && asked(q) {
+			a.Pack()
+		}
+		return a, err
+	}
+}
+
+// once asks the owner that a record names, one time.
+func once[Q, A any](ctx context.Context, d *Desk, r record.Record, limit time.Duration, c *wire.Procedure[Q, A], local func(context.Context, *Q) (*A, error), q *Q) (*A, error) {
+	if r.Owner == "" {
+		return nil, problem.New(problem.NoOwner, "partition %d has no owner yet", r.Partition)
+	}
+	cx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	if r.Owner == d.Self {
+		return local(cx, q)
+	}
+	i, ok := d.View.Get(r.Owner)
+	if !ok {
+		return nil, problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, r.Partition)
+	}
+	return c.Call(cx, d.Net, d.Self, i.Fellows, q)
+}
+
+// Follow tells a partition's owner what this node follows, one time.
+func (d *Desk) Follow(ctx context.Context, r record.Record, q *owner.Want) (*owner.Told, error) {
+	q.Packs = d.Packs
+	a, err := once(ctx, d, r, d.Bounds.Call(), Follow, d.follow, q)
+	if err != nil {
+		return nil, err
+	}
+	return a, a.Unpack()
+}
+
+// Poll reads what this node follows from a partition's owner, one time.
+func (d *Desk) Poll(ctx context.Context, r record.Record, q *owner.PollTask) (*owner.Polled, error) {
+	q.Packs = d.Packs
+	a, err := once(ctx, d, r, q.Hold+d.Bounds.Call(), Poll, d.poll, q)
+	if err != nil {
+		return nil, err
+	}
+	return a, a.Unpack()
+}
+
+// Listeners asks a partition's owner how many listen to a topic, one time.
+func (d *Desk) Listeners(ctx context.Context, p int, topic string) (int, error) {
+	a, err := once(ctx, d, d.Board.Record(p), d.Bounds.Call()/2, Listeners, d.listeners, &ListenersTask{Partition: p, Topic: topic})
+	if err != nil {
+		return 0, err
+	}
+	return a.Count, nil
+}
--- /dev/null
+++ b/internal/ledger/desk/forgotten_test.go
@@ -0,0 +1,74 @@
+package desk
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/problem"
+)
+
+type askers struct {
+	asked []ForgottenTask
+	tell  func(n int) (*owner.Unheard, error)
+}
+
+// Do carries a call to the stand-in.
+func (a *askers) Do(r *http.Request) (*http.Response, error) {
+	m := http.NewServeMux()
+	Forgotten.Handle(m, func(_ context.Context, q *ForgottenTask) (*owner.Unheard, error) {
+		a.asked = append(a.asked, *q)
+		return a.tell(len(a.asked))
+	})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// Who is asked for readers while a partition moves is asked again until somebody decides; where nobody does, that is no yes.
+func TestForgottenIsAskedAgain(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		moving := []problem.Kind{problem.NotOwner, problem.NotReady, problem.Leaving, problem.StaleEpoch}
+		a := &askers{tell: func(n int) (*owner.Unheard, error) {
+			if n <= len(moving) {
+				return nil, problem.New(moving[n-1], "moving")
+			}
+			return &owner.Unheard{Nodes: []string{"a2"}}, nil
+		}}
+		b := newBench(nil)
+		b.Net = a
+		b.owned("s1")
+		u, err := b.Forgotten(t.Context(), part, 7, time.Second)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u, &owner.Unheard{Nodes: []string{"a2"}})
+		assert.Equal(t, len(a.asked), len(moving)+1)
+		assert.DeepEqual(t, a.asked[0], ForgottenTask{Partition: part, Offset: 7, Hold: time.Second})
+
+		a.tell = func(int) (*owner.Unheard, error) { return nil, problem.New(problem.NotOwner, "superseded") }
+		u, err = b.Forgotten(t.Context(), part, 7, time.Second)
+		assert.Assert(t, u == nil && problem.Has(err, problem.NoOwner), "%v", err)
+	})
+}
+
+// That a key is unknown is an answer of the owner, and none to ask again for.
+func TestUnknownKeyIsFinal(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := 0
+		b := newBench(func(_ *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+			if n++; n == 1 {
+				return lost()
+			}
+			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.KeyUnknown, "nothing")}}}, nil
+		})
+		b.owned("s1")
+		b.offer(1, time.Minute)
+		wait(time.Second)
+		assert.Equal(t, b.kind(1), problem.KeyUnknown)
+		assert.Equal(t, n, 2)
+	})
+}
