--- /dev/null
+++ b/internal/ledger/desk/offer.go
@@ -0,0 +1,388 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+	"postjunction/internal/wire"
+)
+
+// ManyTask is messages of one partition, decided in their order.
+type ManyTask struct {
+	Partition int           `json:"p"`
+	Tasks     []*owner.Task `json:"t"`
+}
+
+// ManyAnswer gives a verdict for each message, in the same order.
+type ManyAnswer struct {
+	Verdicts []owner.Verdict `json:"v"`
+}
+
+// SubmitMany has a batch decided at the owner's node.
+var SubmitMany = wire.Name[ManyTask, ManyAnswer]("Ledger", "SubmitMany")
+
+const (
+	batchMost  = 256
+	batchBytes = 512 << 10
+)
+
+type offer struct {
+	ctx   context.Context
+	q     *owner.Task
+	since time.Time
+	until time.Time
+	done  func(*owner.Decision, error)
+	doubt bool
+	told  bool
+}
+
+func (o *offer) tell(a *owner.Decision, err error) {
+	if !o.told {
+		o.told = true
+		o.done(a, err)
+	}
+}
+
+func (o *offer) over(now time.Time) bool { return !o.until.After(now) || o.ctx.Err() != nil }
+
+// lane is what one node hands over to one partition: one batch at a time, in the order offered. What stands below kick belongs to its goroutine.
+type lane struct {
+	mu      sync.Mutex
+	wait    []*offer
+	held    int
+	running bool
+	due     time.Time
+	kick    chan struct{}
+
+	seen  uint64
+	news  time.Time
+	hopes int
+	hoped time.Time
+	tries int
+}
+
+type lanes struct {
+	mu sync.Mutex
+	by map[int]*lane
+}
+
+func (ls *lanes) of(p int) *lane {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if ls.by == nil {
+		ls.by = map[int]*lane{}
+	}
+	l := ls.by[p]
+	if l == nil {
+		l = &lane{kick: make(chan struct{}, 1)}
+		ls.by[p] = l
+	}
+	return l
+}
+
+// Offer has a message decided by its partition's owner and never waits: done hears the answer once, as soon as it is known and by until at the latest.
+// What one node offers for a partition reaches the owner in the order offered. done must not block; when the backlog is full it hears so before Offer
+// returns. no_owner and overloaded promise that the message never was and never will be taken by this offer; outcome_unknown promises nothing.
+func (d *Desk) Offer(ctx context.Context, p int, q *owner.Task, until time.Time, done func(*owner.Decision, error)) {
+	l := d.lanes.of(p)
+	o := &offer{ctx: ctx, q: q, since: d.Clock.Now(), until: until, done: done}
+	l.mu.Lock()
+	if n := len(l.wait) + l.held; d.Backlog != nil && n >= d.Backlog() {
+		l.mu.Unlock()
+		o.tell(nil, problem.New(problem.Overloaded, "%d messages wait here for partition %d", n, p))
+		return
+	}
+	l.wait = append(l.wait, o)
+	start, early := !l.running, l.due.IsZero() || until.Before(l.due)
+	l.running = true
+	l.mu.Unlock()
+	if start {
+		go d.drive(p, l)
+	} else if early {
+		select {
+		case l.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// next drops what is past its time and takes the next batch, or ends the lane.
+func (l *lane) next(now time.Time) (batch, late []*offer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	late = l.late(now)
+	n, size := 0, 0
+	for n < len(l.wait) && n < batchMost && (n == 0 || size+len(l.wait[n].q.Body) <= batchBytes) {
+		size += len(l.wait[n].q.Body)
+		n++
+	}
+	batch = slices.Clone(l.wait[:n])
+	if l.wait = l.wait[n:]; len(l.wait) == 0 {
+		l.wait = nil
+	}
+	l.held = n
+	if n == 0 && len(late) == 0 {
+		l.running = false
+	}
+	return batch, late
+}
+
+func (l *lane) late(now time.Time) []*offer {
+	var late []*offer
+	l.wait = slices.DeleteFunc(l.wait, func(o *offer) bool {
+		if o.over(now) {
+			late = append(late, o)
+		}
+		return o.over(now)
+	})
+	return late
+}
+
+// look finds what is past its time, in the batch under way and behind it, and when the next one will be.
+func (l *lane) look(now time.Time, batch []*offer) (late []*offer, due time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	late = l.late(now)
+	for _, o := range l.wait {
+		if due.IsZero() || o.until.Before(due) {
+			due = o.until
+		}
+	}
+	for _, o := range batch {
+		if o.told {
+			continue
+		}
+		if o.over(now) {
+			o.doubt = true
+			late = append(late, o)
+		} else if due.IsZero() || o.until.Before(due) {
+			due = o.until
+		}
+	}
+	l.due = due
+	return late, due
+}
+
+func (l *lane) back(os []*offer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wait = append(os, l.wait...)
+	l.held = 0
+}
+
+func (d *Desk) giveUp(p int, os []*offer, err error) {
+	for _, o := range os {
+		o.tell(nil, d.surrender(p, o.doubt, err))
+	}
+}
+
+var tooLate = problem.New(problem.NoOwner, "the time of the message is over")
+
+func (d *Desk) drive(p int, l *lane) {
+	for {
+		ch := d.Board.Changed()
+		r := d.Board.Record(p)
+		begun := d.Clock.Now()
+		if r.Writes != l.seen || l.news.IsZero() {
+			l.seen, l.news, l.hopes, l.tries = r.Writes, begun, 0, 0
+		}
+		batch, late := l.next(begun)
+		d.giveUp(p, late, tooLate)
+		if len(batch) == 0 {
+			if len(late) == 0 {
+				return
+			}
+			continue
+		}
+		vs, err := d.attempt(p, l, r, batch)
+		stay := d.answer(p, l, r, batch, vs, begun, err)
+		l.back(stay)
+		if len(stay) > 0 {
+			d.rest(p, l, ch)
+		}
+	}
+}
+
+// attempt hands a batch over once, and meanwhile tells those whose time is over. What may have left this node for another is in doubt from then on,
+// whatever comes back: an older copy of the batch may still be on its way.
+func (d *Desk) attempt(p int, l *lane, r record.Record, batch []*offer) ([]owner.Verdict, error) {
+	type answer struct {
+		a   *ManyAnswer
+		err error
+	}
+	i, known := d.View.Get(r.Owner)
+	switch {
+	case r.Owner == "":
+		return nil, problem.New(problem.NoOwner, "partition %d has no owner yet", p)
+	case r.Owner != d.Self && !known:
+		return nil, problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, p)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), d.Bounds.Call())
+	defer stop()
+	defer context.AfterFunc(d.reigns.of(d.Board, r), stop)()
+	q := &ManyTask{Partition: p}
+	doubts := make([]bool, len(batch))
+	for i, o := range batch {
+		q.Tasks = append(q.Tasks, o.q)
+		doubts[i] = o.doubt
+		o.doubt = o.doubt || r.Owner != d.Self
+	}
+	c := make(chan answer, 1)
+	go func() {
+		if r.Owner == d.Self {
+			a, err := d.submitMany(ctx, q)
+			c <- answer{a, err}
+			return
+		}
+		a, err := SubmitMany.Call(ctx, d.Net, d.Self, i.Fellows, q)
+		c <- answer{a, err}
+	}()
+	for {
+		late, due := l.look(d.Clock.Now(), batch)
+		d.giveUp(p, late, tooLate)
+		cx, end := context.Background(), func() {}
+		if !due.IsZero() {
+			cx, end = context.WithTimeout(cx, due.Sub(d.Clock.Now()))
+		}
+		select {
+		case x := <-c:
+			end()
+			if errors.Is(x.err, syscall.ECONNREFUSED) {
+				for i, o := range batch {
+					o.doubt = doubts[i]
+				}
+			}
+			if x.err == nil && len(x.a.Verdicts) != len(batch) {
+				x.err = problem.New(problem.Unreachable, "%d verdicts on %d messages", len(x.a.Verdicts), len(batch))
+			}
+			if x.err != nil {
+				return nil, x.err
+			}
+			return x.a.Verdicts, nil
+		case <-l.kick:
+		case <-cx.Done():
+		}
+		end()
+	}
+}
+
+// answer tells what was decided and gives up what nobody can decide; it gives the rest, in order, to be tried again.
+func (d *Desk) answer(p int, l *lane, r record.Record, batch []*offer, vs []owner.Verdict, begun time.Time, err error) []*offer {
+	now := d.Clock.Now()
+	var stay []*offer
+	var why []error
+	for i, o := range batch {
+		e := err
+		if err == nil {
+			if x := vs[i].Problem; x != nil {
+				e = x.After(time.Duration(x.RetryMS) * time.Millisecond)
+			}
+		}
+		k := problem.Of(e).Kind
+		open := elsewhere[k] || k == problem.NoOwner
+		if err == nil && !open {
+			l.hopes, l.tries = 0, 0
+		}
+		switch {
+		case e == nil:
+			o.tell(vs[i].Decision, nil)
+		case open:
+			o.doubt = o.doubt || unclear[k] && !errors.Is(e, syscall.ECONNREFUSED)
+			if !o.told {
+				stay, why = append(stay, o), append(why, e)
+			}
+		case o.doubt && !final[k]:
+			o.tell(nil, problem.Wrap(problem.OutcomeUnknown, problem.New(problem.OutcomeUnknown, "%v", e), "partition %d", p))
+		default:
+			o.tell(nil, e)
+		}
+	}
+	if len(stay) == 0 {
+		return nil
+	}
+	k := problem.Of(why[0]).Kind
+	if looks[k] > 0 && (l.hopes == 0 || now.Sub(l.hoped) >= d.Bounds.Retry()) {
+		l.hopes++
+		l.hoped = now
+	}
+	if d.Board.Record(p).Writes != r.Writes {
+		return stay
+	}
+	all := looks[k] > 0 && l.hopes >= looks[k] || unclear[k] && now.Sub(begun) >= d.Bounds.Call()
+	var again []*offer
+	for i, o := range stay {
+		since := o.since
+		if l.news.After(since) {
+			since = l.news
+		}
+		if all || now.Sub(since) >= d.Bounds.Call() {
+			o.tell(nil, d.surrender(p, o.doubt, why[i]))
+		} else {
+			again = append(again, o)
+		}
+	}
+	return again
+}
+
+// rest waits for news of the records or for the pause between two tries, and meanwhile tells those whose time is over.
+func (d *Desk) rest(p int, l *lane, ch <-chan struct{}) {
+	pause := d.Bounds.Grown(l.tries)
+	if left := d.Bounds.Retry() - d.Clock.Now().Sub(l.hoped); l.hopes > 0 && left > 0 {
+		pause = min(pause, left)
+	}
+	l.tries++
+	ctx, stop := context.WithTimeout(context.Background(), pause)
+	defer stop()
+	for ctx.Err() == nil {
+		late, due := l.look(d.Clock.Now(), nil)
+		d.giveUp(p, late, tooLate)
+		if due.IsZero() {
+			return
+		}
+		cx, end := context.WithTimeout(ctx, due.Sub(d.Clock.Now()))
+		select {
+		case <-ch:
+			end()
+			return
+		case <-l.kick:
+		case <-cx.Done():
+		}
+		end()
+	}
+}
+
+func (d *Desk) submitMany(ctx context.Context, q *ManyTask) (*ManyAnswer, error) {
+	o, err := d.here(q.Partition)
+	if err != nil {
+		return nil, err
+	}
+	a := &ManyAnswer{Verdicts: make([]owner.Verdict, len(q.Tasks))}
+	var ts []*owner.Task
+	var at []int
+	for i, t := range q.Tasks {
+		if err := d.placed(t, q.Partition); err != nil {
+			a.Verdicts[i].Problem = problem.Of(err)
+			continue
+		}
+		ts, at = append(ts, t), append(at, i)
+	}
+	for i, v := range o.SubmitMany(ctx, ts) {
+		a.Verdicts[at[i]] = v
+	}
+	return a, nil
+}
+
+func (d *Desk) placed(q *owner.Task, p int) error {
+	at, err := d.place(q)
+	if err == nil && at != p {
+		err = problem.New(problem.NotOwner, "topic %s stands in partition %d, not %d", q.Topic, at, p)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/ledger/desk/offer_test.go
@@ -0,0 +1,370 @@
+package desk
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+const part = 3
+
+// bench is a desk with stand-in owners behind a network that may lose calls and answers.
+type bench struct {
+	*Desk
+	mu     sync.Mutex
+	path   func(ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error)
+	got    []uint64
+	under  int
+	most   int
+	told   map[uint64]error
+	times  map[uint64]time.Time
+	again  []uint64
+	writes uint64
+}
+
+// Do carries a call to the stand-in.
+func (b *bench) Do(r *http.Request) (*http.Response, error) {
+	if r.URL.Host == "s0" {
+		return nil, problem.Because(problem.Unreachable, syscall.ECONNREFUSED, "nobody listens")
+	}
+	m := http.NewServeMux()
+	SubmitMany.Handle(m, func(_ context.Context, q *ManyTask) (*ManyAnswer, error) {
+		b.mu.Lock()
+		b.under++
+		b.most = max(b.most, b.under)
+		b.mu.Unlock()
+		defer func() {
+			b.mu.Lock()
+			b.under--
+			b.mu.Unlock()
+		}()
+		return b.path(r.Context(), r.URL.Host, q)
+	})
+	rec := httptest.NewRecorder()
+	m.ServeHTTP(rec, r)
+	a := rec.Result()
+	if err := r.Context().Err(); err != nil {
+		return nil, problem.Because(problem.Unreachable, err, "no answer")
+	}
+	return a, nil
+}
+
+type unready struct{}
+
+func (unready) Owner(int) (*owner.Owner, error) {
+	return nil, problem.New(problem.NotReady, "taking over")
+}
+
+// lost makes a call fail on its way, as seen by the caller.
+func lost() (*ManyAnswer, error) { return nil, problem.New(problem.Unreachable, "lost") }
+
+func (b *bench) owned(who string) {
+	b.writes++
+	b.Board.Offer(gossip.News{Records: []record.Record{{Partition: part, Owner: who, Epoch: b.writes, Writes: b.writes}}})
+}
+
+func newBench(path func(b *bench, ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error)) *bench {
+	b := &bench{told: map[uint64]error{}, times: map[uint64]time.Time{}}
+	b.path = func(ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error) { return path(b, ctx, to, q) }
+	v := member.NewView()
+	v.Set([]member.Info{{Name: "s1", Fellows: "s1"}, {Name: "s2", Fellows: "s2"}, {Name: "s0", Fellows: "s0"}})
+	b.Desk = &Desk{Self: "a1", Net: b, Clock: clock.Real{}, Bounds: options.DefaultBounds, Board: gossip.NewBoard(func(n gossip.News) { b.News(n.Records) }), View: v, Owners: unready{}, Backlog: func() int { return 1000 }}
+	return b
+}
+
+func (b *bench) offer(call uint64, until time.Duration) {
+	b.Offer(context.Background(), part, &owner.Task{Visitor: "v", Topic: "t", Call: call, Body: []byte("1")}, time.Now().Add(until), func(d *owner.Decision, err error) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if _, ok := b.told[call]; ok {
+			b.again = append(b.again, call)
+		}
+		b.told[call], b.times[call] = err, time.Now()
+		if err == nil && d.Offset != call {
+			b.again = append(b.again, call)
+		}
+	})
+}
+
+func (b *bench) kind(call uint64) problem.Kind {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	err, ok := b.told[call]
+	switch {
+	case !ok:
+		return "not told"
+	case err == nil:
+		return "taken"
+	}
+	return problem.Of(err).Kind
+}
+
+// take decides as an owner does: a number above the last is taken.
+func (b *bench) take(q *ManyTask) *ManyAnswer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := &ManyAnswer{}
+	for _, t := range q.Tasks {
+		v := owner.Verdict{Decision: &owner.Decision{Offset: t.Call}}
+		switch {
+		case slices.Contains(b.got, t.Call):
+			v.Decision.Repeat = true
+		case len(b.got) > 0 && t.Call < b.got[len(b.got)-1]:
+			v = owner.Verdict{Problem: problem.New(problem.CallPassed, "%d", t.Call)}
+		default:
+			b.got = append(b.got, t.Call)
+		}
+		a.Verdicts = append(a.Verdicts, v)
+	}
+	return a
+}
+
+func wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f(t)
+		synctest.Wait()
+	})
+}
+
+func TestOffersReachTheOwnerInOrder(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := 0
+		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+			time.Sleep(3 * time.Millisecond)
+			b.mu.Lock()
+			n++
+			k := n
+			b.mu.Unlock()
+			switch k % 7 {
+			case 2:
+				return lost()
+			case 4:
+				b.take(&ManyTask{Tasks: q.Tasks[:(len(q.Tasks)+1)/2]})
+				return lost()
+			case 6:
+				return nil, problem.New(problem.NotReady, "taking over")
+			}
+			return b.take(q), nil
+		})
+		b.owned("s1")
+		for c := range uint64(600) {
+			b.offer(c+1, 10*time.Second)
+			if c%5 == 0 {
+				wait(2 * time.Millisecond)
+			}
+		}
+		wait(20 * time.Second)
+		assert.Equal(t, len(b.told), 600)
+		assert.Equal(t, len(b.again), 0, "told twice, or of another's place: %v", b.again)
+		for c := range uint64(600) {
+			assert.Equal(t, b.kind(c+1), problem.Kind("taken"), "call %d", c+1)
+		}
+		assert.Assert(t, slices.IsSorted(b.got) && len(b.got) == 600)
+		assert.Equal(t, b.most, 1, "batches of one node and partition under way")
+		assert.Assert(t, n < 200, "%d batches", n)
+	})
+}
+
+// What was surely never taken is told so, and nothing else is.
+func TestOffersAreGivenUpWithATruePromise(t *testing.T) {
+	cases := map[string]struct {
+		owner string
+		path  func(b *bench, n int, ctx context.Context, q *ManyTask) (*ManyAnswer, error)
+		kind  problem.Kind
+		last  time.Duration
+	}{
+		"no owner":         {"", nil, problem.NoOwner, 300 * time.Millisecond},
+		"the owner's gone": {"s9", nil, problem.NoOwner, 300 * time.Millisecond},
+		"each call lost":   {"s1", func(*bench, int, context.Context, *ManyTask) (*ManyAnswer, error) { return lost() }, problem.OutcomeUnknown, 500 * time.Millisecond},
+		"taking over, at length": {"s1", func(*bench, int, context.Context, *ManyTask) (*ManyAnswer, error) {
+			return nil, problem.New(problem.NotReady, "x")
+		}, problem.OutcomeUnknown, 2 * time.Second},
+		"taking over here, at length": {"a1", nil, problem.NoOwner, 2 * time.Second},
+		"nobody listens":              {"s0", nil, problem.NoOwner, 500 * time.Millisecond},
+		"one call lost, then taking over": {"s1", func(_ *bench, n int, _ context.Context, _ *ManyTask) (*ManyAnswer, error) {
+			if n == 1 {
+				return lost()
+			}
+			return nil, problem.New(problem.NotReady, "x")
+		}, problem.OutcomeUnknown, 2 * time.Second},
+		"one call lost, then no room": {"s1", func(_ *bench, n int, _ context.Context, q *ManyTask) (*ManyAnswer, error) {
+			if n == 1 {
+				return lost()
+			}
+			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.Overloaded, "x")}}}, nil
+		}, problem.OutcomeUnknown, 500 * time.Millisecond},
+		"one call lost, then passed": {"s1", func(_ *bench, n int, _ context.Context, q *ManyTask) (*ManyAnswer, error) {
+			if n == 1 {
+				return lost()
+			}
+			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.CallPassed, "x")}}}, nil
+		}, problem.CallPassed, 500 * time.Millisecond},
+		"no room": {"s1", func(*bench, int, context.Context, *ManyTask) (*ManyAnswer, error) {
+			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.Overloaded, "x")}}}, nil
+		}, problem.OutcomeUnknown, time.Millisecond},
+		"the owner hangs": {"s1", func(_ *bench, _ int, ctx context.Context, _ *ManyTask) (*ManyAnswer, error) {
+			<-ctx.Done()
+			return lost()
+		}, problem.OutcomeUnknown, 1500 * time.Millisecond},
+	}
+	for n, c := range cases {
+		t.Run(n, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				k := 0
+				b := newBench(func(b *bench, ctx context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+					k++
+					return c.path(b, k, ctx, q)
+				})
+				b.owned(c.owner)
+				begun := time.Now()
+				b.offer(1, 5*time.Second)
+				wait(6 * time.Second)
+				assert.Equal(t, b.kind(1), c.kind, "%v", b.told[1])
+				assert.Assert(t, b.times[1].Sub(begun) <= c.last, "told after %s", b.times[1].Sub(begun))
+			})
+		})
+	}
+}
+
+// A message whose time is over is told so on the instant: one that is under way may have been taken, one that waits behind was never sent.
+func TestOffersAreToldWhenTheirTimeIsOver(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		b := newBench(func(b *bench, ctx context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+			select {
+			case <-time.After(1200 * time.Millisecond):
+			case <-ctx.Done():
+				return lost()
+			}
+			return b.take(q), nil
+		})
+		b.owned("s1")
+		begun := time.Now()
+		b.offer(1, 700*time.Millisecond)
+		synctest.Wait()
+		b.offer(2, 500*time.Millisecond)
+		b.offer(3, 300*time.Millisecond)
+		b.offer(4, 3*time.Second)
+		wait(5 * time.Second)
+		at := func(c uint64) time.Duration { return b.times[c].Sub(begun) }
+		assert.Equal(t, b.kind(1), problem.OutcomeUnknown)
+		assert.Equal(t, at(1), 700*time.Millisecond)
+		assert.Equal(t, b.kind(2), problem.NoOwner)
+		assert.Equal(t, at(2), 500*time.Millisecond)
+		assert.Equal(t, b.kind(3), problem.NoOwner)
+		assert.Equal(t, at(3), 300*time.Millisecond)
+		assert.Equal(t, b.kind(4), problem.Kind("taken"))
+		assert.DeepEqual(t, b.got, []uint64{1, 4})
+		assert.Equal(t, len(b.again), 0)
+	})
+}
+
+// Past the backlog a message is turned away at once, and never reaches an owner.
+func TestOffersPastTheBacklogAreNeverHandedOver(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+			time.Sleep(time.Second)
+			return b.take(q), nil
+		})
+		b.Backlog = func() int { return 3 }
+		b.owned("s1")
+		for c := range uint64(5) {
+			b.offer(c+1, 5*time.Second)
+			if c == 0 {
+				synctest.Wait()
+			}
+		}
+		assert.Equal(t, b.kind(4), problem.Overloaded, "told before Offer returns")
+		assert.Equal(t, b.kind(5), problem.Overloaded)
+		wait(5 * time.Second)
+		assert.DeepEqual(t, b.got, []uint64{1, 2, 3})
+		b.offer(6, 5*time.Second)
+		wait(2 * time.Second)
+		assert.Equal(t, b.kind(6), problem.Kind("taken"), "the lane takes up again after it ended")
+	})
+}
+
+// Of a batch, what is decided is told; the rest is tried again, before all that came later.
+func TestOffersThatAreDecidedAreToldBesideOthers(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		n := 0
+		var seen [][]uint64
+		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+			n++
+			var cs []uint64
+			for _, x := range q.Tasks {
+				cs = append(cs, x.Call)
+			}
+			seen = append(seen, cs)
+			time.Sleep(10 * time.Millisecond)
+			if n != 2 {
+				return b.take(q), nil
+			}
+			a := b.take(&ManyTask{Tasks: q.Tasks[:1]})
+			for range q.Tasks[1:] {
+				a.Verdicts = append(a.Verdicts, owner.Verdict{Problem: problem.New(problem.OutcomeUnknown, "lost the partition")})
+			}
+			return a, nil
+		})
+		b.owned("s1")
+		for c := range uint64(4) {
+			b.offer(c+1, 5*time.Second)
+			if c == 0 {
+				synctest.Wait()
+			}
+		}
+		wait(15 * time.Millisecond)
+		b.offer(5, 5*time.Second)
+		wait(10 * time.Millisecond)
+		assert.Equal(t, b.kind(2), problem.Kind("taken"))
+		assert.Equal(t, b.kind(3), problem.Kind("not told"))
+		wait(time.Second)
+		assert.Equal(t, fmt.Sprint(seen), "[[1] [2 3 4] [3 4 5]]")
+		assert.DeepEqual(t, b.got, []uint64{1, 2, 3, 4, 5})
+	})
+}
+
+// A call that hangs at an owner that is one no more is left at the news of another, which is asked at once.
+func TestOffersFollowTheRecordAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		b := newBench(func(b *bench, ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error) {
+			if to == "s1" {
+				<-ctx.Done()
+				return lost()
+			}
+			return b.take(q), nil
+		})
+		b.owned("s1")
+		begun := time.Now()
+		b.offer(1, 5*time.Second)
+		wait(100 * time.Millisecond)
+		b.offer(2, 5*time.Second)
+		b.owned("s2")
+		wait(time.Second)
+		assert.Equal(t, b.times[1].Sub(begun), 100*time.Millisecond)
+		assert.Equal(t, b.kind(1), problem.Kind("taken"))
+		assert.DeepEqual(t, b.got, []uint64{1, 2})
+	})
+}
--- /dev/null
+++ b/internal/ledger/desk/packing_test.go
@@ -0,0 +1,28 @@
+package desk
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+)
+
+// Bodies come packed to those that ask for it, and to nobody else.
+func TestBodiesArePackedForThoseThatAsk(t *testing.T) {
+	body := bytes.Repeat([]byte("abcdefgh"), 100)
+	f := packing(func(context.Context, *owner.PollTask) (*owner.Polled, error) {
+		return &owner.Polled{Entries: []line.Entry{{Topic: "t", Body: body}}}, nil
+	}, func(q *owner.PollTask) bool { return q.Packs })
+	a, err := f(t.Context(), &owner.PollTask{})
+	assert.NilError(t, err)
+	assert.Assert(t, a.Packed == nil && bytes.Equal(a.Entries[0].Body, body))
+	a, err = f(t.Context(), &owner.PollTask{Packs: true})
+	assert.NilError(t, err)
+	assert.Assert(t, a.Packed != nil && a.Entries[0].Body == nil)
+	assert.NilError(t, a.Unpack())
+	assert.Assert(t, bytes.Equal(a.Entries[0].Body, body))
+}
--- a/internal/ledger/line/entry.go
+++ b/internal/ledger/line/entry.go
@@ -27,12 +27,14 @@
 
 // What an entry records.
 const (
-	Start   = "start"
-	Message = "message"
-	Attach  = "attach"
-	Cursor  = "cursor"
-	Batch   = "batch"
-	Offset  = "offset"
+	Start    = "start"
+	Message  = "message"
+	Withdraw = "withdraw"
+	Reader   = "reader"
+	Attach   = "attach"
+	Cursor   = "cursor"
+	Batch    = "batch"
+	Offset   = "offset"
 )
 
 // Entry is one decision: what was taken from whom, where it stands, and under which epoch and description.
@@ -42,6 +44,7 @@
 	What        string `json:"w"`
 	Topic       string `json:"t,omitempty"`
 	Visitor     string `json:"v,omitempty"`
+	Key         string `json:"k,omitempty"`
 	Call        uint64 `json:"c,omitempty"`
 	Generation  uint64 `json:"g,omitempty"`
 	Description uint64 `json:"d,omitempty"`
@@ -60,18 +63,23 @@
 
 // Link gives the running checksum of a line after e, from the one before it.
 func Link(before uint64, e Entry) uint64 {
-	h := sha256.New()
-	var n [8]byte
-	for _, x := range []uint64{before, e.Offset, e.Epoch, e.Call, e.Generation, e.Description, uint64(len(e.Topic)), uint64(len(e.Visitor))} {
-		binary.LittleEndian.PutUint64(n[:], x)
-		_, _ = h.Write(n[:])
+	var room [linkRoom]byte
+	b := room[:0]
+	for _, x := range [...]uint64{before, e.Offset, e.Epoch, e.Call, e.Generation, e.Description, uint64(len(e.Topic)), uint64(len(e.Visitor))} {
+		b = binary.LittleEndian.AppendUint64(b, x)
 	}
-	for _, s := range []string{e.What, "\x00", e.Topic, e.Visitor, e.Digest} {
-		_, _ = h.Write([]byte(s))
+	for _, s := range [...]string{e.What, "\x00", e.Topic, e.Visitor, e.Digest} {
+		b = append(b, s...)
 	}
-	return binary.LittleEndian.Uint64(h.Sum(nil))
+	if e.Key != "" {
+		b = append(append(b, 0), e.Key...)
+	}
+	h := sha256.Sum256(b)
+	return binary.LittleEndian.Uint64(h[:])
 }
 
+const linkRoom = 256
+
 // Point is a place in a line; equal points have equal lines up to them.
 type Point struct {
 	Offset uint64 `json:"o"`
--- /dev/null
+++ b/internal/ledger/line/key.go
@@ -0,0 +1,17 @@
+package line
+
+import "postjunction/internal/problem"
+
+const nameMost = 128
+
+// Plain gives a problem for what can't be a key or a sender's name.
+func Plain(field, s string) error {
+	ok := s != "" && len(s) <= nameMost
+	for i := range len(s) {
+		ok = ok && s[i] > ' ' && s[i] <= '~'
+	}
+	if !ok {
+		return problem.New(problem.Malformed, "%s must be 1 to %d printable bytes without spaces", field, nameMost)
+	}
+	return nil
+}
--- a/internal/ledger/line/line.go
+++ b/internal/ledger/line/line.go
@@ -173,3 +173,15 @@
 	defer l.mu.Unlock()
 	return len(l.es)
 }
+
+// Weight gives the number of entries held and the bytes that they bring along: bodies, topics and visitors.
+func (l *Line) Weight() (int, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for i := range l.es {
+		e := &l.es[i]
+		n += len(e.Body) + len(e.Topic) + len(e.Visitor)
+	}
+	return len(l.es), int64(n)
+}
--- a/internal/ledger/line/line_test.go
+++ b/internal/ledger/line/line_test.go
@@ -39,3 +39,21 @@
 	n.Rebase(early)
 	assert.Equal(t, n.Base(), early)
 }
+
+func BenchmarkSound(b *testing.B) {
+	body := make([]byte, 250)
+	e := Entry{Offset: 1, Epoch: 1, What: Message, Topic: "space/topic-of-some-length", Visitor: "space/visitor-17", Call: 4, Body: body, Digest: Digest(body)}
+	e.Chain = Link(0, e)
+	b.ReportAllocs()
+	for b.Loop() {
+		if !e.Sound(Point{}) {
+			b.Fatal("not sound")
+		}
+	}
+}
+
+// Lines on disks and copies of other builds hold this value.
+func TestLinkStaysWhatItWas(t *testing.T) {
+	e := Entry{Offset: 7, Epoch: 3, What: Message, Topic: "a/b", Visitor: "a/v", Call: 9, Generation: 2, Description: 5, Digest: Digest([]byte("x"))}
+	assert.Equal(t, Link(11, e), uint64(17144078788975667344))
+}
--- /dev/null
+++ b/internal/ledger/owner/fan_test.go
@@ -0,0 +1,85 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/samza/state"
+)
+
+func following(t *testing.T, script func(t *testing.T, o *Owner)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		o := New(Deps{Clock: clock.Real{}, Bounds: options.DefaultBounds}, record.Record{Epoch: 1, Replicas: []record.Place{{Node: "s1"}}}, false)
+		o.stage = Open
+		o.tracks[line.Ledger] = newTrack(line.Ledger, line.New())
+		o.st = state.New()
+		script(t, o)
+	})
+}
+
+func (o *Owner) polling(ctx context.Context, seq uint64) chan error {
+	c := make(chan error, 1)
+	go func() {
+		_, err := o.Poll(ctx, &PollTask{Node: "a1", Boot: "b", Sequence: seq, Hold: o.d.Bounds.Spread})
+		c <- err
+	}()
+	synctest.Wait()
+	return c
+}
+
+// A poll that broke off is heard of late, when the node polls again already: its listeners go on counting.
+func TestBrokenPollDoesNotEndTheOneAfterIt(t *testing.T) {
+	following(t, func(t *testing.T, o *Owner) {
+		_, err := o.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 1, Full: true, Topics: map[string]int{"t": 3}})
+		assert.NilError(t, err)
+		ctx, stop := context.WithCancel(t.Context())
+		first := o.polling(ctx, 1)
+		second := o.polling(t.Context(), 1)
+		stop()
+		assert.Assert(t, <-first != nil)
+		time.Sleep(time.Second)
+		n, err := o.Listeners("t")
+		assert.NilError(t, err)
+		assert.Equal(t, n, 3)
+		assert.NilError(t, <-second)
+		ctx, stop = context.WithCancel(t.Context())
+		third := o.polling(ctx, 1)
+		stop()
+		assert.Assert(t, <-third != nil)
+		time.Sleep(time.Second)
+		n, err = o.Listeners("t")
+		assert.NilError(t, err)
+		assert.Equal(t, n, 0, "those of a node whose only poll broke off count no longer")
+	})
+}
+
+// What was missed comes in parts: one message while someone waits for its place, as much as a slow link carries otherwise.
+func TestABriefAnswerHoldsOneMessage(t *testing.T) {
+	following(t, func(t *testing.T, o *Owner) {
+		k := o.tracks[line.Ledger]
+		for range 4 {
+			k.push(line.Entry{What: line.Message, Topic: "t", Body: make([]byte, 600)}, 1)
+			k.push(line.Entry{What: line.Message, Topic: "other"}, 1)
+		}
+		k.line.Append(time.Now(), k.pending...)
+		k.pending, k.durable, k.commit = nil, k.last.Offset, k.last.Offset
+		a, err := o.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 1, Full: true, Brief: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 1}})
+		assert.NilError(t, err)
+		assert.Equal(t, len(a.Back), 1)
+		assert.Equal(t, a.Back[0].Offset, uint64(3))
+		assert.Assert(t, a.Upto >= 3 && a.Upto < 5, "the next one is at 5, told up to %d", a.Upto)
+		a, err = o.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Before: 1, Sequence: 2, After: map[string]uint64{"t": a.Upto}})
+		assert.NilError(t, err)
+		assert.Equal(t, len(a.Back), 2)
+		assert.Equal(t, a.Upto, a.Tail)
+	})
+}
--- a/internal/ledger/owner/learner.go
+++ b/internal/ledger/owner/learner.go
@@ -33,19 +33,25 @@
 	cx, stop := context.WithCancel(o.ctx)
 	o.leave = stop
 	for _, k := range line.Kinds {
-		delete(o.tracks[k].match, l.Node)
+		delete(o.tracks[k].match, l.Incarnation)
 		go o.replicate(cx, o.tracks[k], l, replica.Tail{}, false)
 	}
 	go o.raise(cx, l)
 }
 
+// caughtUp tells whether a learner holds all that is committed, and all that a lost disk of the same machine was known to hold: it takes that one's place.
+func (t *track) caughtUp(r record.Record, l record.Place) bool {
+	m := t.match[l.Incarnation]
+	old, _ := r.Place(l.Node)
+	return m > 0 && m >= t.commit && m >= t.match[old.Incarnation]
+}
+
 func (o *Owner) raise(ctx context.Context, l record.Place) {
-	for o.d.Clock.Sleep(ctx, o.d.Bounds.Retry()) == nil {
+	for o.d.Clock.Sleep(ctx, o.d.Bounds.Retry()/raiseShare) == nil {
 		o.mu.Lock()
 		up := true
 		for _, t := range o.tracks {
-			m := t.match[l.Node]
-			up = up && m > 0 && m >= t.commit
+			up = up && t.caughtUp(o.Rec, l)
 		}
 		rec := o.Rec
 		o.mu.Unlock()
@@ -55,3 +61,6 @@
 		}
 	}
 }
+
+// raiseShare makes the pace at which a learner is looked at.
+const raiseShare = 8
--- /dev/null
+++ b/internal/ledger/owner/many.go
@@ -0,0 +1,111 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/state"
+)
+
+// Verdict is the answer to one message of several: a decision or a problem.
+type Verdict struct {
+	Decision *Decision        `json:"d,omitempty"`
+	Problem  *problem.Problem `json:"p,omitempty"`
+}
+
+type ruling struct {
+	taken  state.Taken
+	repeat bool
+	// already tells that the mark which a withdrawal asks for stood before.
+	already bool
+	err     error
+	basis   uint64
+}
+
+// told says what an answer was.
+func (r ruling) told() string {
+	switch {
+	case r.repeat:
+		return "taken before"
+	case r.already:
+		return "withdrawn before"
+	}
+	return "taken"
+}
+
+// SubmitMany decides on messages in their order and answers each, once all decisions are on a majority or failed. The verdicts stand in the order of the
+// messages. Repeats and final noes share one question to a majority, which is asked while the new messages are written.
+func (o *Owner) SubmitMany(ctx context.Context, qs []*Task) []Verdict {
+	begun := o.d.Clock.Now()
+	rs := make([]ruling, len(qs))
+	ask := false
+	o.mu.Lock()
+	closed := o.ready()
+	for i, q := range qs {
+		r := &rs[i]
+		if r.err = closed; closed != nil {
+			continue
+		}
+		*r = o.judge(q)
+		r.basis = max(r.basis, o.basis(state.Key(q.Visitor, q.Topic)))
+		if r.repeat {
+			o.tally.Repeats++
+		}
+		ask = ask || r.repeat || r.already || r.err != nil && final[problem.Of(r.err).Kind]
+	}
+	o.mu.Unlock()
+	vs := make([]Verdict, len(qs))
+	if closed != nil {
+		for i := range vs {
+			vs[i].Problem = problem.Of(closed)
+		}
+		return vs
+	}
+	assured := make(chan error, 1)
+	if ask {
+		go func() { assured <- o.assure(ctx) }()
+	} else {
+		assured <- nil
+	}
+	landed := make([]error, len(rs))
+	for i := range rs {
+		landed[i] = o.await(ctx, line.Ledger, rs[i].rests())
+	}
+	sure := <-assured
+	for i, r := range rs {
+		vs[i] = o.verdict(r, landed[i], sure, begun)
+	}
+	return vs
+}
+
+func (r ruling) rests() uint64 {
+	if r.err == nil && !r.already {
+		return r.taken.Offset
+	}
+	if r.already || final[problem.Of(r.err).Kind] {
+		return r.basis
+	}
+	return 0
+}
+
+func (o *Owner) verdict(r ruling, landed, sure error, begun time.Time) Verdict {
+	switch {
+	case r.err != nil && !final[problem.Of(r.err).Kind]:
+		return Verdict{Problem: problem.Of(r.err)}
+	case r.err != nil && landed != nil:
+		return Verdict{Problem: problem.New(problem.NotOwner, "an answer of partition %d rests on offset %d, which is not on a majority", o.Rec.Partition, r.rests())}
+	case r.err != nil && sure != nil:
+		return Verdict{Problem: problem.Of(sure)}
+	case r.err != nil:
+		o.say("no: "+string(problem.Of(r.err).Kind), begun)
+		return Verdict{Problem: problem.Of(r.err)}
+	case landed != nil:
+		return Verdict{Problem: problem.Of(landed)}
+	case (r.repeat || r.already) && sure != nil:
+		return Verdict{Problem: problem.New(problem.OutcomeUnknown, "call_seq %d was taken before at offset %d, and nobody confirmed it: %v", r.taken.Call, r.taken.Offset, sure)}
+	}
+	o.say(r.told(), begun)
+	return Verdict{Decision: &Decision{Partition: o.Rec.Partition, Epoch: o.Rec.Epoch, Offset: r.taken.Offset, Repeat: r.repeat, Already: r.already}}
+}
--- /dev/null
+++ b/internal/ledger/owner/marks.go
@@ -0,0 +1,466 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/member"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/state"
+)
+
+// Unheard names the readers that have not read behind a mark, and those that were given up as readers because they were not heard for long.
+type Unheard struct {
+	Nodes   []string `json:"n,omitempty"`
+	GivenUp []string `json:"g,omitempty"`
+}
+
+// ReaderView is what an owner says of a reader: how far it has read, as far as this owner has heard, and whether it was given up.
+type ReaderView struct {
+	Node    string `json:"node"`
+	Read    uint64 `json:"read"`
+	GivenUp bool   `json:"given_up,omitempty"`
+}
+
+// MarksView is what an owner says of marks: how many stand, how many offsets back the oldest is, and who reads what has keys.
+type MarksView struct {
+	Marks   int          `json:"marks"`
+	Oldest  uint64       `json:"oldest_mark_age"`
+	Readers []ReaderView `json:"readers,omitempty"`
+}
+
+const (
+	keyMost   = 128
+	marksMost = 4096
+)
+
+// flying is the last message and the last mark under a key that are not on a majority yet.
+type flying struct{ message, mark uint64 }
+
+// entered is the last entry of a node as a reader that is not on a majority yet.
+type entered struct {
+	boot string
+	at   uint64
+}
+
+// heard is how far a reader is known to have read, when there was last a sign of it, and when it was last seen as a member.
+type heard struct {
+	boot         string
+	at           uint64
+	last, member time.Time
+}
+
+func printable(key string) bool {
+	for _, r := range key {
+		if !unicode.IsPrint(r) {
+			return false
+		}
+	}
+	return key != "" && len(key) <= keyMost && utf8.ValidString(key)
+}
+
+var malformed = []struct {
+	bad func(*Task) bool
+	say string
+}{
+	{func(q *Task) bool { return q.Call == 0 }, "call_seq must be above 0"},
+	{func(q *Task) bool { return q.Key != "" && !printable(q.Key) }, "a key must be 1 to 128 bytes of printable text"},
+	{func(q *Task) bool { return q.Withdraw && q.Key == "" }, "a withdrawal must name a key"},
+	{func(q *Task) bool { return q.Withdraw && len(q.Body) > 0 }, "a withdrawal has no body"},
+	{func(q *Task) bool { return !q.Withdraw && (q.Of != "" || q.Upto > 0) }, "only a withdrawal names a sender"},
+	{func(q *Task) bool { return (q.Of == "") != (q.Upto == 0) }, "a withdrawal names a sender and its number, or neither"},
+}
+
+func (q *Task) check() error {
+	for _, m := range malformed {
+		if m.bad(q) {
+			return problem.New(problem.Malformed, "%s", m.say)
+		}
+	}
+	return nil
+}
+
+func (q *Task) entry() line.Entry {
+	e := line.Entry{What: line.Message, Topic: q.Topic, Visitor: q.Visitor, Key: q.Key, Call: q.Call, Generation: q.Generation, Description: q.Description, Live: q.Live, Body: q.Body}
+	if q.Withdraw {
+		e.What, e.Live = line.Withdraw, false
+		if q.Of != "" {
+			e.Body = state.Body(state.Passes{Of: q.Of, Upto: q.Upto})
+		}
+	}
+	e.Digest = line.Digest(e.Body)
+	return e
+}
+
+// stands gives the last message and the last mark under a key, on a majority or not.
+func (o *Owner) stands(k string) flying {
+	f := o.keyed[k]
+	return flying{max(f.message, o.st.Held[k]), max(f.mark, o.st.Marks[k].Offset)}
+}
+
+// last is the highest number of a visitor on a topic that was taken or passed, on a majority or not.
+func (o *Owner) last(k string) uint64 {
+	n := o.st.Accepted[k].Last
+	if f := o.front[k]; f != nil {
+		n = max(n, f.last)
+	}
+	return n
+}
+
+// already gives the offset of the mark that a withdrawal asks for, where it stands and nothing came behind it, and what that rests on. The withdrawal
+// is an entry all the same, as what its number was must still be known when it comes again and the key was written anew.
+func (o *Owner) already(q *Task) (mark, basis uint64, ok bool) {
+	if !q.Withdraw {
+		return 0, 0, false
+	}
+	s := o.stands(state.Key(q.Topic, q.Key))
+	if s.mark <= s.message {
+		return 0, 0, false
+	}
+	if q.Of == "" {
+		return s.mark, s.mark, true
+	}
+	k := state.Key(q.Of, q.Topic)
+	return s.mark, max(s.mark, o.basis(k)), o.last(k) >= q.Upto
+}
+
+// markable tells what keeps a withdrawal from being taken.
+func (o *Owner) markable(q *Task) error {
+	k := state.Key(q.Topic, q.Key)
+	s := o.stands(k)
+	if s.message <= s.mark && q.Of == "" {
+		return problem.New(problem.KeyUnknown, "nothing is held under key %q on %s", q.Key, q.Topic)
+	}
+	if s.mark > 0 {
+		return nil
+	}
+	n := len(o.st.Marks)
+	for k, f := range o.keyed {
+		if _, ok := o.st.Marks[k]; !ok && f.mark > 0 {
+			n++
+		}
+	}
+	most := marksMost
+	if o.d.Marks != nil {
+		most = o.d.Marks()
+	}
+	if n < most {
+		o.full = false
+		return nil
+	}
+	if !o.full {
+		o.full = true
+		o.d.Log.MarksFull(o.Rec.Partition, o.Rec.Epoch, n)
+	}
+	return problem.New(problem.Overloaded, "%d withdrawals of partition %d stand", n, o.Rec.Partition)
+}
+
+// noteKeyed notes an entry with a key that was pushed.
+func (o *Owner) noteKeyed(e line.Entry) {
+	if e.Key == "" {
+		return
+	}
+	k := state.Key(e.Topic, e.Key)
+	f := o.keyed[k]
+	if e.What == line.Withdraw {
+		f.mark = e.Offset
+	} else {
+		f.message = e.Offset
+	}
+	o.keyed[k] = f
+}
+
+func (o *Owner) landedKeyed(e line.Entry) {
+	if e.Key == "" {
+		return
+	}
+	if k := state.Key(e.Topic, e.Key); max(o.keyed[k].message, o.keyed[k].mark) <= e.Offset {
+		delete(o.keyed, k)
+	}
+}
+
+// landedReader takes up what an entry on a majority says of a reader.
+func (o *Owner) landedReader(e line.Entry) {
+	if o.entered[e.Visitor].at <= e.Offset {
+		delete(o.entered, e.Visitor)
+	}
+	r, ok := o.st.Readers[e.Visitor]
+	if !ok {
+		delete(o.heard, e.Visitor)
+	} else if h, known := o.heard[e.Visitor]; !known || h.boot != r.Boot {
+		o.heard[e.Visitor] = heard{boot: r.Boot, last: o.d.Clock.Now(), member: o.d.Clock.Now()}
+	}
+	if r.GivenUp {
+		o.tally.GivenUp++
+	}
+	if ok {
+		o.d.Log.Reader(o.Rec.Partition, o.Rec.Epoch, e.Visitor, r.Boot, r.GivenUp)
+	}
+	o.wake()
+}
+
+// wake has those look again who wait for readers.
+func (o *Owner) wake() {
+	if o.news != nil {
+		close(o.news)
+		o.news = nil
+	}
+}
+
+// enter writes what becomes of a reader.
+func (o *Owner) enter(node string, r state.Reads) {
+	e := o.tracks[line.Ledger].push(line.Entry{What: line.Reader, Visitor: node, Body: state.Body(r)}, o.Rec.Epoch)
+	o.entered[node] = entered{r.Boot, e.Offset}
+}
+
+// enlist writes that a node reads here under a boot, unless something of it is on its way already.
+func (o *Owner) enlist(node, boot string) {
+	if _, ok := o.entered[node]; !ok && o.stage == Open {
+		o.enter(node, state.Reads{Boot: boot})
+	}
+}
+
+// meet has the run of a node that is heard take the place of its last one, of which nothing is left.
+func (o *Owner) meet(node, boot string) {
+	if r, ok := o.st.Readers[node]; ok && r.Boot != boot {
+		o.enlist(node, boot)
+	}
+}
+
+// past tells whether another run of a node took the place of the one that asks, which then comes late.
+func (o *Owner) past(node, boot string) bool {
+	r, ok := o.st.Readers[node]
+	return ok && r.Before == boot && boot != ""
+}
+
+// dismiss writes that a reader is gone.
+func (o *Owner) dismiss(node, boot string) {
+	r, ok := o.st.Readers[node]
+	if p, under := o.entered[node]; under && p.boot == boot || ok && r.Boot == boot {
+		o.enter(node, state.Reads{Boot: boot, Gone: true})
+	}
+}
+
+// reads tells whether it is on a majority that a node reads here under a boot, and whether it was given up under that boot.
+func (o *Owner) reads(node, boot string) (yes, givenUp bool) {
+	r, ok := o.st.Readers[node]
+	if !ok || r.Boot != boot {
+		return false, false
+	}
+	_, moving := o.entered[node]
+	return !moving && !r.GivenUp, r.GivenUp
+}
+
+// noted tells whether a node reads here under a boot, on a majority or not.
+func (o *Owner) noted(node, boot string) bool {
+	r, ok := o.st.Readers[node]
+	p, under := o.entered[node]
+	return ok && r.Boot == boot || under && p.boot == boot
+}
+
+// hear takes a sign of a node, which has read up to an offset.
+func (o *Owner) hear(node, boot string, from uint64) {
+	r, ok := o.st.Readers[node]
+	if !ok || r.Boot != boot || r.GivenUp {
+		return
+	}
+	h := o.heard[node]
+	if from > h.at || h.boot != boot {
+		h.boot, h.at = boot, from
+		o.wake()
+	}
+	h.last = o.d.Clock.Now()
+	o.heard[node] = h
+}
+
+// read is how far a reader is known to have read.
+func (o *Owner) read(node string, r state.Reader) uint64 {
+	if h := o.heard[node]; h.boot == r.Boot {
+		return h.at
+	}
+	return 0
+}
+
+func (o *Owner) unheard(offset uint64) *Unheard {
+	u := &Unheard{}
+	for n, r := range o.st.Readers {
+		switch {
+		case r.GivenUp:
+			u.GivenUp = append(u.GivenUp, n)
+		case o.read(n, r) < offset:
+			u.Nodes = append(u.Nodes, n)
+		}
+	}
+	slices.Sort(u.Nodes)
+	slices.Sort(u.GivenUp)
+	return u
+}
+
+// Forgotten tells which readers have not read behind a mark at an offset, waiting up to hold until none is left. That none is left it says only
+// once a majority confirmed that nobody else could have added one.
+func (o *Owner) Forgotten(ctx context.Context, offset uint64, hold time.Duration) (*Unheard, error) {
+	begun := o.d.Clock.Now()
+	var due <-chan struct{}
+	for {
+		o.mu.Lock()
+		if err := o.following(); err != nil {
+			o.mu.Unlock()
+			return nil, err
+		}
+		t := o.tracks[line.Ledger]
+		u, moved := o.unheard(offset), t.moved
+		if o.news == nil {
+			o.news = make(chan struct{})
+		}
+		news, stands := o.news, t.commit >= offset
+		o.mu.Unlock()
+		if stands {
+			moved = nil
+		}
+		if stands && len(u.Nodes) == 0 {
+			if err := o.assure(ctx); err != nil {
+				return nil, err
+			}
+			o.say("forgotten", begun)
+			return u, nil
+		}
+		if due == nil {
+			cx, stop := context.WithCancel(ctx)
+			defer stop()
+			due = o.due(cx, hold)
+		}
+		select {
+		case <-news:
+		case <-moved:
+		case <-due:
+			if !stands {
+				return nil, problem.New(problem.NotReady, "offset %d of partition %d is not on a majority", offset, o.Rec.Partition)
+			}
+			if ctx.Err() != nil {
+				return nil, problem.Because(problem.Unreachable, ctx.Err(), "waiting for readers of partition %d", o.Rec.Partition)
+			}
+			return u, nil
+		case <-o.lost:
+			return nil, problem.New(problem.NotOwner, "partition %d was lost", o.Rec.Partition)
+		}
+	}
+}
+
+// due is closed after a time, or once ctx ends.
+func (o *Owner) due(ctx context.Context, d time.Duration) <-chan struct{} {
+	c := make(chan struct{})
+	go func() {
+		_ = o.d.Clock.Sleep(ctx, d)
+		close(c)
+	}()
+	return c
+}
+
+// release lets go of the marks that all readers have read behind and that cover nothing which the ledger holds.
+func (o *Owner) release() {
+	least := o.tracks[line.Ledger].line.Base().Offset
+	for n, r := range o.st.Readers {
+		if !r.GivenUp {
+			least = min(least, o.read(n, r))
+		}
+	}
+	for k, m := range o.st.Marks {
+		if m.Offset <= least && o.keyed[k].mark == 0 {
+			o.st.Unmark(k)
+			o.tally.Unmarked++
+		}
+	}
+}
+
+// patience is how long a reader is waited for that was not heard and was no member.
+func (o *Owner) patience() time.Duration {
+	return o.d.Bounds.KeptFor(o.d.Longest()) + o.d.Bounds.Licence() + o.d.Stretch
+}
+
+// abandon gives up the readers that keep marks and were neither heard nor members for long.
+func (o *Owner) abandon() {
+	newest := uint64(0)
+	for _, m := range o.st.Marks {
+		newest = max(newest, m.Offset)
+	}
+	now := o.d.Clock.Now()
+	for n, r := range o.st.Readers {
+		h, known := o.heard[n]
+		if !known || h.boot != r.Boot {
+			h = heard{boot: r.Boot, last: now, member: now}
+		}
+		node := home(n)
+		addr, near := o.d.Addr(node)
+		if near || node == o.d.Self {
+			h.member = now
+		}
+		o.heard[n] = h
+		if _, moving := o.entered[n]; moving || h.at >= newest || o.stage != Open {
+			continue
+		}
+		switch {
+		case !r.GivenUp && now.Sub(h.last) > o.patience() && now.Sub(h.member) > o.patience():
+			o.enter(n, state.Reads{Boot: r.Boot, GivenUp: true})
+		case near && now.Sub(h.last) > o.d.Bounds.Session():
+			go o.visit(o.ctx, n, addr, r.Boot)
+		}
+	}
+}
+
+// home is the node that a reader is part of: one may read in several parts, which are named behind a stroke.
+func home(reader string) string {
+	n, _, _ := strings.Cut(reader, "/")
+	return n
+}
+
+// visit asks a node that keeps marks and is silent which run it is in: where it is another one, nothing is left of the one that read. What reads under a
+// boot that begins with that of the run belongs to it.
+func (o *Owner) visit(ctx context.Context, node, addr, boot string) {
+	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
+	defer stop()
+	a, err := member.Hello.Call(cx, o.d.Net, o.d.Self, addr, &member.HelloTask{})
+	if err != nil || a.Info.Name != home(node) || a.Info.Boot == "" || strings.HasPrefix(boot, a.Info.Boot) {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, moving := o.entered[node]; !moving && o.stage == Open && o.st.Readers[node].Boot == boot {
+		o.dismiss(node, boot)
+	}
+}
+
+// Marks gives the figures of marks and readers, nil where there are none.
+func (o *Owner) Marks() *MarksView {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.st == nil || len(o.st.Marks)+len(o.st.Readers) == 0 {
+		return nil
+	}
+	v := o.marksView(o.tracks[line.Ledger].commit)
+	return &v
+}
+
+// marksView gives the figures of marks and readers.
+func (o *Owner) marksView(commit uint64) MarksView {
+	v := MarksView{Marks: len(o.st.Marks)}
+	oldest := commit
+	for _, m := range o.st.Marks {
+		oldest = min(oldest, m.Offset)
+	}
+	v.Oldest = commit - oldest
+	for n, r := range o.st.Readers {
+		v.Readers = append(v.Readers, ReaderView{Node: n, Read: o.read(n, r), GivenUp: r.GivenUp})
+	}
+	slices.SortFunc(v.Readers, func(a, b ReaderView) int {
+		if a.Node < b.Node {
+			return -1
+		}
+		return 1
+	})
+	return v
+}
--- /dev/null
+++ b/internal/ledger/owner/marks_test.go
@@ -0,0 +1,706 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/changelog"
+	"postjunction/internal/samza/state"
+)
+
+// rig is an owner whose disk writes when the test says so, and the fleet around it.
+type rig struct {
+	*Owner
+	t       *testing.T
+	members map[string]string
+	runs    map[string]string
+	said    []string
+}
+
+func (r *rig) Disk(int, error)                             {}
+func (r *rig) Lost(int, uint64, error)                     {}
+func (r *rig) Open(int, uint64, Recovery)                  {}
+func (r *rig) Trouble(int, uint64, string, error)          {}
+func (r *rig) MarksFull(int, uint64, int)                  { r.said = append(r.said, "full") }
+func (r *rig) Reader(_ int, _ uint64, n, b string, g bool) { r.said = append(r.said, n+" "+b+gone[g]) }
+
+var gone = map[bool]string{true: " given up"}
+
+func (r *rig) Do(q *http.Request) (*http.Response, error) {
+	boot, ok := r.runs[q.URL.Host]
+	if !ok {
+		return nil, problem.New(problem.Unreachable, "nobody at %s", q.URL.Host)
+	}
+	m := http.NewServeMux()
+	member.Hello.Handle(m, func(context.Context, *member.HelloTask) (*member.HelloAnswer, error) {
+		return &member.HelloAnswer{Info: member.Info{Name: strings.TrimPrefix(q.URL.Host, "at-"), Boot: boot}}, nil
+	})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, q)
+	return w.Result(), nil
+}
+
+// owning has a test drive an owner; with more than one copy, what it writes comes on no majority by itself.
+func owning(t *testing.T, copies int, script func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{t: t, members: map[string]string{"s1": "at-s1", "a1": "at-a1", "a2": "at-a2"}, runs: map[string]string{}}
+		rec := record.Record{Epoch: 1, Owner: "s1"}
+		for _, n := range []string{"s1", "s2", "s3"}[:copies] {
+			rec.Replicas = append(rec.Replicas, record.Place{Node: n})
+			r.members[n] = "at-" + n
+		}
+		r.Owner = New(Deps{
+			Self: "s1", Net: r, Clock: clock.Real{}, Bounds: options.DefaultBounds, Replica: replica.New(clock.Real{}), Log: r,
+			Backlog: func() int { return 64 }, Licensed: func() error { return nil }, Longest: func() time.Duration { return 0 }, Stretch: time.Second,
+			Addr: func(n string) (string, bool) { a, ok := r.members[n]; return a, ok },
+		}, rec, false)
+		r.stage, r.st, r.ctx = Open, state.New(), t.Context()
+		r.tracks[line.Ledger], r.tracks[line.Changelog] = newTrack(line.Ledger, line.New()), newTrack(line.Changelog, line.New())
+		script(t, r)
+	})
+}
+
+// lands has all that was pushed written, and committed where a majority is one copy.
+func (r *rig) lands() {
+	r.mu.Lock()
+	t := r.tracks[line.Ledger]
+	t.line.Append(time.Now(), t.pending...)
+	t.pending, t.durable = nil, t.last.Offset
+	r.settle(t)
+	r.mu.Unlock()
+	synctest.Wait()
+}
+
+func (r *rig) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// submits gives what becomes of messages that are judged together, once all that they wrote is on a majority.
+func (r *rig) submits(qs ...*Task) []Verdict {
+	c := make(chan []Verdict, 1)
+	go func() { c <- r.SubmitMany(r.t.Context(), qs) }()
+	synctest.Wait()
+	r.lands()
+	return <-c
+}
+
+func (r *rig) takes(qs ...*Task) uint64 {
+	r.t.Helper()
+	for _, v := range r.submits(qs...) {
+		assert.Assert(r.t, v.Problem == nil, "%v", v.Problem)
+		if v.Decision != nil {
+			return v.Decision.Offset
+		}
+	}
+	return 0
+}
+
+func (r *rig) turns(q *Task, k problem.Kind) {
+	r.t.Helper()
+	v := r.submits(q)[0]
+	assert.Assert(r.t, v.Problem != nil && v.Problem.Kind == k, "%+v is not %s", v, k)
+}
+
+func says(visitor string, call uint64, topic, key string) *Task {
+	return &Task{Visitor: visitor, Call: call, Topic: topic, Key: key, Body: []byte("b")}
+}
+
+func withdraws(visitor string, call uint64, topic, key string) *Task {
+	return &Task{Visitor: visitor, Call: call, Topic: topic, Key: key, Withdraw: true}
+}
+
+// reader follows topics under a boot, as a node that minds withdrawals.
+func (r *rig) follows(node, boot string, topics ...string) {
+	r.t.Helper()
+	q := &Want{Node: node, Boot: boot, Sequence: 1, Full: true, Marks: true, Topics: map[string]int{}}
+	for _, t := range topics {
+		q.Topics[t] = 1
+	}
+	a, err := r.Follow(r.t.Context(), q)
+	assert.NilError(r.t, err)
+	assert.Assert(r.t, !a.Lost)
+}
+
+type polled struct {
+	a   *Polled
+	err error
+}
+
+func (r *rig) polls(node, boot string, from uint64) chan polled {
+	c := make(chan polled, 1)
+	go func() {
+		a, err := r.Poll(r.t.Context(), &PollTask{Node: node, Boot: boot, Sequence: 1, From: from, Hold: r.d.Bounds.Spread, Marks: true})
+		c <- polled{a, err}
+	}()
+	synctest.Wait()
+	return c
+}
+
+func (r *rig) got(c chan polled) []uint64 {
+	r.t.Helper()
+	p := <-c
+	assert.NilError(r.t, p.err)
+	assert.Assert(r.t, !p.a.Lost)
+	return offsets(p.a.Entries)
+}
+
+func offsets(es []line.Entry) []uint64 {
+	os := []uint64{}
+	for _, e := range es {
+		os = append(os, e.Offset)
+	}
+	return os
+}
+
+// reads makes a node a reader that was given what stands from an offset on.
+func (r *rig) becomes(node, boot string, from uint64) {
+	r.t.Helper()
+	c := r.polls(node, boot, from)
+	r.lands()
+	assert.Assert(r.t, len(r.got(c)) > 0)
+	assert.Equal(r.t, r.st.Readers[node].Boot, boot)
+}
+
+func (r *rig) forgotten(at uint64) (*Unheard, error) {
+	return r.Forgotten(r.t.Context(), at, r.d.Bounds.Hold())
+}
+
+// What was withdrawn is passed over, what is written anew under its key is not, and a withdrawal that is not on a majority withdraws nothing yet.
+func TestCoveredIsPassedOver(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"), says("v", 2, "t", "other"), says("v", 1, "u", "k"))
+		r.follows("a1", "b", "t", "u")
+		r.becomes("a1", "b", 0)
+		go r.SubmitMany(t.Context(), []*Task{withdraws("v", 3, "t", "k")})
+		synctest.Wait()
+		assert.DeepEqual(t, r.got(r.polls("a1", "b", 0)), []uint64{1, 2, 3})
+		r.lands()
+		assert.DeepEqual(t, r.got(r.polls("a1", "b", 0)), []uint64{2, 3, 5})
+		r.takes(says("v", 4, "t", "k"))
+		assert.DeepEqual(t, r.got(r.polls("a1", "b", 0)), []uint64{2, 3, 5, 6})
+		a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Before: 1, Sequence: 2, Marks: true, After: map[string]uint64{"t": 0}})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, offsets(a.Back), []uint64{2, 5, 6})
+		w := a.Back[1]
+		assert.Equal(t, [...]string{w.What, w.Topic, w.Key, w.Visitor}, [...]string{line.Withdraw, "t", "k", "v"})
+	})
+}
+
+// A withdrawal comes at once to a node that follows other topics, and to none that does not mind it.
+func TestWithdrawalWakesEveryPoll(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "u")
+		c := r.polls("a1", "b", 1)
+		_, err := r.Follow(t.Context(), &Want{Node: "a2", Boot: "b", Sequence: 1, Full: true, Topics: map[string]int{"t": 1}})
+		assert.NilError(t, err)
+		old := r.polling(t.Context(), 1)
+		at := time.Now()
+		assert.Equal(t, r.takes(withdraws("w", 1, "t", "k")), uint64(2))
+		p := <-c
+		assert.NilError(t, p.err)
+		assert.DeepEqual(t, offsets(p.a.Entries), []uint64{2})
+		assert.Assert(t, time.Since(at) == 0, "woken after %s", time.Since(at))
+		assert.Equal(t, p.a.Entries[0].Visitor, "w")
+		assert.NilError(t, <-old)
+		a, err := r.Poll(t.Context(), &PollTask{Node: "a2", Boot: "b", Sequence: 1})
+		assert.NilError(t, err)
+		assert.Equal(t, len(a.Entries), 0, "a node that minds no withdrawals is given nothing with a key")
+		r.takes(says("v", 2, "t", "k"))
+		a, err = r.Poll(t.Context(), &PollTask{Node: "a2", Boot: "b", Sequence: 1})
+		assert.NilError(t, err)
+		assert.Equal(t, len(a.Entries), 0)
+		assert.Equal(t, a.To, uint64(3), "it is held up by nothing with a key")
+		assert.Equal(t, len(r.st.Readers), 0, "nobody was given anything with a key")
+	})
+}
+
+// Nobody is given the first entry under a key before it is on a majority that this run of it reads; what stands before that is not held up.
+func TestReaderIsNotedBeforeItIsGivenAKey(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", ""), says("v", 2, "t", "k"), says("v", 3, "t", ""))
+		r.follows("a1", "b", "t")
+		assert.DeepEqual(t, r.got(r.polls("a1", "b", 0)), []uint64{1})
+		c := r.polls("a1", "b", 1)
+		assert.Equal(t, len(r.st.Readers), 0)
+		assert.Equal(t, len(c), 0)
+		r.lands()
+		assert.DeepEqual(t, r.got(c), []uint64{2, 3})
+		assert.Equal(t, r.st.Readers["a1"], state.Reader{Boot: "b", Offset: 4})
+		assert.DeepEqual(t, r.said, []string{"a1 b"})
+		assert.DeepEqual(t, r.got(r.polls("a1", "b", 1)), []uint64{2, 3})
+		assert.Equal(t, r.tracks[line.Ledger].last.Offset, uint64(4), "a run is noted once")
+
+		answers := make(chan *Told, 1)
+		go func() {
+			a, _ := r.Follow(t.Context(), &Want{Node: "a1", Boot: "c", Sequence: 1, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 1}})
+			answers <- a
+		}()
+		synctest.Wait()
+		assert.Equal(t, len(answers), 0)
+		r.lands()
+		assert.DeepEqual(t, offsets((<-answers).Back), []uint64{2, 3})
+		assert.Equal(t, r.st.Readers["a1"], state.Reader{Boot: "c", Offset: 5, Before: "b"})
+		c = r.polls("a1", "b", 9)
+		assert.Assert(t, (<-c).a.Lost, "the run before is none any more")
+	})
+}
+
+// A node that was noted as a reader is told so, though what it was noted for was withdrawn before it was given.
+func TestReaderIsToldThatItIsOne(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		c := r.polls("a1", "b", 0)
+		r.takes(withdraws("v", 2, "t", "k"))
+		p := <-c
+		assert.NilError(t, p.err)
+		assert.Assert(t, !slices.ContainsFunc(p.a.Entries, func(e line.Entry) bool { return e.What == line.Message }))
+		assert.Equal(t, r.st.Readers["a1"].Boot, "b")
+		assert.Assert(t, p.a.Reader)
+		a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Before: 1, Sequence: 2, Marks: true, Topics: map[string]int{"t": 0}})
+		assert.NilError(t, err)
+		assert.Assert(t, a.Reader)
+		r.follows("a2", "b", "t")
+		assert.Assert(t, !r.noted("a2", "b"))
+	})
+}
+
+// What comes late from a run that another one took the place of makes that run no reader again, nor does it say that it is done for the other.
+func TestARunThatIsOverTakesNoPlaceBack(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		r.follows("a1", "c", "t")
+		r.lands()
+		r.becomes("a1", "c", 0)
+		for _, done := range []bool{false, true} {
+			a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 9, Full: true, Done: done, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}})
+			assert.NilError(t, err)
+			assert.Assert(t, a.Lost)
+			r.lands()
+			assert.Equal(t, r.st.Readers["a1"].Boot, "c")
+		}
+		p := <-r.polls("a1", "b", 0)
+		assert.NilError(t, p.err)
+		assert.Assert(t, p.a.Lost)
+	})
+}
+
+// An owner whose entries come on no majority any more can make nobody a reader.
+func TestSupersededOwnerAddsNoReader(t *testing.T) {
+	owning(t, 3, func(t *testing.T, r *rig) {
+		r.submitsTo(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		c := r.polls("a1", "b", 0)
+		r.lands()
+		assert.DeepEqual(t, r.got(c), []uint64{})
+		ctx, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		_, err := r.Follow(ctx, &Want{Node: "a2", Boot: "b", Sequence: 1, Full: true, Marks: true, After: map[string]uint64{"t": 0}})
+		assert.Assert(t, problem.Has(err, problem.Unreachable), "%v", err)
+		assert.Equal(t, len(r.st.Readers), 0)
+	})
+}
+
+// submitsTo has a message committed by the copies that go on holding the line no further.
+func (r *rig) submitsTo(q *Task) {
+	r.judge(q)
+	r.tracks[line.Ledger].match[""] = 1
+	r.lands()
+	assert.Equal(r.t, r.tracks[line.Ledger].commit, uint64(1))
+}
+
+// A withdrawal is told again what became of it, whoever asks whatever else under its number is told so, and nothing is withdrawn that is not there.
+func TestAnswersToWithdrawals(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.turns(withdraws("v", 2, "t", "other"), problem.KeyUnknown)
+		r.turns(withdraws("v", 2, "u", "k"), problem.KeyUnknown)
+		assert.Equal(t, r.tally.Rounds, uint64(2), "that nothing is held is said once a majority confirmed the epoch")
+		assert.Equal(t, r.takes(withdraws("v", 2, "t", "k")), uint64(2))
+		v := r.submits(withdraws("v", 2, "t", "k"))[0]
+		assert.DeepEqual(t, v.Decision, &Decision{Epoch: 1, Offset: 2, Repeat: true})
+		for _, q := range []*Task{withdraws("v", 2, "t", "l"), says("v", 2, "t", "k"), says("v", 2, "t", ""), {Visitor: "v", Call: 2, Topic: "t", Key: "k", Withdraw: true, Of: "w", Upto: 3}, says("v", 1, "t", "l"), says("v", 1, "t", "")} {
+			r.turns(q, problem.CallAltered)
+		}
+		v = r.submits(withdraws("w", 1, "t", "k"))[0]
+		assert.DeepEqual(t, v.Decision, &Decision{Epoch: 1, Offset: 3, Already: true})
+		assert.DeepEqual(t, r.submits(says("w", 2, "t", "k"), withdraws("w", 3, "t", "k"), withdraws("x", 1, "t", "k"))[2].Decision, &Decision{Epoch: 1, Offset: 6, Already: true})
+		assert.DeepEqual(t, r.submits(says("w", 4, "t", "k"), withdraws("x", 1, "t", "k"))[1].Decision, &Decision{Epoch: 1, Offset: 6, Repeat: true})
+		assert.Assert(t, !r.st.Covers(line.Entry{Topic: "t", Key: "k", Offset: 7}))
+		r.turns(says("v", 1, "t", ""), problem.CallAltered)
+		for _, q := range []*Task{withdraws("v", 9, "t", ""), says("v", 9, "t", "a\x1fb"), says("v", 9, "t", strings.Repeat("k", 129)), {Visitor: "v", Call: 9, Topic: "t", Of: "w", Upto: 1}, {Visitor: "v", Call: 9, Topic: "t", Key: "k", Withdraw: true, Of: "w"}, {Visitor: "v", Call: 9, Topic: "t", Key: "k", Withdraw: true, Body: []byte("b")}} {
+			r.turns(q, problem.Malformed)
+		}
+		r.takes(says("v", 9, "t", strings.Repeat("k", 128)))
+		assert.Equal(t, r.View().Marks, 1)
+		assert.Equal(t, r.View().Tally.Withdrawals, uint64(4))
+	})
+}
+
+// That a mark stood is said once that is on a majority and nobody else can have decided since.
+func TestAlreadyRestsOnTheMark(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		c := make(chan []Verdict, 2)
+		go func() { c <- r.SubmitMany(t.Context(), []*Task{withdraws("v", 2, "t", "k")}) }()
+		synctest.Wait()
+		go func() { c <- r.SubmitMany(t.Context(), []*Task{withdraws("w", 1, "t", "k")}) }()
+		synctest.Wait()
+		assert.Equal(t, len(c), 0)
+		r.lands()
+		at := []uint64{(<-c)[0].Decision.Offset, (<-c)[0].Decision.Offset}
+		slices.Sort(at)
+		assert.DeepEqual(t, at, []uint64{2, 3})
+	})
+	owning(t, 3, func(t *testing.T, r *rig) {
+		r.submitsTo(says("v", 1, "t", "k"))
+		r.st.Apply(line.Entry{What: line.Withdraw, Offset: 1, Topic: "t", Visitor: "v", Call: 2, Key: "l"})
+		v := r.SubmitMany(t.Context(), []*Task{withdraws("w", 1, "t", "m")})
+		assert.Equal(t, v[0].Problem.Kind, problem.NotOwner)
+	})
+}
+
+// The numbers of a sender that a withdrawal names are passed for good, from the withdrawal on, and those taken before stay taken.
+func TestNamedSenderIsPassed(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		w := withdraws("w", 1, "t", "k")
+		w.Of, w.Upto = "v", 5
+		vs := r.submits(says("v", 2, "t", "k"), w, says("v", 4, "t", "k"), says("v", 2, "t", "k"), says("v", 6, "t", "k"), says("v", 5, "u", "k"))
+		assert.Equal(t, vs[2].Problem.Kind, problem.CallPassed)
+		assert.Assert(t, vs[3].Decision.Repeat)
+		assert.Assert(t, vs[4].Problem == nil && vs[5].Problem == nil)
+		r.turns(says("v", 5, "t", "k"), problem.CallPassed)
+		r.takes(says("v", 7, "t", "k"))
+		assert.Assert(t, r.submits(w)[0].Decision.Repeat)
+	})
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.judge(says("v", 2, "t", "k"))
+		r.lands()
+		w := withdraws("w", 1, "t", "nothing of it came yet")
+		w.Of, w.Upto = "v", 5
+		r.judge(says("v", 3, "t", "k"))
+		r.judge(w)
+		at := r.tracks[line.Ledger]
+		at.line.Append(time.Now(), at.pending[0])
+		at.pending, at.durable = at.pending[1:], 2
+		r.settle(at)
+		assert.Assert(t, problem.Has(r.judge(says("v", 4, "t", "k")).err, problem.CallPassed), "the message in flight landed, the withdrawal did not yet")
+		r.lands()
+		assert.Equal(t, len(r.front), 0)
+		assert.Equal(t, len(r.keyed), 0)
+		assert.Assert(t, problem.Has(r.judge(says("v", 4, "t", "k")).err, problem.CallPassed))
+		again := withdraws("w", 2, "t", w.Key)
+		again.Of, again.Upto = "v", 4
+		assert.Assert(t, r.judge(again).already)
+		again.Call, again.Upto = 3, 6
+		assert.Assert(t, !r.judge(again).already, "a higher number is not passed by the mark that stands")
+	})
+}
+
+// Marks are bounded, and their bound is no bound to withdrawing a key again.
+func TestMarksAreBounded(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.d.Marks = func() int { return 2 }
+		r.takes(says("v", 1, "t", "a"), says("v", 2, "t", "b"), says("v", 3, "t", "c"))
+		vs := r.submits(withdraws("v", 4, "t", "a"), withdraws("v", 5, "t", "b"), withdraws("v", 6, "t", "c"), says("v", 7, "t", "c"))
+		assert.Equal(t, vs[2].Problem.Kind, problem.Overloaded)
+		assert.Assert(t, vs[3].Problem == nil, "messages go on")
+		r.turns(withdraws("v", 8, "t", "c"), problem.Overloaded)
+		assert.DeepEqual(t, r.said, []string{"full"})
+		r.takes(says("v", 8, "t", "a"))
+		r.takes(withdraws("v", 9, "t", "a"))
+	})
+}
+
+// The yes comes once every reader asked from behind the mark, under the boot it is noted with; until then it names them.
+func TestYesWaitsForReaders(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.follows("a2", "b", "t")
+		r.becomes("a1", "b", 0)
+		r.becomes("a2", "b", 0)
+		at := r.takes(withdraws("v", 2, "t", "k"))
+		begun := time.Now()
+		u, err := r.forgotten(at)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u.Nodes, []string{"a1", "a2"})
+		assert.Equal(t, time.Since(begun), r.d.Bounds.Hold())
+		r.polls("a1", "b", at-1)
+		r.polls("a2", "b", at)
+		r.polls("a1", "c", at)
+		u, err = r.forgotten(at)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u.Nodes, []string{"a1"})
+		yes := make(chan *Unheard, 1)
+		go func() {
+			u, _ := r.forgotten(at)
+			yes <- u
+		}()
+		synctest.Wait()
+		begun = time.Now()
+		assert.Equal(t, r.takes(says("v", 3, "t", "k")), at+1, "nothing is held up meanwhile")
+		r.polls("a1", "b", at)
+		assert.DeepEqual(t, <-yes, &Unheard{})
+		assert.Equal(t, time.Since(begun), time.Duration(0))
+	})
+}
+
+// An owner that may have been superseded never says that nobody is left, as another one may have noted a reader.
+func TestYesIsAssured(t *testing.T) {
+	owning(t, 3, func(t *testing.T, r *rig) {
+		r.submitsTo(says("v", 1, "t", "k"))
+		_, err := r.forgotten(1)
+		assert.Assert(t, problem.Has(err, problem.NotOwner), "%v", err)
+	})
+	owning(t, 1, func(t *testing.T, r *rig) {
+		_, err := r.forgotten(1)
+		assert.Assert(t, problem.Has(err, problem.NotReady), "%v", err)
+		u, err := r.forgotten(0)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u, &Unheard{})
+		assert.Equal(t, r.tally.Rounds, uint64(1))
+	})
+}
+
+// trims has the ledger let go of what stands up to an offset.
+func (r *rig) trims(to uint64) {
+	r.t.Helper()
+	l := r.tracks[line.Ledger].line
+	r.st.Prune(l.Slice(r.pruned+1, to, 1<<20, 1<<30)...)
+	r.pruned, r.input = to, to
+	p, ok := l.Point(to)
+	assert.Assert(r.t, ok)
+	r.locked(r.release)
+	assert.Assert(r.t, len(r.st.Marks) > 0 || l.Base().Offset == to, "the line still holds what the mark covers")
+	l.Rebase(p)
+	r.locked(r.release)
+}
+
+// A mark goes when all readers have read behind it and the ledger holds nothing that it covers.
+func TestMarkIsKeptUntilRead(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		at := r.takes(withdraws("v", 2, "t", "k"))
+		r.takes(says("v", 3, "t", ""))
+		assert.DeepEqual(t, r.View().MarksView, MarksView{Marks: 1, Oldest: 1, Readers: []ReaderView{{Node: "a1"}}})
+		r.trims(at)
+		assert.Equal(t, len(r.st.Marks), 1, "a reader may still hold it")
+		r.polls("a1", "b", at)
+		assert.DeepEqual(t, r.View().Readers, []ReaderView{{Node: "a1", Read: at}})
+		r.locked(r.release)
+		assert.Equal(t, len(r.st.Marks), 0)
+		assert.Equal(t, r.tally.Unmarked, uint64(1))
+		r.turns(withdraws("v", 4, "t", "k"), problem.KeyUnknown)
+	})
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.takes(withdraws("v", 2, "t", "k"))
+		r.locked(r.release)
+		assert.Equal(t, len(r.st.Marks), 1, "the ledger still holds what it covers")
+		r.trims(2)
+		assert.Equal(t, len(r.st.Marks), 0)
+	})
+}
+
+// A reader that was not heard and was no member for long is given up, where it keeps a mark. It is told so when it comes back, and may read under another boot.
+func TestReaderIsGivenUp(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		tends := func(d time.Duration) {
+			for range d / (2 * time.Second) {
+				time.Sleep(2 * time.Second)
+				r.locked(r.abandon)
+				r.lands()
+			}
+		}
+		delete(r.members, "a1")
+		tends(2 * r.patience())
+		assert.Assert(t, !r.st.Readers["a1"].GivenUp, "it keeps no mark")
+		at := r.takes(withdraws("v", 2, "t", "k"))
+		r.members["a1"] = "at-a1"
+		tends(2 * r.patience())
+		assert.Assert(t, !r.st.Readers["a1"].GivenUp, "it is a member")
+		delete(r.members, "a1")
+		tends(r.patience() - 4*time.Second)
+		assert.Assert(t, !r.st.Readers["a1"].GivenUp, "that was not long")
+		tends(8 * time.Second)
+		assert.Assert(t, r.st.Readers["a1"].GivenUp)
+		assert.DeepEqual(t, r.said, []string{"a1 b", "a1 b given up"})
+		assert.Equal(t, r.tally.GivenUp, uint64(1))
+		u, err := r.forgotten(at)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u, &Unheard{GivenUp: []string{"a1"}})
+
+		p := <-r.polls("a1", "b", 0)
+		assert.Assert(t, p.a.Clean && p.a.Lost && len(p.a.Entries) == 0)
+		a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 7, Full: true, Marks: true, Topics: map[string]int{"t": 1}})
+		assert.NilError(t, err)
+		assert.Assert(t, a.Clean && a.Lost)
+		r.follows("a1", "b+1", "t")
+		r.lands()
+		assert.DeepEqual(t, r.st.Readers["a1"].Boot, "b+1")
+		assert.Assert(t, !(<-r.polls("a1", "b+1", 0)).a.Clean)
+	})
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		r.takes(withdraws("v", 2, "t", "k"))
+		r.locked(func() { r.enter("a1", state.Reads{Boot: "b", GivenUp: true}) })
+		r.lands()
+		a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Before: 1, Sequence: 2, Marks: true, Done: true})
+		assert.NilError(t, err)
+		assert.Assert(t, !a.Clean)
+		r.lands()
+		assert.Equal(t, len(r.st.Readers), 0, "one that let go of all is none")
+	})
+}
+
+// A reader that says it is done is none from then on, whatever of it comes late; a next first entry under a key makes it one again.
+func TestReaderThatIsDoneIsGone(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		late := r.polls("a1", "b", 3)
+		a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Before: 1, Sequence: 2, Marks: true, Done: true})
+		assert.NilError(t, err)
+		assert.Assert(t, !a.Lost)
+		assert.Equal(t, len(r.st.Readers), 1, "not on a majority yet")
+		c := make(chan *Told, 1)
+		go func() {
+			a, _ := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Before: 2, Sequence: 3, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}})
+			c <- a
+		}()
+		synctest.Wait()
+		assert.Equal(t, len(c), 0, "its going is under way, so it is given nothing")
+		r.takes(says("v", 2, "t", "k"))
+		r.lands()
+		r.lands()
+		assert.DeepEqual(t, offsets((<-c).Back), []uint64{1, 4})
+		assert.Equal(t, r.st.Readers["a1"].Offset, uint64(5))
+		p := <-late
+		assert.Assert(t, p.a.Lost, "a poll of before its end is none")
+		a, err = r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 4, Full: true, Done: true})
+		assert.NilError(t, err)
+		r.lands()
+		assert.Equal(t, len(r.st.Readers), 0)
+		a, err = r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 2, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}})
+		assert.NilError(t, err)
+		assert.Assert(t, a.Lost, "a question of before its end is none")
+	})
+}
+
+// A reader whose node runs anew and reads nothing here is asked which run it is in, and goes.
+func TestReaderOfARunThatIsOverGoes(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		r.follows("a2/streams", "b.1", "t")
+		r.becomes("a2/streams", "b.1", 0)
+		at := r.takes(withdraws("v", 2, "t", "k"))
+		r.locked(func() { r.enter("a2/streams", state.Reads{Boot: "b.1", GivenUp: true}) })
+		r.lands()
+		tend := func() {
+			time.Sleep(r.d.Bounds.Session() + time.Second)
+			r.locked(r.abandon)
+			synctest.Wait()
+			r.lands()
+		}
+		r.runs["at-a1"], r.runs["at-a2"] = "b", "b"
+		tend()
+		assert.Equal(t, len(r.st.Readers), 2, "they are in the run that read")
+		r.runs["at-a1"] = "c"
+		tend()
+		assert.Equal(t, len(r.st.Readers), 1)
+		r.runs["at-a2"] = "c"
+		tend()
+		assert.Equal(t, len(r.st.Readers), 0)
+		u, err := r.forgotten(at)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u, &Unheard{})
+	})
+}
+
+// A new owner whose copy of the line begins before a mark that was let go passes over what it covers, and hears all readers anew.
+func TestMarkStandsAgainAtATakeOver(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"), says("v", 2, "t", ""))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		at := r.takes(withdraws("v", 3, "t", "k"))
+		r.takes(says("v", 4, "t", "l"))
+		r.polls("a1", "b", at)
+		r.st.Unmark(state.Key("t", "k"))
+		cl := r.tracks[line.Changelog]
+		for _, e := range append(changelog.Pack(r.st.Input, r.st.Dirty(), false), changelog.PackCommit(changelog.Commit{Input: r.st.Input})) {
+			cl.push(e, 1)
+		}
+		cl.line.Append(time.Now(), cl.pending...)
+		cl.pending, cl.durable, cl.commit = nil, cl.last.Offset, cl.last.Offset
+
+		n := New(r.d, r.Rec, false)
+		n.tracks, n.ctx = r.tracks, t.Context()
+		assert.NilError(t, n.recover())
+		n.stage, r.Owner = Open, n
+		assert.Equal(t, len(n.st.Marks), 1)
+		assert.DeepEqual(t, n.st.Readers, map[string]state.Reader{"a1": {Boot: "b", Offset: 3}})
+		u, err := r.forgotten(at)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u.Nodes, []string{"a1"})
+		r.locked(r.release)
+		assert.Equal(t, len(n.st.Marks), 1)
+		r.follows("a1", "b", "t")
+		assert.DeepEqual(t, r.got(r.polls("a1", "b", 0)), []uint64{2, 4, 5})
+		r.polls("a1", "b", at)
+		u, err = r.forgotten(at)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u, &Unheard{})
+		assert.Assert(t, r.submits(withdraws("v", 3, "t", "k"))[0].Decision.Repeat)
+		r.turns(says("v", 1, "t", ""), problem.CallAltered)
+		r.takes(withdraws("v", 5, "t", "l"))
+	})
+}
+
+// What a mark covers is passed over until the line lets go of it, though the state counts it as gone before.
+func TestPrunedIsNotTrimmed(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		r.follows("a1", "b", "t")
+		r.becomes("a1", "b", 0)
+		at := r.takes(withdraws("v", 2, "t", "k"))
+		r.polls("a1", "b", at)
+		l := r.tracks[line.Ledger].line
+		r.st.Prune(l.Slice(1, at, 9, 1<<20)...)
+		r.pruned = at
+		r.locked(r.release)
+		assert.DeepEqual(t, r.got(r.polls("a1", "b", 0)), []uint64{at})
+	})
+}
--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -22,23 +22,30 @@
 	Lost(partition int, epoch uint64, err error)
 	Open(partition int, epoch uint64, how Recovery)
 	Trouble(partition int, epoch uint64, step string, err error)
+	Reader(partition int, epoch uint64, node, boot string, givenUp bool)
+	MarksFull(partition int, epoch uint64, marks int)
 }
 
 // Deps are what an owner works with.
 type Deps struct {
-	Self     string
-	Net      wire.Network
-	Clock    clock.Clock
-	Bounds   options.Bounds
-	Batch    func() time.Duration
-	Backlog  func() int
-	Replica  *replica.Replica
-	Addr     func(node string) (string, bool)
+	Self    string
+	Net     wire.Network
+	Clock   clock.Clock
+	Bounds  options.Bounds
+	Batch   func() time.Duration
+	Backlog func() int
+	Replica *replica.Replica
+	Addr    func(node string) (string, bool)
+	// Longest is how long spaces ask to keep for, as far as this node knows.
+	Longest  func() time.Duration
 	Licensed func() error
-	Settled  func(ctx context.Context, r record.Record)
-	Promote  func(ctx context.Context, r record.Record, l record.Place)
-	Log      Log
-	Witness  Witness
+	// Marks is how many withdrawals of a partition may stand, and Stretch what a node's licence may last longer.
+	Marks   func() int
+	Stretch time.Duration
+	Settled func(ctx context.Context, r record.Record)
+	Promote func(ctx context.Context, r record.Record, l record.Place)
+	Log     Log
+	Witness Witness
 }
 
 // Witness hears every verdict that an owner tells: what it was, and when its task was taken up. Only proof uses it.
@@ -76,6 +83,8 @@
 	Rounds uint64
 	// Forgotten counts the answers to calls that were let go once the ledger no longer held their messages.
 	Forgotten uint64
+	// Withdrawals counts those taken, Unmarked the marks let go, GivenUp the readers given up.
+	Withdrawals, Unmarked, GivenUp uint64
 }
 
 // Owner decides for one partition until it is lost.
@@ -91,6 +100,7 @@
 	st     *state.State
 	front  map[string]*front
 	input  uint64
+	pruned uint64
 	how    Recovery
 	tally  Tally
 	stop   context.CancelFunc
@@ -98,6 +108,14 @@
 	cause  error
 	flush  chan chan struct{}
 
+	fans    map[string]*fan
+	keyed   map[string]flying
+	entered map[string]entered
+	heard   map[string]heard
+	turns   map[string]turn
+	turn    uint64
+	news    chan struct{}
+	full    bool
 	ctx     context.Context
 	next    *round
 	asking  bool
@@ -111,6 +129,7 @@
 		Rec: r, Urgent: urgent, d: d, stage: Taking, tracks: map[line.Kind]*track{}, bases: map[line.Kind]line.Point{},
 		trims: map[line.Kind]chan struct{}{line.Ledger: make(chan struct{}, 1), line.Changelog: make(chan struct{}, 1)},
 		front: map[string]*front{}, lost: make(chan struct{}), flush: make(chan chan struct{}),
+		keyed: map[string]flying{}, entered: map[string]entered{}, heard: map[string]heard{}, turns: map[string]turn{},
 	}
 }
 
@@ -141,6 +160,7 @@
 	Keys      int      `json:"state_keys"`
 	Recovery  Recovery `json:"recovery"`
 	Tally     Tally    `json:"tally"`
+	MarksView
 }
 
 // View gives the owner's figures.
@@ -154,6 +174,7 @@
 	}
 	if o.st != nil {
 		v.Keys = o.st.Size()
+		v.MarksView = o.marksView(v.Commit)
 	}
 	return v
 }
@@ -185,19 +206,6 @@
 // Done is closed once the owner is lost.
 func (o *Owner) Done() <-chan struct{} { return o.lost }
 
-func (o *Owner) pulse(ctx context.Context, k line.Kind) <-chan struct{} {
-	d := o.d.Bounds.Pulse()
-	if k == line.Changelog {
-		d = o.d.Bounds.Session()
-	}
-	c := make(chan struct{})
-	go func() {
-		_ = o.d.Clock.Sleep(ctx, d)
-		close(c)
-	}()
-	return c
-}
-
 func (o *Owner) trimmed(k line.Kind) <-chan struct{} { return o.trims[k] }
 
 func (o *Owner) trim(k line.Kind, to uint64) {
--- /dev/null
+++ b/internal/ledger/owner/read.go
@@ -0,0 +1,161 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/problem"
+	"postjunction/internal/samza/state"
+)
+
+// ReadTask asks for committed entries after an offset, waiting for news up to Hold. From ^0 asks only where the committed ledger ends.
+// Marks says that the node minds withdrawals as the reader Node under Boot, which has forgotten all that is withdrawn up to From, unless
+// it reads Beside. Done says that the reader under this boot holds nothing any more and reads no further. Turn is what an earlier answer gave: nobody
+// becomes a reader without it, as a task may come late from a run that is over.
+type ReadTask struct {
+	Partition int           `json:"p"`
+	From      uint64        `json:"f"`
+	Hold      time.Duration `json:"h"`
+	Node      string        `json:"n,omitempty"`
+	Boot      string        `json:"b,omitempty"`
+	Marks     bool          `json:"m,omitempty"`
+	Beside    bool          `json:"s,omitempty"`
+	Done      bool          `json:"d,omitempty"`
+	Turn      uint64        `json:"u,omitempty"`
+}
+
+// Reading is a part of the committed ledger: entries after From, up to To. What was withdrawn is left out of its entry, and so is what stands under
+// a key where the task has no Marks. Clean is that of Told.
+type Reading struct {
+	Base    uint64       `json:"base"`
+	To      uint64       `json:"to"`
+	Epoch   uint64       `json:"epoch"`
+	Clean   bool         `json:"c,omitempty"`
+	Turn    uint64       `json:"u,omitempty"`
+	Entries []line.Entry `json:"n,omitempty"`
+}
+
+const (
+	readMost  = 512
+	readBytes = 1 << 20
+)
+
+// turn is the number that a reader's run has to tell, of the run that asked last. Over says that this run reads no further.
+type turn struct {
+	boot string
+	n    uint64
+	over bool
+}
+
+// turned gives the number that a run has to tell and whether it did: then it was there after all other runs of the node that were heard here.
+func (o *Owner) turned(q *ReadTask) (uint64, bool) {
+	t := o.turns[q.Node]
+	if t.boot != q.Boot {
+		o.turn++
+		t = turn{boot: q.Boot, n: o.turn}
+		o.turns[q.Node] = t
+	}
+	return t.n, t.n == q.Turn && !t.over
+}
+
+// Read answers a ReadTask.
+func (o *Owner) Read(ctx context.Context, q *ReadTask) (*Reading, error) {
+	if q.Done {
+		return o.readOver(ctx, q)
+	}
+	cx, stop := context.WithTimeout(ctx, q.Hold)
+	defer stop()
+	for {
+		o.mu.Lock()
+		if err := o.following(); err != nil {
+			o.mu.Unlock()
+			return nil, err
+		}
+		moved := o.tracks[line.Ledger].moved
+		r, wait := o.reading(q)
+		o.mu.Unlock()
+		if q.From == ^uint64(0) {
+			return r, o.assure(ctx)
+		}
+		if !wait {
+			return r, nil
+		}
+		select {
+		case <-moved:
+		case <-o.lost:
+			return nil, problem.New(problem.NotOwner, "partition %d was lost", o.Rec.Partition)
+		case <-cx.Done():
+			if ctx.Err() != nil {
+				return nil, problem.Because(problem.Unreachable, ctx.Err(), "reading partition %d", o.Rec.Partition)
+			}
+			return r, nil
+		}
+	}
+}
+
+// reading gives the answer of now, and whether news are worth waiting for.
+func (o *Owner) reading(q *ReadTask) (*Reading, bool) {
+	t := o.tracks[line.Ledger]
+	r := &Reading{Base: t.line.Base().Offset, To: t.commit, Epoch: o.Rec.Epoch}
+	reads, turned := false, true
+	if q.Marks {
+		reads, r.Clean = o.reads(q.Node, q.Boot)
+		r.Turn, turned = o.turned(q)
+	}
+	if q.From == ^uint64(0) || r.Clean {
+		return r, false
+	}
+	r.To = max(q.From, r.Base)
+	if !turned {
+		return r, false
+	}
+	if q.Marks {
+		if !q.Beside {
+			o.hear(q.Node, q.Boot, q.From)
+		}
+		o.meet(q.Node, q.Boot)
+	}
+	es := t.line.Slice(q.From+1, t.commit, readMost, readBytes)
+	if len(es) == 0 {
+		es = t.after(q.From)
+	}
+	for _, e := range es {
+		if e.Offset > t.commit {
+			break
+		}
+		if e.Key != "" && e.What == line.Message && !e.Hollow {
+			if !q.Marks || o.st.Covers(e) {
+				e.Body, e.Digest, e.Hollow = nil, "", true
+			} else if !reads {
+				o.enlist(q.Node, q.Boot)
+				break
+			}
+		}
+		r.Entries, r.To = append(r.Entries, e), e.Offset
+	}
+	return r, len(r.Entries) == 0
+}
+
+// readOver has a reader that holds nothing any more be gone, once that is on a majority.
+func (o *Owner) readOver(ctx context.Context, q *ReadTask) (*Reading, error) {
+	o.mu.Lock()
+	if err := o.following(); err != nil {
+		o.mu.Unlock()
+		return nil, err
+	}
+	if t := o.turns[q.Node]; t.boot == q.Boot || t.boot == "" {
+		o.turns[q.Node] = turn{boot: q.Boot, over: true}
+	}
+	o.dismiss(q.Node, q.Boot)
+	if r := o.st.Readers[q.Node]; r.GivenUp && r.Boot == q.Boot && o.entered[q.Node].at == 0 {
+		o.enter(q.Node, state.Reads{Boot: q.Boot, Gone: true})
+	}
+	at := o.entered[q.Node].at
+	r := &Reading{Base: o.tracks[line.Ledger].line.Base().Offset, To: o.tracks[line.Ledger].commit, Epoch: o.Rec.Epoch}
+	o.mu.Unlock()
+	if err := o.await(ctx, line.Ledger, at); err != nil {
+		return nil, err
+	}
+	return r, o.assure(ctx)
+}
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"strings"
 
 	"postjunction/internal/ledger/line"
 	"postjunction/internal/problem"
@@ -16,7 +16,8 @@
 	at         uint64
 }
 
-// Task is a visitor's numbered message.
+// Task is a visitor's numbered message, which may stand under a key, or with Withdraw the withdrawal of what stands under that key.
+// Of and Upto name a sender and its highest number that is withdrawn too, though it may not have come yet.
 type Task struct {
 	Visitor     string `json:"v"`
 	Generation  uint64 `json:"g"`
@@ -25,14 +26,19 @@
 	Body        []byte `json:"b"`
 	Live        bool   `json:"l,omitempty"`
 	Description uint64 `json:"d"`
+	Key         string `json:"k,omitempty"`
+	Withdraw    bool   `json:"w,omitempty"`
+	Of          string `json:"f,omitempty"`
+	Upto        uint64 `json:"u,omitempty"`
 }
 
-// Decision is the ledger's answer.
+// Decision is the ledger's answer. That to a withdrawal names the offset of its mark, and says by Already whether the mark of an earlier one stood.
 type Decision struct {
 	Partition int    `json:"p"`
 	Epoch     uint64 `json:"e"`
 	Offset    uint64 `json:"o"`
 	Repeat    bool   `json:"r,omitempty"`
+	Already   bool   `json:"a,omitempty"`
 }
 
 func (o *Owner) ready() error {
@@ -51,12 +57,23 @@
 	if err := o.d.Licensed(); err != nil {
 		return err
 	}
+	return nil
+}
+
+func (o *Owner) room() error {
 	if t := o.tracks[line.Ledger]; t.last.Offset-t.commit >= uint64(o.d.Backlog()) {
 		return problem.New(problem.Overloaded, "%d entries of partition %d wait for a majority", t.last.Offset-t.commit, o.Rec.Partition)
 	}
 	return nil
 }
 
+func (o *Owner) open() error {
+	if err := o.ready(); err != nil {
+		return err
+	}
+	return o.room()
+}
+
 func (o *Owner) near() int {
 	n := 0
 	for _, p := range o.Rec.Replicas {
@@ -67,69 +84,109 @@
 	return n
 }
 
-func (o *Owner) judge(q *Task) (state.Taken, bool, error) {
-	if err := o.ready(); err != nil {
-		return state.Taken{}, false, err
+func (o *Owner) judge(q *Task) ruling {
+	if err := q.check(); err != nil {
+		return ruling{err: err}
 	}
-	k, dig := state.Key(q.Visitor, q.Topic), line.Digest(q.Body)
+	e := q.entry()
+	k, name := state.Key(q.Visitor, q.Topic), state.Named(e.What, e.Key, e.Digest)
 	a := o.st.Accepted[k]
 	f := o.front[k]
 	last, gen := a.Last, a.Generation
 	if f != nil {
 		last, gen = max(last, f.last), max(gen, f.generation)
 	}
-	if q.Generation < gen {
-		return state.Taken{}, false, problem.New(problem.TokenFenced, "attachment %d of %s sent on %s after %d", gen, q.Visitor, q.Topic, q.Generation)
-	}
-	if q.Call > last+1 || q.Call == 0 {
-		return state.Taken{}, false, problem.New(problem.CallGap, "call_seq %d does not follow %d", q.Call, last).At(last)
+	if q.Generation > 0 && q.Generation < gen {
+		return ruling{err: problem.New(problem.TokenFenced, "attachment %d of %s sent on %s after %d", gen, q.Visitor, q.Topic, q.Generation)}
 	}
+	mark, basis, already := o.already(q)
 	if q.Call <= last {
 		t, ok := a.Find(q.Call)
 		if !ok && f != nil {
 			t, ok = state.Accepted{Recent: f.flight}.Find(q.Call)
 		}
-		if !ok {
-			return state.Taken{}, false, problem.New(problem.CallForgotten, "call_seq %d was taken, as all up to %d were", q.Call, last).At(last)
+		switch {
+		case ok && t.Digest != name:
+			return ruling{err: problem.New(problem.CallAltered, "call_seq %d was taken with another %s", q.Call, differs[strings.HasPrefix(t.Digest, e.Digest)]).At(last)}
+		case ok:
+			return ruling{taken: t, repeat: true}
+		case q.Withdraw && o.st.Marks[state.Key(q.Topic, q.Key)].By(q.Visitor, q.Call):
+			return ruling{taken: state.Taken{Call: q.Call, Offset: o.st.Marks[state.Key(q.Topic, q.Key)].Offset, Digest: name}, repeat: true}
+		case already && q.Call <= a.Floor:
+			return ruling{taken: state.Taken{Call: q.Call, Offset: mark}, already: true, basis: basis}
+		case q.Call <= a.Floor:
+			return ruling{err: problem.New(problem.CallForgotten, "call_seq %d may have been taken, the ledger no longer holds what %s sent up to %d", q.Call, q.Visitor, a.Floor).At(last)}
+		default:
+			return ruling{err: problem.New(problem.CallPassed, "call_seq %d was never taken, and %d was", q.Call, last).At(last)}
 		}
-		if t.Digest != dig {
-			return state.Taken{}, false, problem.New(problem.CallAltered, "call_seq %d was taken with another body", q.Call).At(last)
+	}
+	if q.Withdraw && !already {
+		if err := o.markable(q); err != nil {
+			return ruling{err: err}
 		}
-		return t, true, nil
 	}
-	e := o.tracks[line.Ledger].push(line.Entry{What: line.Message, Topic: q.Topic, Visitor: q.Visitor, Call: q.Call, Generation: q.Generation, Description: q.Description, Live: q.Live, Body: q.Body}, o.Rec.Epoch)
+	if err := o.room(); err != nil {
+		return ruling{err: err}
+	}
+	e = o.tracks[line.Ledger].push(e, o.Rec.Epoch)
+	t := state.Taken{Call: q.Call, Offset: e.Offset, Digest: name}
+	f = o.ahead(k, q.Call, e.Offset)
+	f.generation = max(f.generation, q.Generation)
+	f.flight = append(f.flight, t)
+	if q.Of != "" {
+		o.ahead(state.Key(q.Of, q.Topic), q.Upto, e.Offset)
+	}
+	o.noteKeyed(e)
+	return ruling{taken: t, already: already}
+}
+
+// ahead notes that a visitor's calls on a topic came up to a number by an entry that is not on a majority yet.
+func (o *Owner) ahead(k string, call, at uint64) *front {
+	f := o.front[k]
 	if f == nil {
 		f = &front{}
 		o.front[k] = f
 	}
-	t := state.Taken{Call: q.Call, Offset: e.Offset, Digest: dig}
-	f.last, f.generation, f.at = q.Call, max(f.generation, q.Generation), e.Offset
-	f.flight = append(f.flight, t)
-	return t, false, nil
+	f.last, f.at = max(f.last, call), at
+	return f
 }
 
 func (o *Owner) landed(e line.Entry) {
-	if e.What != line.Message {
+	switch e.What {
+	case line.Message:
+		o.tally.Taken++
+		o.tally.Bytes += uint64(len(e.Body))
+		o.pass(e.Visitor, e)
+	case line.Withdraw:
+		o.tally.Withdrawals++
+		o.pass(e.Visitor, e)
+		o.pass(state.Part[state.Passes](e).Of, e)
+	case line.Reader:
+		o.landedReader(e)
 		return
 	}
-	o.tally.Taken++
-	o.tally.Bytes += uint64(len(e.Body))
-	k := state.Key(e.Visitor, e.Topic)
+	o.landedKeyed(e)
+}
+
+// pass lets go of what was noted ahead of an entry that is on a majority now.
+func (o *Owner) pass(visitor string, e line.Entry) {
+	k := state.Key(visitor, e.Topic)
 	f := o.front[k]
 	if f == nil {
 		return
 	}
-	for len(f.flight) > 0 && f.flight[0].Call <= e.Call {
+	for len(f.flight) > 0 && f.flight[0].Offset <= e.Offset {
 		f.flight = f.flight[1:]
 	}
-	if len(f.flight) == 0 {
+	if len(f.flight) == 0 && f.at <= e.Offset {
 		delete(o.front, k)
 	}
 }
 
 var (
-	final = map[problem.Kind]bool{problem.CallAltered: true, problem.CallGap: true, problem.CallForgotten: true, problem.TokenFenced: true}
-	told  = map[bool]string{false: "taken", true: "taken before"}
+	// differs names what differs from a call that was taken, by whether the bodies are alike.
+	differs = map[bool]string{false: "body", true: "key"}
+	final   = map[problem.Kind]bool{problem.CallAltered: true, problem.CallPassed: true, problem.CallForgotten: true, problem.TokenFenced: true, problem.KeyUnknown: true}
 )
 
 func (o *Owner) basis(k string) uint64 {
@@ -145,33 +202,11 @@
 
 // Submit decides on a message and answers once the decision is on a majority.
 func (o *Owner) Submit(ctx context.Context, q *Task) (*Decision, error) {
-	begun := o.d.Clock.Now()
-	o.mu.Lock()
-	t, rep, err := o.judge(q)
-	if rep {
-		o.tally.Repeats++
+	v := o.SubmitMany(ctx, []*Task{q})[0]
+	if v.Problem != nil {
+		return nil, v.Problem
 	}
-	basis := o.basis(state.Key(q.Visitor, q.Topic))
-	o.mu.Unlock()
-	if k := problem.Of(err).Kind; err != nil && final[k] {
-		if e := o.settled(ctx, basis); e != nil {
-			return nil, e
-		}
-		o.say("no: "+string(k), begun)
-	}
-	if err != nil {
-		return nil, err
-	}
-	if err := o.await(ctx, line.Ledger, t.Offset); err != nil {
-		return nil, err
-	}
-	if rep {
-		if err := o.assure(ctx); err != nil {
-			return nil, err
-		}
-	}
-	o.say(told[rep], begun)
-	return &Decision{Partition: o.Rec.Partition, Epoch: o.Rec.Epoch, Offset: t.Offset, Repeat: rep}, nil
+	return v.Decision, nil
 }
 
 // Attach records an attachment and answers with its generation, which fences all before. A given generation is that of
@@ -179,7 +214,7 @@
 func (o *Owner) Attach(ctx context.Context, visitor, secret string, given uint64) (uint64, error) {
 	begun := o.d.Clock.Now()
 	o.mu.Lock()
-	if err := o.ready(); err != nil {
+	if err := o.open(); err != nil {
 		o.mu.Unlock()
 		return 0, err
 	}
@@ -250,7 +285,7 @@
 // Ack records the cursor that a visitor leaves.
 func (o *Owner) Ack(ctx context.Context, visitor string, generation uint64, cursor string) error {
 	o.mu.Lock()
-	if err := o.ready(); err != nil {
+	if err := o.open(); err != nil {
 		o.mu.Unlock()
 		return err
 	}
@@ -267,83 +302,17 @@
 }
 
 // Trace tells how far a visitor's calls on a topic have come, and where one of them stands if its answer is still kept.
-func (o *Owner) Trace(ctx context.Context, visitor, topic string, call uint64) (last uint64, at state.Taken, kept bool, err error) {
+func (o *Owner) Trace(ctx context.Context, visitor, topic string, call uint64) (a state.Accepted, at state.Taken, kept bool, err error) {
 	o.mu.Lock()
 	if o.stage != Open && o.stage != Closing {
 		st := o.stage
 		o.mu.Unlock()
-		return 0, at, false, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, st)
+		return a, at, false, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, st)
 	}
-	a := o.st.Accepted[state.Key(visitor, topic)]
+	a = o.st.Accepted[state.Key(visitor, topic)]
 	o.mu.Unlock()
 	at, kept = a.Find(call)
-	return a.Last, at, kept, o.assure(ctx)
-}
-
-// Reading is a part of the committed ledger: entries after From, up to To.
-type Reading struct {
-	Base    uint64       `json:"base"`
-	To      uint64       `json:"to"`
-	Epoch   uint64       `json:"epoch"`
-	Entries []line.Entry `json:"n,omitempty"`
-}
-
-const (
-	readMost  = 512
-	readBytes = 1 << 20
-)
-
-// Read gives committed entries after an offset, waiting for news up to hold.
-// Offset ^0 asks only where the committed ledger ends.
-func (o *Owner) Read(ctx context.Context, from uint64, hold time.Duration) (*Reading, error) {
-	cx, stop := context.WithTimeout(ctx, hold)
-	defer stop()
-	for {
-		o.mu.Lock()
-		if o.stage != Open && o.stage != Closing {
-			st := o.stage
-			o.mu.Unlock()
-			return nil, problem.New(problem.NotReady, "partition %d is %s", o.Rec.Partition, st)
-		}
-		t := o.tracks[line.Ledger]
-		commit, moved := t.commit, t.moved
-		o.mu.Unlock()
-		r := &Reading{Base: t.line.Base().Offset, To: commit, Epoch: o.Rec.Epoch}
-		if from == ^uint64(0) {
-			return r, o.assure(ctx)
-		}
-		if commit > from {
-			es := t.line.Slice(from+1, commit, readMost, readBytes)
-			if n := len(es); n > 0 {
-				r.Entries, r.To = es, es[n-1].Offset
-				return r, nil
-			}
-			o.mu.Lock()
-			es = t.after(from)
-			o.mu.Unlock()
-			for i, e := range es {
-				if e.Offset > commit {
-					es = es[:i]
-					break
-				}
-			}
-			if n := len(es); n > 0 {
-				r.Entries, r.To = es, es[n-1].Offset
-			}
-			return r, nil
-		}
-		select {
-		case <-moved:
-		case <-o.lost:
-			return nil, problem.New(problem.NotOwner, "partition %d was lost", o.Rec.Partition)
-		case <-cx.Done():
-			if ctx.Err() != nil {
-				return nil, problem.Because(problem.Unreachable, ctx.Err(), "reading partition %d", o.Rec.Partition)
-			}
-			r.To = max(from, r.Base)
-			return r, nil
-		}
-	}
+	return a, at, kept, o.assure(ctx)
 }
 
 // Use is how a topic was used.
--- a/internal/ledger/owner/takeover.go
+++ b/internal/ledger/owner/takeover.go
@@ -77,7 +77,7 @@
 }
 
 func (o *Owner) insist(ctx context.Context, step string, f func() error) error {
-	for {
+	for try := 0; ; try++ {
 		err := f()
 		if err == nil || o.fenced(err) {
 			return err
@@ -86,7 +86,7 @@
 			return problem.Because(problem.Stopped, ctx.Err(), "taking over partition %d", o.Rec.Partition)
 		}
 		o.d.Log.Trouble(o.Rec.Partition, o.Rec.Epoch, step, err)
-		_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
+		_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Grown(try))
 	}
 }
 
@@ -258,12 +258,27 @@
 		return problem.New(problem.DiskDamaged, "the changelog of partition %d ends at input offset %d, the ledger begins after %d", o.Rec.Partition, input, b)
 	}
 	st.Input = input
+	o.pruned = led.line.Base().Offset
+	for at := o.pruned; at < input; {
+		es := led.line.Slice(at+1, input, sendMost, sendBytes)
+		if len(es) == 0 {
+			break
+		}
+		for _, e := range es {
+			st.Recall(e)
+			at = e.Offset
+		}
+	}
 	todo := led.line.Slice(input+1, led.commit, 1<<30, 1<<30)
 	for _, e := range todo {
 		st.Apply(e)
 	}
 	o.how.Reprocessed, o.how.Keys = len(todo), st.Size()
 	o.st, o.input = st, input
+	now := o.d.Clock.Now()
+	for n, r := range st.Readers {
+		o.heard[n] = heard{boot: r.Boot, last: now, member: now}
+	}
 	return nil
 }
 
@@ -290,24 +305,46 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err := o.batch(ctx, done != nil); err != nil && ctx.Err() == nil {
+		to := o.forget()
+		err := o.batch(ctx, done != nil)
+		if err != nil && ctx.Err() == nil {
 			o.d.Log.Trouble(o.Rec.Partition, o.Rec.Epoch, "write a changelog batch", err)
 		}
 		if done != nil {
 			close(done)
 		}
-		o.age()
+		if err == nil {
+			o.trim(line.Ledger, to)
+		}
 	}
 }
 
-func (o *Owner) age() {
+// forget lets go of what stands up to the offset that it gives: the ledger drops that much once the state that says so is written down.
+func (o *Owner) forget() uint64 {
 	now := o.d.Clock.Now()
 	l := o.tracks[line.Ledger].line
-	o.mu.Lock()
-	in := o.input
-	o.mu.Unlock()
-	o.trim(line.Ledger, min(l.Older(now.Add(-o.d.Bounds.Kept())), in))
 	l.Hollow(now.Add(-o.d.Bounds.Spread))
+	old := l.Older(now.Add(-o.d.Bounds.KeptFor(o.d.Longest())))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for to := min(old, o.input); o.pruned < to; {
+		es := l.Slice(o.pruned+1, to, sendMost, sendBytes)
+		if len(es) == 0 {
+			break
+		}
+		o.tally.Forgotten += uint64(o.st.Prune(es...))
+		o.pruned = es[len(es)-1].Offset
+	}
+	o.release()
+	o.abandon()
+	return o.pruned
+}
+
+// Lacks tells whether a message of a topic after an offset is no longer held. What is about to be dropped counts as gone.
+func (o *Owner) Lacks(topic string, from uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gone(topic) > from
 }
 
 func (o *Owner) batch(ctx context.Context, keep bool) error {
@@ -315,11 +352,10 @@
 	cl := o.tracks[line.Changelog]
 	whole := cl.line.Len() > compactAt && cl.line.Len() > compactOver*(1+o.st.Size()/compactAt)
 	if whole {
-		o.tally.Forgotten += uint64(o.st.Prune(o.tracks[line.Ledger].line.Base().Offset))
 		o.st.All()
 	}
 	input := o.st.Input
-	if input == o.input && !whole && !keep {
+	if input == o.input && !whole && !keep && !o.st.Changed() {
 		o.mu.Unlock()
 		return nil
 	}
--- a/internal/ledger/owner/track.go
+++ b/internal/ledger/owner/track.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 
+	"postjunction/internal/clock"
 	"postjunction/internal/ledger/line"
 	"postjunction/internal/ledger/replica"
 	"postjunction/internal/placement/record"
@@ -16,10 +17,11 @@
 	pending []line.Entry
 	last    line.Point
 	durable uint64
-	match   map[string]uint64
-	commit  uint64
-	moved   chan struct{}
-	grown   chan struct{}
+	// match is how far each other disk is known to hold the line, by its incarnation: a machine's new disk counts for nothing where the record names its lost one.
+	match  map[string]uint64
+	commit uint64
+	moved  chan struct{}
+	grown  chan struct{}
 }
 
 func newTrack(k line.Kind, l *line.Line) *track {
@@ -28,7 +30,10 @@
 }
 
 func (t *track) push(e line.Entry, epoch uint64) line.Entry {
-	e.Offset, e.Epoch, e.Digest = t.last.Offset+1, epoch, line.Digest(e.Body)
+	e.Offset, e.Epoch = t.last.Offset+1, epoch
+	if e.Digest == "" {
+		e.Digest = line.Digest(e.Body)
+	}
 	e.Chain = line.Link(t.last.Chain, e)
 	t.pending = append(t.pending, e)
 	t.last = e.At()
@@ -71,7 +76,7 @@
 		if p.Node == self {
 			os = append(os, t.durable)
 		} else {
-			os = append(os, t.match[p.Node])
+			os = append(os, t.match[p.Incarnation])
 		}
 	}
 	sort.Slice(os, func(i, k int) bool { return os[i] > os[k] })
@@ -87,6 +92,7 @@
 }
 
 func (o *Owner) writer(ctx context.Context, t *track) {
+	full := false
 	for ctx.Err() == nil {
 		o.mu.Lock()
 		at, _ := t.point(t.durable)
@@ -94,6 +100,9 @@
 		grown := t.grown
 		base := o.bases[t.kind]
 		o.mu.Unlock()
+		if full && base.Offset > t.line.Base().Offset {
+			es = nil
+		}
 		if len(es) == 0 && base.Offset <= t.line.Base().Offset {
 			select {
 			case <-grown:
@@ -112,9 +121,11 @@
 				return
 			}
 			o.d.Log.Disk(o.Rec.Partition, err)
+			full = problem.Has(err, problem.DiskFull)
 			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
 			continue
 		}
+		full = false
 		o.mu.Lock()
 		t.pending = t.pending[len(es):]
 		t.durable += uint64(len(es))
@@ -127,6 +138,8 @@
 	at    line.Point
 	reset bool
 	step  uint64
+	// full tells that the disk had no room: it is asked to trim, without entries.
+	full bool
 }
 
 func (o *Owner) replicate(ctx context.Context, t *track, p record.Place, tail replica.Tail, known bool) {
@@ -137,27 +150,35 @@
 	if known {
 		o.back(t, &c, tail)
 	}
-	told := false
+	told, said, sent, tries := false, uint64(0), o.d.Clock.Now(), 0
 	for ctx.Err() == nil {
 		o.mu.Lock()
 		es := t.after(c.at.Offset)
-		grown, commit, base := t.grown, t.commit, o.bases[t.kind]
+		grown, moved, commit, base := t.grown, t.moved, t.commit, o.bases[t.kind]
 		o.mu.Unlock()
-		if len(es) == 0 && told {
-			select {
-			case <-grown:
+		if c.full && !c.reset {
+			es = nil
+		}
+		if len(es) == 0 && told && !c.full {
+			d := o.d.Bounds.Session()
+			if commit > said && t.kind == line.Ledger {
+				d, moved = o.d.Bounds.Pulse(), nil
+			}
+			if left := sent.Add(d).Sub(o.d.Clock.Now()); left > 0 {
+				clock.Wait(ctx, o.d.Clock, left, grown, moved)
 				continue
-			case <-o.pulse(ctx, t.kind):
 			}
 		}
 		addr, ok := o.d.Addr(p.Node)
 		if !ok {
-			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
+			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Grown(tries))
+			tries++
 			continue
 		}
 		cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
 		a, err := replica.Append.Call(cx, o.d.Net, o.d.Self, addr, &replica.AppendTask{Target: replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}, Kind: t.kind, After: c.at, Entries: es, Commit: commit, Base: base, Reset: c.reset, Urgent: o.Urgent})
 		stop()
+		sent = o.d.Clock.Now()
 		if err != nil {
 			if o.fenced(err) {
 				o.lose(err)
@@ -166,19 +187,21 @@
 			if problem.Has(err, problem.Mismatch) {
 				c.reset = false
 			}
-			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Retry())
+			c.full = problem.Has(err, problem.DiskFull)
+			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Grown(tries))
+			tries++
 			continue
 		}
 		if !a.OK {
 			o.back(t, &c, a.Tail)
 			continue
 		}
-		c.reset, c.step, told = false, 0, true
+		c.reset, c.step, c.full, told, said, tries = false, 0, false, true, commit, 0
 		if n := len(es); n > 0 {
 			c.at = es[n-1].At()
 		}
 		o.mu.Lock()
-		t.match[p.Node] = max(t.match[p.Node], c.at.Offset)
+		t.match[p.Incarnation] = max(t.match[p.Incarnation], c.at.Offset)
 		o.settle(t)
 		o.mu.Unlock()
 	}
--- a/internal/ledger/owner/track_test.go
+++ b/internal/ledger/owner/track_test.go
@@ -17,14 +17,33 @@
 	k.push(line.Entry{What: line.Message, Body: []byte("old")}, 1)
 	l.Append(time.Now(), k.pending...)
 	k.pending, k.durable = nil, 1
-	r := record.Record{Epoch: 2, Replicas: []record.Place{{Node: "s1"}, {Node: "s2"}, {Node: "s3"}}}
-	k.match["s2"], k.match["s3"] = 1, 1
+	r := record.Record{Epoch: 2, Replicas: []record.Place{{Node: "s1", Incarnation: "i1"}, {Node: "s2", Incarnation: "i2"}, {Node: "s3", Incarnation: "i3"}}}
+	k.match["i2"], k.match["i3"] = 1, 1
 	assert.Assert(t, !k.settle(r, "s1"))
 	assert.Equal(t, k.commit, uint64(0))
 	k.push(line.Entry{What: line.Start}, 2)
-	k.match["s2"] = 2
+	k.match["i2"] = 2
 	assert.Assert(t, !k.settle(r, "s1"), "one copy of the start is not a majority")
-	k.match["s3"] = 2
+	k.match["i3"] = 2
 	assert.Assert(t, k.settle(r, "s1"), "a majority without the own disk")
 	assert.Equal(t, k.commit, uint64(2))
 }
+
+// The new disk of a machine whose lost one the record still names is brought up as a learner; what it holds is no copy yet.
+func TestNewDiskCountsForNothingInTheLostOnesPlace(t *testing.T) {
+	l := line.New()
+	k := newTrack(line.Ledger, l)
+	k.push(line.Entry{What: line.Start}, 2)
+	l.Append(time.Now(), k.pending...)
+	k.pending, k.durable = nil, 1
+	r := record.Record{Epoch: 2, Replicas: []record.Place{{Node: "s1", Incarnation: "i1"}, {Node: "s2", Incarnation: "i2"}, {Node: "s3", Incarnation: "i3"}}}
+	k.match["new"] = 1
+	assert.Assert(t, !k.settle(r, "s1"), "a learner was counted")
+	k.match["i2"] = 1
+	assert.Assert(t, k.settle(r, "s1"))
+
+	k.match["i3"], k.match["new"] = 9, 8
+	assert.Assert(t, !k.caughtUp(r, record.Place{Node: "s3", Incarnation: "new"}), "the lost disk held more, on which a commit may still rest")
+	k.match["new"] = 9
+	assert.Assert(t, k.caughtUp(r, record.Place{Node: "s3", Incarnation: "new"}))
+}
--- /dev/null
+++ b/internal/ledger/owner/used_test.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/disk/journal"
+	"postjunction/internal/disk/memlog"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+// An epoch that a disk has sealed is never decided under again by a new run, whoever asks for it.
+func TestSealedEpochIsNotTakenOverAgain(t *testing.T) {
+	ctx := t.Context()
+	d := memlog.New()
+	r := replica.New(clock.Real{})
+	parts := map[uint16]journal.Part{}
+	for _, k := range replica.Kinds() {
+		parts[k] = r
+	}
+	j, _, err := journal.Open(d, clock.Real{}, parts, []journal.Part{r})
+	assert.NilError(t, err)
+	cx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { defer close(done); j.Run(cx) }()
+	defer func() { stop(); <-done }()
+	r.Start("i", j)
+	at := replica.Target{Partition: 3, Incarnation: "i", Epoch: 5}
+	_, err = r.Seal(ctx, &replica.SealTask{Target: at})
+	assert.NilError(t, err)
+	o := New(Deps{Self: "s1", Clock: clock.Real{}, Bounds: options.DefaultBounds, Replica: r}, record.Record{Partition: 3, Epoch: 5, Owner: "s1", Replicas: []record.Place{{Node: "s1", Incarnation: "i"}}}, false)
+	short, end := context.WithCancel(ctx)
+	end()
+	assert.Assert(t, problem.Has(o.takeOver(short), problem.StaleEpoch))
+	assert.Equal(t, r.Sealed(3), uint64(5))
+}
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -13,6 +13,7 @@
 	"postjunction/internal/ledger/line"
 	"postjunction/internal/problem"
 	"postjunction/internal/turn"
+	"postjunction/internal/wire"
 )
 
 // Replica is the store of one disk.
@@ -115,6 +116,8 @@
 	ID    line.ID    `json:"id"`
 	Base  line.Point `json:"base"`
 	Fresh bool       `json:"fresh,omitempty"`
+	// Anew comes before a slice of the line: one that does not hold the base is begun there.
+	Anew bool `json:"anew,omitempty"`
 }
 
 type cutRec struct {
@@ -123,47 +126,58 @@
 }
 
 func rec(k uint16, e, o uint64, x any) journal.Rec {
-	b, _ := json.Marshal(x)
+	b, _ := wire.Write(x)
 	return journal.Rec{Kind: k, Epoch: e, Offset: o, Body: b}
 }
 
+// read takes a body of this format, or of the first one, which was JSON.
+func read(b []byte, x any) error {
+	if len(b) > 0 && b[0] == '{' {
+		return json.Unmarshal(b, x)
+	}
+	return wire.Read(b, x)
+}
+
 var restore = map[uint16]func(*Replica, []byte) error{
 	kinds.Seal: func(r *Replica, b []byte) error {
 		var s sealRec
-		err := json.Unmarshal(b, &s)
+		err := read(b, &s)
 		r.seals[s.Partition] = max(s.Epoch, r.seals[s.Partition])
 		return err
 	},
 	kinds.Entry: func(r *Replica, b []byte) error {
 		var s entryRec
-		err := json.Unmarshal(b, &s)
+		err := read(b, &s)
 		r.line(s.ID).Append(r.clk.Now(), s.Entry)
 		return err
 	},
 	kinds.Base: func(r *Replica, b []byte) error {
 		var s baseRec
-		err := json.Unmarshal(b, &s)
+		err := read(b, &s)
 		if s.Fresh {
 			r.lines[s.ID] = line.New()
 		}
+		if p, ok := r.line(s.ID).Point(s.Base.Offset); s.Anew && (!ok || p != s.Base) {
+			r.lines[s.ID] = line.New()
+		}
 		r.line(s.ID).Rebase(s.Base)
 		return err
 	},
 	kinds.Cut: func(r *Replica, b []byte) error {
 		var s cutRec
-		err := json.Unmarshal(b, &s)
+		err := read(b, &s)
 		r.line(s.ID).Cut(s.Cut)
 		return err
 	},
 	kinds.Directory: func(r *Replica, b []byte) error {
 		var s Directory
-		err := json.Unmarshal(b, &s)
+		err := read(b, &s)
 		r.states[s.Partition] = s
 		return err
 	},
 	kinds.Forget: func(r *Replica, b []byte) error {
 		var s sealRec
-		err := json.Unmarshal(b, &s)
+		err := read(b, &s)
 		r.forget(s.Partition)
 		return err
 	},
@@ -192,25 +206,90 @@
 	delete(r.states, p)
 }
 
-// Dump gives the live records.
-func (r *Replica) Dump() []journal.Rec {
+const recordCost = 160
+
+// Live counts the live records; their bytes are put high.
+func (r *Replica) Live() (int, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, b := len(r.seals)+len(r.lines)+len(r.states), int64(0)
+	for _, l := range r.lines {
+		k, s := l.Weight()
+		n, b = n+k, b+s
+	}
+	for _, d := range r.states {
+		b += int64(len(d.State))
+	}
+	return n, b + int64(n)*recordCost
+}
+
+const (
+	anewMost  = 64
+	anewBytes = 64 << 10
+)
+
+// Slices gives the live records: the seals, each line in slices of its own, and each directory.
+func (r *Replica) Slices() []journal.Slice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ss := journal.Whole(r.dumpSeals)
+	ids := make([]line.ID, 0, len(r.lines))
+	for id := range r.lines {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, k int) bool {
+		a, b := ids[i], ids[k]
+		return a.Partition < b.Partition || a.Partition == b.Partition && a.Kind < b.Kind
+	})
+	for _, id := range ids {
+		ss = append(ss, r.slice(id))
+	}
+	for p := range r.states {
+		ss = append(ss, journal.Whole(func() []journal.Rec { return r.dumpDirectory(p) })...)
+	}
+	return ss
+}
+
+func (r *Replica) dumpSeals() []journal.Rec {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var rs []journal.Rec
 	for p, e := range r.seals {
 		rs = append(rs, rec(kinds.Seal, e, 0, sealRec{p, e}))
 	}
-	for id, l := range r.lines {
+	return rs
+}
+
+func (r *Replica) dumpDirectory(p int) []journal.Rec {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.states[p]
+	if !ok {
+		return nil
+	}
+	return []journal.Rec{rec(kinds.Directory, d.At.Epoch, d.At.Offset, d)}
+}
+
+// slice goes through a line from its base to its end. What is put meanwhile at or before the place reached counts by itself when the log is
+// read from where the writing anew began; what is put after it is passed over there, and comes with a later slice.
+func (r *Replica) slice(id line.ID) journal.Slice {
+	next := uint64(0)
+	return func() ([]journal.Rec, bool) {
+		r.mu.Lock()
+		l, ok := r.lines[id]
+		r.mu.Unlock()
+		if !ok || l.Last() == (line.Point{}) {
+			return nil, false
+		}
 		b := l.Base()
-		rs = append(rs, rec(kinds.Base, b.Epoch, b.Offset, baseRec{ID: id, Base: b, Fresh: true}))
-		for _, e := range l.Slice(0, ^uint64(0), 1<<30, 1<<30) {
+		rs := []journal.Rec{rec(kinds.Base, b.Epoch, b.Offset, baseRec{ID: id, Base: b, Anew: true})}
+		next = max(next, b.Offset+1)
+		for _, e := range l.Slice(next, ^uint64(0), anewMost, anewBytes) {
 			rs = append(rs, rec(kinds.Entry, e.Epoch, e.Offset, entryRec{id, e}))
+			next = e.Offset + 1
 		}
+		return rs, next <= l.Last().Offset
 	}
-	for _, d := range r.states {
-		rs = append(rs, rec(kinds.Directory, d.At.Epoch, d.At.Offset, d))
-	}
-	return rs
 }
 
 func (r *Replica) tail(p int, k line.Kind) Tail {
@@ -234,7 +313,7 @@
 // Stands tells whether a target's epoch is still the highest on this disk, under its own name.
 func (r *Replica) Stands(t Target) error { return r.fence(t) }
 
-func (r *Replica) enter(ctx context.Context, t Target) (func(), error) {
+func (r *Replica) enter(ctx context.Context, t Target) (*turn.Held, error) {
 	back, err := r.turns.TakeNumber(ctx, t.Partition)
 	if err != nil {
 		return nil, err
@@ -243,18 +322,18 @@
 		back()
 		return nil, err
 	}
-	return back, nil
+	return turn.Hold(back), nil
 }
 
 // Seal turns lower epochs away from now on; it answers once that is synced.
 func (r *Replica) Seal(ctx context.Context, q *SealTask) (*SealAnswer, error) {
-	back, err := r.enter(ctx, q.Target)
+	in, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
 	}
-	defer back()
+	defer in.Back()
 	if r.Sealed(q.Partition) < q.Epoch {
-		if err := r.journal.Put(ctx, q.Urgent, func() { r.setSeal(q.Partition, q.Epoch) }, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch})); err != nil {
+		if err := r.journal.PutIn(ctx, in, q.Urgent, func() { r.setSeal(q.Partition, q.Epoch) }, rec(kinds.Seal, q.Epoch, 0, sealRec{q.Partition, q.Epoch})); err != nil {
 			return nil, err
 		}
 	}
@@ -273,11 +352,11 @@
 
 // Append extends a line once it is synced, after checking the epoch, the disk and the place.
 func (r *Replica) Append(ctx context.Context, q *AppendTask) (*AppendAnswer, error) {
-	back, err := r.enter(ctx, q.Target)
+	in, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
 	}
-	defer back()
+	defer in.Back()
 	id := line.ID{Partition: q.Partition, Kind: q.Kind}
 	l := r.Line(q.Partition, q.Kind)
 	if !q.Reset {
@@ -311,7 +390,7 @@
 		rs = append(rs, rec(kinds.Base, trim.Epoch, trim.Offset, baseRec{ID: id, Base: trim}))
 	}
 	if len(rs) > 0 {
-		err := r.journal.Put(ctx, q.Urgent, func() {
+		err := r.journal.PutIn(ctx, in, q.Urgent, func() {
 			r.setSeal(q.Partition, q.Epoch)
 			if q.Reset {
 				n := line.New()
@@ -336,13 +415,13 @@
 
 // CutTo drops what follows an offset, when a tail adopted under the target's epoch differs.
 func (r *Replica) CutTo(ctx context.Context, t Target, k line.Kind, o uint64, urgent bool) error {
-	back, err := r.enter(ctx, t)
+	in, err := r.enter(ctx, t)
 	if err != nil {
 		return err
 	}
-	defer back()
+	defer in.Back()
 	id := line.ID{Partition: t.Partition, Kind: k}
-	return r.journal.Put(ctx, urgent, func() { r.Line(t.Partition, k).Cut(o) }, rec(kinds.Cut, t.Epoch, o, cutRec{id, o}))
+	return r.journal.PutIn(ctx, in, urgent, func() { r.Line(t.Partition, k).Cut(o) }, rec(kinds.Cut, t.Epoch, o, cutRec{id, o}))
 }
 
 // Fetch reads entries.
@@ -361,12 +440,12 @@
 
 // Drop forgets a partition that the record, at an epoch above the sealed one, no longer places here.
 func (r *Replica) Drop(ctx context.Context, q *DropTask) (*Done, error) {
-	back, err := r.enter(ctx, q.Target)
+	in, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
 	}
-	defer back()
-	return &Done{}, r.journal.Put(ctx, false, func() {
+	defer in.Back()
+	return &Done{}, r.journal.PutIn(ctx, in, false, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.seals[q.Partition] = max(r.seals[q.Partition], q.Epoch)
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"postjunction/internal/clock"
+	"postjunction/internal/disk/frame"
 	"postjunction/internal/disk/journal"
 	"postjunction/internal/disk/memlog"
+	"postjunction/internal/kinds"
 	"postjunction/internal/ledger/line"
 	"postjunction/internal/problem"
 )
@@ -150,3 +153,25 @@
 	assert.NilError(t, r.CutTo(ctx, to(3), line.Ledger, p.Offset, false))
 	assert.Equal(t, r.Line(1, line.Ledger).Last(), p)
 }
+
+// Folders of the first format had bodies in JSON.
+func TestFoldersOfTheFirstFormatAreRead(t *testing.T) {
+	d := memlog.New()
+	es := chain(line.Point{}, 1, "a", "b")
+	var rs [][]byte
+	for _, e := range es {
+		b, err := json.Marshal(entryRec{line.ID{Partition: 1, Kind: line.Ledger}, e})
+		assert.NilError(t, err)
+		f := frame.Pack(frame.Frame{Kind: kinds.Entry, Index: e.Offset, Epoch: 1, Offset: e.Offset, Body: b})
+		f[6] = 1
+		rs = append(rs, frame.Seal(f))
+	}
+	assert.NilError(t, d.Write(1, rs))
+	assert.NilError(t, d.Sync())
+	for range 2 {
+		r := boot(t, d, "i")
+		assert.DeepEqual(t, r.Line(1, line.Ledger).Slice(0, ^uint64(0), 9, 1<<20), es)
+		es = append(es, chain(es[len(es)-1].At(), 2, "c")...)
+		put(t, r, line.Ledger, 2, es[len(es)-2].At(), "c")
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -20,10 +20,12 @@
 
 // Info is what a node says of itself.
 type Info struct {
-	Name        string `json:"name"`
-	Zone        string `json:"zone"`
-	Listen      string `json:"listen"`
-	Fellows     string `json:"fellows"`
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Listen  string `json:"listen"`
+	Fellows string `json:"fellows"`
+	// Visits is where visitors' line sessions are taken.
+	Visits      string `json:"visits,omitempty"`
 	Disk        string `json:"disk"`
 	Incarnation string `json:"incarnation,omitempty"`
 	Boot        string `json:"boot"`
@@ -37,10 +39,14 @@
 	Deaf    bool            `json:"deaf,omitempty"`
 	Build   string          `json:"build,omitempty"`
 	Wire    int             `json:"wire"`
-	// Lag is how long this node's pulses take, in microseconds, the median of the last few.
+	// Lag is how long this node's pulses take, in microseconds, the second shortest of the last few; all that are far from slow are told as one.
 	Lag int64 `json:"lag_us,omitempty"`
 	// Homes tells that this build keeps attachments in an urgent partition too.
 	Homes bool `json:"homes,omitempty"`
+	// Keys tells that this build knows keys of messages and their withdrawal.
+	Keys bool `json:"keys,omitempty"`
+	// Processor is what the node has of one for visitors, in thousandths of a core, less where its link is narrow beside it; 0 when that isn't known.
+	Processor int `json:"processor,omitempty"`
 }
 
 // Heard is a session: what a node said and how long ago.
@@ -52,16 +58,24 @@
 // SessionsTask gives a control node another's sessions.
 type SessionsTask struct {
 	From     string  `json:"from"`
-	Sessions []Heard `json:"sessions"`
+	Sessions []Heard `json:"sessions,omitempty"`
+	// Story tells the sessions by difference, Have how far the story of the receiver is known; Sessions then holds nothing.
+	Story *Story `json:"s,omitempty"`
+	Have  *Mark  `json:"h,omitempty"`
 }
 
 // SessionsAnswer gives the receiver's sessions back.
 type SessionsAnswer struct {
-	Sessions []Heard `json:"sessions"`
+	From     string  `json:"f,omitempty"`
+	Sessions []Heard `json:"sessions,omitempty"`
+	Story    *Story  `json:"s,omitempty"`
+	Have     *Mark   `json:"h,omitempty"`
 }
 
-// HelloTask asks a seed who it is.
-type HelloTask struct{}
+// HelloTask asks a seed who it is. A control node that knows no roster says who it is itself, so that others find it through the seed.
+type HelloTask struct {
+	From *Info `json:"from,omitempty"`
+}
 
 // HelloAnswer says who a node is and whom it knows.
 type HelloAnswer struct {
@@ -86,11 +100,12 @@
 	clk    clock.Clock
 	bounds options.Bounds
 	m      map[string]seen
+	news   chan struct{}
 }
 
 // NewTable makes an empty table.
 func NewTable(c clock.Clock, b options.Bounds) *Table {
-	return &Table{clk: c, bounds: b, m: map[string]seen{}}
+	return &Table{clk: c, bounds: b, m: map[string]seen{}, news: make(chan struct{})}
 }
 
 const forgetAfter = 10
@@ -98,7 +113,8 @@
 // Note takes in what was heard of a node some time ago. News of another run of the
 // same node counts only when it is younger.
 func (t *Table) Note(i Info, age time.Duration) {
-	at := t.clk.Now().Add(-age)
+	now := t.clk.Now()
+	at := now.Add(-age)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.m[i.Name]
@@ -106,6 +122,22 @@
 		return
 	}
 	t.m[i.Name] = seen{info: i, at: at}
+	if !ok || now.Sub(s.at) >= t.bounds.Session() || s.info.Differs(i) {
+		close(t.news)
+		t.news = make(chan struct{})
+	}
+}
+
+// Differs tells whether two sayings of one node differ in what control and placement act on.
+func (i Info) Differs(k Info) bool {
+	return i.Boot != k.Boot || i.Disk != k.Disk || i.Incarnation != k.Incarnation || i.Stage != k.Stage || i.Fitness != k.Fitness || i.Deaf != k.Deaf || i.Fellows != k.Fellows || i.Roster != k.Roster
+}
+
+// Changed is closed when a node joins, comes back, or says something new of its disk, stage, licence, address or roster.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.news
 }
 
 // Live gives the members by name.
@@ -140,15 +172,19 @@
 	return hs
 }
 
+const lastMost = 1 << 13
+
 // View is the list of members as a node was last told.
 type View struct {
 	mu sync.Mutex
 	is []Info
 	by map[string]Info
+	// last holds who was a member once, so that calls to a machine do not hang on what one control node knows.
+	last map[string]Info
 }
 
 // NewView makes an empty view.
-func NewView() *View { return &View{by: map[string]Info{}} }
+func NewView() *View { return &View{by: map[string]Info{}, last: map[string]Info{}} }
 
 // Set replaces the list.
 func (v *View) Set(is []Info) {
@@ -159,6 +195,32 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.is, v.by = is, by
+	if len(v.last) > lastMost {
+		v.last = map[string]Info{}
+	}
+	for n, i := range by {
+		v.last[n] = i
+	}
+}
+
+// Add takes members in and keeps those that the list does not name.
+func (v *View) Add(is []Info) {
+	all := slices.Clone(is)
+	for _, i := range v.All() {
+		if !slices.ContainsFunc(is, func(x Info) bool { return x.Name == i.Name }) {
+			all = append(all, i)
+		}
+	}
+	slices.SortFunc(all, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
+	v.Set(all)
+}
+
+// Last finds a member, or a node that was one once.
+func (v *View) Last(n string) (Info, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	i, ok := v.last[n]
+	return i, ok
 }
 
 // All gives the members.
--- /dev/null
+++ b/internal/member/touch/touch.go
@@ -0,0 +1,166 @@
+// Package touch finds out whether a node still reaches the machines that decide, and which fellows do when it does not.
+package touch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gather"
+	"postjunction/internal/member"
+	"postjunction/internal/member/watch"
+	"postjunction/internal/options"
+	"postjunction/internal/wire"
+)
+
+// ReachTask asks a fellow whether it reaches the machines that decide.
+type ReachTask struct{}
+
+// ReachAnswer says so.
+type ReachAnswer struct {
+	Well bool `json:"w"`
+}
+
+// Reach is the call.
+var Reach = wire.Name[ReachTask, ReachAnswer]("Touch", "Reach")
+
+const (
+	doubtOf   = 3
+	doubtIn   = 2
+	askedMost = 8
+	slackOf   = 4
+	// half and some are the shares of the machines that decide that a fellow must reach to be well, and a node to keep its visitors.
+	half = 2
+	some = 1 << 10
+)
+
+// Touch is one node's.
+type Touch struct {
+	Self   string
+	Clock  clock.Clock
+	Bounds options.Bounds
+	Net    wire.Network
+	// Heard tells when the fleet was last heard in the ordinary way, the zero time when it never was.
+	Heard func() time.Time
+	// Usual tells how long a pulse that is answered takes, and whether this node has been here long enough to know.
+	Usual func() (time.Duration, bool)
+	// Owners gives the addresses of the other machines that decide at present.
+	Owners func() []string
+	// Fellows gives the nodes that could take this node's visitors, in groups, the nearest first.
+	Fellows func() [][]member.Info
+	// Able tells whether this node itself could take visitors.
+	Able func() error
+	// Away hears which fellows take this node's visitors, and nothing once this node reaches those who decide again.
+	Away func(to []member.Info)
+}
+
+// Run looks after the way to those who decide until ctx ends. As long as pulses are heard it costs nothing; when one is late, the machines that decide
+// are called and fellows asked at once, and when none of the former answers, fellows that reach them take the visitors.
+func (t *Touch) Run(ctx context.Context) {
+	away := false
+	for pause := t.Bounds.Beat(); t.Clock.Sleep(ctx, pause) == nil; {
+		pause = t.Bounds.Beat()
+		reached, to := true, []member.Info(nil)
+		if t.doubtful() {
+			if reached, to = t.look(ctx, !away); reached {
+				pause = t.Bounds.Pulse()
+			}
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case reached && away:
+			away = false
+			t.Away(nil)
+		case !reached && len(to) > 0:
+			away = true
+			t.Away(to)
+		}
+	}
+}
+
+// look tells whether some machine that decides is reached or a pulse was heard meanwhile, and if not, which fellows reach them, if that is asked for.
+func (t *Touch) look(ctx context.Context, ask bool) (bool, []member.Info) {
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	c := make(chan []member.Info, 1)
+	go func() {
+		var to []member.Info
+		if ask {
+			to = t.well(cx)
+		}
+		c <- to
+	}()
+	if n, all := t.reached(cx, some); n > 0 || all == 0 {
+		return true, nil
+	}
+	to := <-c
+	return !t.doubtful(), to
+}
+
+// slack is what a slow machine or link is given more, since slow is not away.
+func (t *Touch) slack() time.Duration {
+	d, _ := t.Usual()
+	return slackOf * d
+}
+
+func (t *Touch) doubtful() bool {
+	_, ok := t.Usual()
+	at := t.Heard()
+	return ok && !at.IsZero() && t.Clock.Now().Sub(at) > t.Bounds.Pulse()*doubtOf/doubtIn+t.slack()
+}
+
+// reached calls the machines that decide, and tells how many of how many answered, as soon as a share of them did.
+func (t *Touch) reached(ctx context.Context, share int) (n, all int) {
+	cx, stop := context.WithTimeout(ctx, t.Bounds.Hedge()+t.slack())
+	defer stop()
+	as := t.Owners()
+	most := max(1, (len(as)+share-1)/share)
+	got := gather.Good(gather.Ask(cx, as, func(ctx context.Context, a string) (*watch.BeatAnswer, error) {
+		return watch.Beat.Call(ctx, t.Net, t.Self, a, &watch.BeatTask{})
+	}, func(as []gather.Answer[string, *watch.BeatAnswer]) bool { return len(gather.Good(as)) >= most }))
+	return len(got), len(as)
+}
+
+// well gives the fellows of the nearest group in which some say that they reach those who decide: those who say so soon after the first.
+func (t *Touch) well(ctx context.Context) []member.Info {
+	for _, g := range t.Fellows() {
+		rand.Shuffle(len(g), func(i, k int) { g[i], g[k] = g[k], g[i] })
+		g = g[:min(len(g), askedMost)]
+		cx, stop := context.WithTimeout(ctx, 2*t.Bounds.Hedge())
+		as := gather.Good(gather.Ask(cx, g, func(ctx context.Context, i member.Info) (*ReachAnswer, error) {
+			a, err := Reach.Call(ctx, t.Net, t.Self, i.Fellows, &ReachTask{})
+			if err == nil && a.Well {
+				go func() {
+					_ = t.Clock.Sleep(cx, t.Bounds.Soon())
+					stop()
+				}()
+			}
+			return a, err
+		}, nil))
+		stop()
+		var to []member.Info
+		for _, a := range as {
+			if a.A.Well {
+				to = append(to, a.Who)
+			}
+		}
+		if len(to) > 0 {
+			return to
+		}
+	}
+	return nil
+}
+
+func (t *Touch) reach(ctx context.Context, _ *ReachTask) (*ReachAnswer, error) {
+	if err := t.Able(); err != nil {
+		return nil, err
+	}
+	n, all := t.reached(ctx, half)
+	return &ReachAnswer{Well: half*n >= all}, nil
+}
+
+// Serve adds the call.
+func (t *Touch) Serve(m *http.ServeMux) { Reach.Handle(m, t.reach) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"postjunction/internal/carrier/fan"
 	"postjunction/internal/carrier/feed"
 	"postjunction/internal/carrier/presence"
 	"postjunction/internal/clock"
@@ -31,6 +32,8 @@
 	"postjunction/internal/ledger/owner"
 	"postjunction/internal/ledger/replica"
 	"postjunction/internal/member"
+	"postjunction/internal/member/touch"
+	"postjunction/internal/member/watch"
 	"postjunction/internal/node/owners"
 	"postjunction/internal/operator"
 	"postjunction/internal/options"
@@ -41,6 +44,7 @@
 	"postjunction/internal/visitor"
 	"postjunction/internal/visitor/admission"
 	"postjunction/internal/visitor/turned"
+	"postjunction/internal/visitor/visit"
 	"postjunction/internal/wire"
 )
 
@@ -87,12 +91,18 @@
 	gates    *admission.Gates
 	turned   turned.Memory
 	founder  *founding.Founder
+	leaves   *founding.Leaves
 	steward  *steward.Steward
 	duty     *duty.Duty
+	watch    *watch.Watch
+	touch    *touch.Touch
 
 	// Visitors and Operators are the services behind the door.
 	Visitors  *visitor.Service
 	Operators *operator.Service
+	// House takes visits on line sessions.
+	House *visit.House
+	hub   *fan.Hub
 
 	leaving chan struct{}
 	stop    context.CancelFunc
@@ -108,7 +118,7 @@
 	ctx, n.stop = context.WithCancel(ctx)
 	if o.Disk != options.DiskNone {
 		if err := n.open(ctx); err != nil {
-			n.stop()
+			n.Kill()
 			return nil, err
 		}
 	}
@@ -129,6 +139,7 @@
 	if err != nil {
 		return err
 	}
+	j.Limit(int64(n.opts.Room)<<20, n.bounds().Tend())
 	n.journal = j
 	n.log.Say(event.DiskOpened, "records", r.Records)
 	if r.Torn > 0 {
@@ -175,9 +186,12 @@
 	n.mu.Lock()
 	o, st, fit := n.opts, n.stage, n.fitness
 	n.mu.Unlock()
-	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Reached(), Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Homes: true, Roster: n.Board.Roster().Sequence}
+	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Reached(), Visits: o.Visits, Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Homes: true, Keys: true, Processor: o.Carries(), Roster: n.Board.Roster().Sequence}
 	if n.keeper != nil {
-		i.Deaf, i.Lag = n.keeper.Licensed() != nil, n.keeper.Lag().Microseconds()
+		i.Deaf = !n.keeper.Confirmed()
+	}
+	if n.keeper != nil && o.Disk != options.DiskNone {
+		i.Lag = n.keeper.Lag().Microseconds()
 	}
 	if n.id != nil {
 		i.Incarnation = n.id.Get().Incarnation
@@ -199,7 +213,7 @@
 	if n.table != nil {
 		for _, i := range n.table.Live() {
 			if i.Name == node {
-				return i.Fellows, i.Stage == member.Serving
+				return i.Fellows, i.Stage == member.Serving && !n.host.Lost(i.Fellows)
 			}
 		}
 		return "", false
@@ -208,11 +222,41 @@
 	return i.Fellows, ok
 }
 
+// controls gives the members as a control node knows them, itself as it is now.
+func (n *Node) controls() []member.Info {
+	is := n.table.Live()
+	for k := range is {
+		if is[k].Name == n.opts.Name {
+			is[k] = n.Info()
+		}
+	}
+	return is
+}
+
 func (n *Node) addr(node string) (string, bool) {
 	i, ok := n.View.Get(node)
 	return i.Fellows, ok
 }
 
+func (n *Node) reach(node string) (string, bool) {
+	i, ok := n.View.Last(node)
+	return i.Fellows, ok
+}
+
+var ranks = map[string]int{options.DiskStorage: 0, options.DiskControl: 1}
+
+// able ranks a disk as the next owner of a partition whose owner is gone.
+func (n *Node) able(p record.Place) int {
+	i, ok := n.View.Last(p.Node)
+	if p.Node == n.options().Name {
+		i, ok = n.Info(), true
+	}
+	if !ok || i.Incarnation != p.Incarnation || i.Fitness != "" || i.Stage != member.Serving || i.Deaf || n.watch.Lost(p.Node) {
+		return -1
+	}
+	return ranks[i.Disk]
+}
+
 func (n *Node) members() []member.Info {
 	if n.table != nil {
 		return n.table.Live()
@@ -235,6 +279,9 @@
 }
 
 func (n *Node) heard(x gossip.News) {
+	if n.desk != nil {
+		n.desk.News(x.Records)
+	}
 	if x.Description != nil {
 		n.log.Say(event.DescriptionNews, "sequence", x.Description.Sequence, "spaces", len(x.Description.Spaces))
 	}
@@ -253,31 +300,41 @@
 		n.confirm = &confirm.Confirmer{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, Holder: n.holder, Mender: mender}
 		n.host = &session.Host{Self: self, Seeds: o.Seeds, Clock: clk, Bounds: b, Net: net, Table: n.table, Board: n.Board, Info: n.Info, Latest: n.confirm.Latest}
 		n.founder = founding.New(o, net, n.Info)
-		n.steward = &steward.Steward{Self: self, Clock: clk, Bounds: b, Board: n.Board, Founder: n.founder, Reformer: reform.New(self, net, b), Mender: mender, Live: n.table.Live, Log: n.log}
+		n.steward = &steward.Steward{Self: self, Clock: clk, Bounds: b, Board: n.Board, Founder: n.founder, Reformer: reform.New(self, net, b), Mender: mender, Live: n.controls, Changed: n.table.Changed, Sealed: n.voter.Sealed, Sealing: n.voter.Sealing, Log: n.log}
 		if r := n.voter.Roster(); r.Sequence > 0 {
 			n.Board.Offer(gossip.News{Roster: &r})
 		}
 	}
+	n.leaves = founding.NewLeaves(o, func() uint64 { return n.Board.Roster().Sequence })
 	n.client = client.New(self, net, b, n.members, n.holder)
 	n.keeper = &session.Keeper{Opts: o, Clock: clk, Net: net, Board: n.Board, View: n.View, Info: n.Info, Local: n.host, Log: n.log}
-	n.gossip = &gossip.Gossip{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View.All}
+	n.gossip = &gossip.Gossip{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View.All, Control: o.Voter(), Disk: o.Disk != options.DiskNone}
 	if o.Voter() {
-		n.duty = &duty.Duty{Self: self, Clock: clk, Bounds: b, Holder: n.holder, Client: n.client, Board: n.Board, Live: n.table.Live, Log: n.log}
+		n.duty = &duty.Duty{Self: self, Clock: clk, Bounds: b, Holder: n.holder, Client: n.client, Board: n.Board, Live: n.table.Live, Tell: n.gossip.Tell, Changed: n.table.Changed, Log: n.log}
 	}
-	n.owners = &owners.Keeper{Self: self, Clock: clk, Bounds: b, Board: n.Board, Client: n.client, Replica: n.replica, Log: n.log}
+	n.owners = &owners.Keeper{Self: self, Clock: clk, Bounds: b, Board: n.Board, Client: n.client, Replica: n.replica, Log: n.log, Able: n.able, Tell: n.gossip.Tell}
+	n.watch = &watch.Watch{Self: self, Boot: n.boot, Clock: clk, Bounds: b, Net: net, Board: n.Board, Addr: n.reach, Gone: n.owners.Inherit}
 	n.owners.Deps = owner.Deps{
 		Self: self, Net: net, Clock: clk, Bounds: b, Replica: n.replica, Addr: n.addr, Licensed: n.keeper.Licensed,
 		Batch:   func() time.Duration { return n.options().Batch() },
 		Backlog: func() int { return n.options().Backlog },
+		Marks:   func() int { return n.options().Marks },
+		Stretch: time.Duration(o.Stretch),
+		Longest: func() time.Duration {
+			if x := n.Board.Index(); x.Sequence > 0 {
+				return x.Longest
+			}
+			return b.KeptMost()
+		},
 		Settled: n.owners.Settled, Promote: n.owners.Promote, Log: (*ownerLog)(n), Witness: n.w.Witness,
 	}
-	n.desk = &desk.Desk{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View, Owners: n.owners}
+	n.desk = &desk.Desk{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, View: n.View, Owners: n.owners, Backlog: func() int { return n.options().Backlog }, Packs: o.Packs()}
 	n.presence = presence.New(self, net, b, n.View)
 	n.gates = admission.New(o.Backlog)
 	n.turned = turned.New()
 	n.Visitors = &visitor.Service{
 		Clock: clk, Bounds: b, Body: o.Body, Board: n.Board, Desk: n.desk, Presence: n.presence, Gates: n.gates,
-		Feeds: feed.New(ctx, n.desk, clk, b), Licensed: n.keeper.Licensed, Leaving: n.leaving,
+		Feeds: feed.New(ctx, self, n.boot, n.desk, clk, b), Licensed: n.keeper.Licensed, Leaving: n.leaving,
 		Heard: func(t *visitor.Task, err error) {
 			n.log.Say(event.Turned, "verb", t.Verb, "visitor", t.Visitor, "problem", err)
 			p, topic := problem.Of(err), ""
@@ -287,7 +344,58 @@
 			n.turned.Add(turned.Note{At: clk.Now().UTC(), Node: self, Verb: t.Verb, Visitor: t.Visitor, Topic: topic, Call: t.Call, Code: string(p.Kind), Say: p.Say})
 		},
 	}
-	n.Operators = &operator.Service{Bounds: b, Client: n.client, Board: n.Board, View: n.View, Info: n.Info, Licensed: n.keeper.Licensed, With: n.keeper.With, Owners: n.owners.Views, Uses: n.desk.Usage, Tallies: n.tallies, Trace: n.desk.Trace, Turned: n.askTurned, Log: n.log}
+	n.hub = fan.New(ctx, self, n.boot, n.desk, n.Board, clk, b)
+	n.House = (&visit.House{
+		Self: self, Clock: clk, Bounds: b, Board: n.Board, Hub: n.hub, Ledger: n.desk, Licensed: n.keeper.Licensed,
+		Leaving: n.leaving, Members: n.View.All, Info: n.Info, Body: o.Body,
+	}).Open(ctx)
+	n.touch = &touch.Touch{
+		Self: self, Clock: clk, Bounds: b, Net: net, Heard: n.keeper.Heard, Usual: n.keeper.Usual, Owners: n.deciders, Fellows: n.nearest, Able: n.Ready,
+		Away: func(to []member.Info) {
+			if len(to) > 0 {
+				n.log.Say(event.VisitorsSent, "visitors", n.House.Count(), "fellows", len(to))
+			} else {
+				n.log.Say(event.VisitorsStay)
+			}
+			n.House.Away(to)
+		},
+	}
+	n.Operators = &operator.Service{Clock: n.w.Clock, Bounds: b, Client: n.client, Board: n.Board, View: n.View, Info: n.Info, Licensed: n.keeper.Licensed, With: n.keeper.With, Owners: n.owners.Views, Uses: n.desk.Usage, Marks: n.desk.Marks, Tallies: n.tallies, Trace: n.desk.Trace, Turned: n.askTurned, Log: n.log}
+}
+
+// deciders gives the addresses of the other machines that records name as owners.
+func (n *Node) deciders() []string {
+	self := n.options().Name
+	by := map[string]bool{}
+	var as []string
+	for p := range n.Board.Roster().Layout.Count() {
+		o := n.Board.Record(p).Owner
+		if o == "" || o == self || by[o] {
+			continue
+		}
+		by[o] = true
+		if a, ok := n.reach(o); ok {
+			as = append(as, a)
+		}
+	}
+	return as
+}
+
+// nearest gives the other nodes that take visitors: those of this node's zone, then the rest.
+func (n *Node) nearest() [][]member.Info {
+	me := n.options()
+	gs := make([][]member.Info, 2)
+	for _, i := range n.View.All() {
+		if i.Visits == "" || i.Name == me.Name || i.Stage != member.Serving || i.Deaf {
+			continue
+		}
+		k := 1
+		if i.Zone == me.Zone {
+			k = 0
+		}
+		gs[k] = append(gs[k], i)
+	}
+	return gs
 }
 
 func (n *Node) askTurned(ctx context.Context, i member.Info, q turned.Task) ([]turned.Note, error) {
@@ -304,6 +412,11 @@
 func (n *Node) run(ctx context.Context) {
 	n.goes(func() { n.keeper.Run(ctx) })
 	n.goes(func() { n.gossip.Run(ctx) })
+	n.goes(func() { n.hub.Run(ctx) })
+	n.goes(func() { n.House.Run(ctx) })
+	if n.opts.Visits != "" {
+		n.goes(func() { n.touch.Run(ctx) })
+	}
 	if n.opts.Voter() {
 		n.goes(func() { n.host.Run(ctx) })
 		n.goes(func() { n.confirm.Run(ctx) })
@@ -312,6 +425,7 @@
 	}
 	if n.replica != nil {
 		n.goes(func() { n.owners.Run(ctx) })
+		n.goes(func() { n.watch.Run(ctx) })
 		n.goes(func() { n.disk(ctx) })
 	}
 }
@@ -326,7 +440,7 @@
 
 func (n *Node) disk(ctx context.Context) {
 	b := n.bounds()
-	swept := n.w.Clock.Now()
+	swept, dropped := n.w.Clock.Now(), n.w.Clock.Now()
 	for n.w.Clock.Sleep(ctx, b.Tend()) == nil {
 		if f := n.Board.Roster().Fleet; f != "" {
 			if err := n.id.Join(ctx, n.journal, f); problem.Has(err, problem.DiskForeign) {
@@ -336,6 +450,10 @@
 				continue
 			}
 		}
+		if n.w.Clock.Now().Sub(dropped) > b.Sweep() {
+			dropped = n.w.Clock.Now()
+			n.owners.Orphans(ctx)
+		}
 		err := n.journal.Fault()
 		if err != nil {
 			err = n.journal.Probe(ctx, b.Call())
@@ -351,7 +469,6 @@
 		}
 		if n.w.Clock.Now().Sub(swept) > b.Sweep() {
 			swept = n.w.Clock.Now()
-			n.owners.Orphans(ctx)
 			n.scrub(ctx)
 		}
 	}
@@ -374,13 +491,17 @@
 	n.desk.Serve(m)
 	n.presence.Serve(m)
 	n.turned.Serve(m)
+	n.leaves.Serve(m)
+	n.touch.Serve(m)
 	if n.host != nil {
 		n.host.Serve(m)
 		n.holder.Serve(m)
 		n.voter.Serve(m)
+		n.Operators.Serve(m)
 	}
 	if n.replica != nil {
 		n.replica.Serve(m)
+		n.watch.Serve(m)
 	}
 	return m
 }
@@ -397,11 +518,17 @@
 		return problem.New(problem.Leaving, "this node is stopping")
 	default:
 	}
+	if err := n.House.Stays(); err != nil {
+		return err
+	}
 	return n.keeper.Licensed()
 }
 
 // HoldsDuty tells whether this node has the placement duty as far as it knows.
-func (n *Node) HoldsDuty() bool { return n.holder != nil && n.holder.Holds(duty.Key) }
+func (n *Node) HoldsDuty() bool { return n.Holds(duty.Key) }
+
+// Holds tells whether this node holds a control key as far as it knows.
+func (n *Node) Holds(key string) bool { return n.holder != nil && n.holder.Holds(key) }
 
 // Stop leaves in good order: unready at once, duties handed over, streams ended with a hint.
 func (n *Node) Stop() {
@@ -435,6 +562,9 @@
 		}
 		h = n.holder.HandOver(ctx, to)
 	}
+	cx, rest := context.WithTimeout(ctx, b.HandOver())
+	defer rest()
+	n.Visitors.Feeds.Rest(cx)
 	n.log.Say(event.HandedOver, "partitions", k, "keys", h)
 	n.Kill()
 	n.log.Say(event.StoppedClean)
@@ -486,6 +616,18 @@
 	l.log.Say(event.OwnerTrouble, "partition", p, "epoch", e, "step", step, "problem", err)
 }
 
+var readers = map[bool]event.Event{false: event.ReaderNoted, true: event.ReaderGivenUp}
+
+// Reader logs that a node reads what has keys, or was given up as one that does.
+func (l *ownerLog) Reader(p int, e uint64, node, boot string, givenUp bool) {
+	l.log.Say(readers[givenUp], "partition", p, "epoch", e, "node", node, "boot", boot)
+}
+
+// MarksFull logs that no more withdrawals are taken.
+func (l *ownerLog) MarksFull(p int, e uint64, marks int) {
+	l.log.Say(event.MarksFull, "partition", p, "epoch", e, "marks", marks)
+}
+
 func (n *Node) tallies() map[string]any {
 	taken, shed := n.gates.Counts()
 	streams, lines := n.Visitors.Streams()
--- /dev/null
+++ b/internal/node/owners/heir.go
@@ -0,0 +1,84 @@
+package owners
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/client"
+	"postjunction/internal/event"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+const claimsMost = 32
+
+// heirs keeps which partitions this machine is claiming at present.
+type heirs struct {
+	mu  sync.Mutex
+	now map[int]bool
+}
+
+func (h *heirs) begin(p int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.now[p] || len(h.now) >= claimsMost {
+		return false
+	}
+	if h.now == nil {
+		h.now = map[int]bool{}
+	}
+	h.now[p] = true
+	return true
+}
+
+func (h *heirs) end(p int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.now, p)
+}
+
+// Inherit claims the partitions of a machine that is gone, each at its turn: the first heir at once, each further one a pause later. The
+// record says who is which; of two that claim, one wins.
+func (k *Keeper) Inherit(ctx context.Context, node string, since time.Time, why string) {
+	k.mu.Lock()
+	closed := k.closed
+	k.mu.Unlock()
+	if closed {
+		return
+	}
+	for p := range k.Board.Roster().Layout.Count() {
+		r := k.Board.Record(p)
+		if r.Owner != node || !k.named(r) {
+			continue
+		}
+		turn := time.Duration(r.Heirs(k.Able).Turn(k.Self)) * k.Bounds.Jitter()
+		if turn < 0 || k.Clock.Now().Sub(since) < turn || !k.heirs.begin(p) {
+			continue
+		}
+		go func() {
+			defer k.heirs.end(p)
+			k.inherit(ctx, r, why)
+		}()
+	}
+}
+
+func (k *Keeper) inherit(ctx context.Context, r record.Record, why string) {
+	cx, stop := context.WithTimeout(ctx, k.Bounds.Call())
+	defer stop()
+	n := r.Next(k.Self, r.Replicas, "the owner is gone: "+why, k.Clock.Now())
+	v, err := k.Client.Change(cx, record.Key(r.Partition), r.Writes, client.Name(), n.Pack())
+	if err == nil {
+		n.Writes = v.Writes
+		k.Log.Say(event.Inherited, "partition", r.Partition, "epoch", n.Epoch, "from", r.Owner, "reason", why)
+		k.Tell(ctx, n)
+		return
+	}
+	if !problem.Has(err, problem.StaleBase) {
+		k.Log.Say(event.PlaceTrouble, "partition", r.Partition, "problem", err)
+		_ = k.Clock.Sleep(ctx, clock.Jitter(k.Bounds.Beat(), 1, rand.Float64()))
+	}
+	_, _ = k.read(cx, r.Partition)
+}
--- a/internal/node/owners/owners.go
+++ b/internal/node/owners/owners.go
@@ -28,11 +28,16 @@
 	Replica *replica.Replica
 	Deps    owner.Deps
 	Log     *event.Logger
-	mu      sync.Mutex
-	m       map[int]*owner.Owner
-	closed  bool
-	epochs  map[int]uint64
-	loads   map[int]sample
+	// Able ranks a disk as the next owner by what is known of its machine: 0 first, below 0 for one that can't be.
+	Able  func(record.Place) int
+	heirs heirs
+	// Tell has records that were written here known at once.
+	Tell   func(context.Context, ...record.Record)
+	mu     sync.Mutex
+	m      map[int]*owner.Owner
+	closed bool
+	epochs map[int]uint64
+	loads  map[int]sample
 }
 
 // Owner finds the owner of a partition that runs here.
@@ -73,6 +78,7 @@
 
 // Run follows the records until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	go k.recall(ctx)
 	for ctx.Err() == nil {
 		ch := k.Board.Changed()
 		k.look(ctx)
@@ -90,6 +96,27 @@
 	}
 }
 
+// recall reads the records of what this disk holds, all at once, since after a restart of all nodes nobody else may know them.
+func (k *Keeper) recall(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, p := range k.Replica.Partitions() {
+		wg.Go(func() {
+			for try := 0; ctx.Err() == nil && k.Board.Record(p).Epoch == 0; try++ {
+				if k.Board.Roster().Sequence > 0 {
+					cx, stop := context.WithTimeout(ctx, k.Bounds.Call())
+					_, err := k.read(cx, p)
+					stop()
+					if err == nil {
+						return
+					}
+				}
+				_ = k.Clock.Sleep(ctx, k.Bounds.Grown(try))
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func (k *Keeper) look(ctx context.Context) {
 	l := k.Board.Roster().Layout
 	for p := range l.Count() {
@@ -109,6 +136,15 @@
 			continue
 		case r.Owner == k.Self && r.Epoch > k.epochs[p] && !k.closed:
 			k.epochs[p] = r.Epoch
+			if k.Replica.Sealed(p) >= r.Epoch && k.named(r) {
+				delete(k.m, p)
+				k.mu.Unlock()
+				if o != nil {
+					o.End(problem.New(problem.StaleEpoch, "epoch %d came", r.Epoch))
+				}
+				go k.revive(ctx, p)
+				continue
+			}
 			n := owner.New(k.Deps, r, partition.Urgent(p, l))
 			k.m[p] = n
 			k.mu.Unlock()
@@ -137,8 +173,17 @@
 		delete(k.m, o.Rec.Partition)
 	}
 	k.mu.Unlock()
-	for alone && k.Clock.Sleep(ctx, k.Bounds.Retry()) == nil {
-		alone = !k.reread(ctx, o.Rec.Partition)
+	if alone && k.Clock.Sleep(ctx, k.Bounds.Retry()) == nil {
+		k.revive(ctx, o.Rec.Partition)
+	}
+}
+
+// revive asks for a new epoch of a partition that the record names this node for, under one that this disk used before.
+func (k *Keeper) revive(ctx context.Context, p int) {
+	for try := 0; !k.reread(ctx, p); try++ {
+		if k.Clock.Sleep(ctx, k.Bounds.Grown(try)) != nil {
+			return
+		}
 	}
 }
 
@@ -183,7 +228,7 @@
 
 // Change rewrites a partition's record while it is still at the given epoch.
 func (k *Keeper) Change(ctx context.Context, p int, epoch uint64, f func(record.Record) (record.Record, bool)) bool {
-	for ctx.Err() == nil {
+	for try := 0; ctx.Err() == nil; try++ {
 		r, err := k.read(ctx, p)
 		if err == nil {
 			n, ok := f(r)
@@ -193,11 +238,11 @@
 			v, e := k.Client.Change(ctx, record.Key(p), r.Writes, client.Name(), n.Pack())
 			if e == nil {
 				n.Writes = v.Writes
-				k.Board.Offer(gossip.News{Records: []record.Record{n}})
+				k.Tell(ctx, n)
 				return true
 			}
 		}
-		_ = k.Clock.Sleep(ctx, k.Bounds.Retry())
+		_ = k.Clock.Sleep(ctx, k.Bounds.Grown(try))
 	}
 	return false
 }
@@ -218,11 +263,11 @@
 	})
 }
 
-// Promote makes the learner, which has caught up, a replica.
+// Promote makes the learner, which has caught up, a replica: in the place of its machine's lost disk if the record names one, otherwise as one more.
 func (k *Keeper) Promote(ctx context.Context, r record.Record, l record.Place) {
 	k.Change(ctx, r.Partition, r.Epoch, func(x record.Record) (record.Record, bool) {
 		ok := x.Learner != nil && *x.Learner == l && x.Owner == k.Self && x.Settled
-		return x.Next(k.Self, append(append([]record.Place(nil), x.Replicas...), l), l.Node+" has caught up and holds a copy", k.Clock.Now()), ok
+		return x.Next(k.Self, x.With(l), l.Node+" has caught up and holds a copy", k.Clock.Now()), ok
 	})
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,15 +5,19 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sort"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"postjunction/internal/clock"
 	"postjunction/internal/control/client"
 	"postjunction/internal/control/confirm"
 	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
 	"postjunction/internal/description"
 	"postjunction/internal/event"
 	"postjunction/internal/gather"
@@ -34,6 +38,7 @@
 
 // Service serves operators on one node.
 type Service struct {
+	Clock    clock.Clock
 	Bounds   options.Bounds
 	Client   *client.Client
 	Board    *gossip.Board
@@ -43,15 +48,19 @@
 	With     func() string
 	Owners   func() []owner.View
 	Uses     func(ctx context.Context, p int) ([]owner.Use, error)
+	Marks    func(ctx context.Context, p int) (*owner.MarksView, error)
 	Tallies  func() map[string]any
 	Trace    func(ctx context.Context, p int, q *desk.TraceTask) (*desk.Traced, error)
 	Turned   func(ctx context.Context, i member.Info, q turned.Task) ([]turned.Note, error)
 	Log      *event.Logger
+
+	reader atomic.Pointer[Reader]
 }
 
-// Accepted is the answer to an accepted description.
+// Accepted is the answer to an accepted description. KeptLanes names what stands in another lane than its space asks for.
 type Accepted struct {
-	Sequence uint64 `json:"sequence"`
+	Sequence  uint64             `json:"sequence"`
+	KeptLanes []description.Lane `json:"kept_lanes,omitempty"`
 }
 
 const deadlineShare = 3
@@ -62,74 +71,141 @@
 
 // Description reads the current description back, confirmed by a majority.
 func (s *Service) Description(ctx context.Context) (any, error) {
+	d, err := s.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d.Lanes = description.Lanes{}
+	return json.RawMessage(d.Pack()), nil
+}
+
+// Current gives the current description, confirmed by a majority.
+func (s *Service) Current(ctx context.Context) (description.Description, error) {
 	ctx, stop := s.limit(ctx)
 	defer stop()
-	v, err := s.Client.Read(ctx, confirm.Key)
+	v, err := s.read(ctx, confirm.Key)
 	if err != nil {
-		return nil, err
+		return description.Description{}, err
 	}
 	if len(v.Body) == 0 {
-		return nil, problem.New(problem.DescriptionNone, "no description was put yet")
+		return description.Description{}, problem.New(problem.DescriptionNone, "no description was put yet")
 	}
-	return json.RawMessage(v.Body), nil
+	return parse(v.Body)
+}
+
+// read reads a control key; while the voters change nobody can tell, and it asks again.
+func (s *Service) read(ctx context.Context, key string) (voter.Value, error) {
+	v, err := s.Client.Read(ctx, key)
+	for problem.Has(err, problem.StaleRoster) && s.Clock.Sleep(ctx, s.Bounds.Retry()) == nil {
+		v, err = s.Client.Read(ctx, key)
+	}
+	return v, err
+}
+
+func parse(b []byte) (d description.Description, err error) {
+	return d, problem.Wrap(problem.Internal, easyjson.Unmarshal(b, &d), "read the current description")
 }
 
 // Put takes a whole description, built on the sequence last seen.
 func (s *Service) Put(ctx context.Context, b []byte) (any, error) {
-	a, err := s.put(ctx, b)
+	d, err := description.Parse(b)
 	if err != nil {
 		s.Log.Say(event.DescriptionFault, "problem", err)
 		return nil, err
 	}
-	s.Log.Say(event.DescriptionPut, "sequence", a.Sequence)
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	a, err := s.Replace(ctx, d)
+	if err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
-func (s *Service) put(ctx context.Context, b []byte) (*Accepted, error) {
-	d, err := description.Parse(b)
+// Replace takes a whole description that was read elsewhere, built on the sequence last seen, and says yes once it is the current one.
+// The very same one again is a yes as long as it is current. Where the outcome is not known it is asked for until the context ends.
+func (s *Service) Replace(ctx context.Context, d description.Description) (*Accepted, error) {
+	return s.say(s.replace(ctx, d.Whole(), client.Name(), false))
+}
+
+func (s *Service) say(a *Accepted, err error) (*Accepted, error) {
 	if err != nil {
+		s.Log.Say(event.DescriptionFault, "problem", err)
+		return nil, err
+	}
+	s.Log.Say(event.DescriptionPut, "sequence", a.Sequence)
+	if n := len(a.KeptLanes); n > 0 {
+		s.Log.Say(event.LanesKept, "sequence", a.Sequence, "prefixes", n, "first", a.KeptLanes[0].Prefix, "urgent", a.KeptLanes[0].Urgent)
+	}
+	return a, nil
+}
+
+func (s *Service) replace(ctx context.Context, d description.Description, by string, doubt bool) (*Accepted, error) {
+	if err := s.check(d); err != nil {
 		return nil, err
 	}
-	ctx, stop := s.limit(ctx)
-	defer stop()
-	by := client.Name()
-	doubt := false
+	for {
+		a, err := s.settle(ctx, d, by, &doubt)
+		if err == nil || !doubt && !problem.Has(err, problem.StaleRoster) || settled[problem.Of(err).Kind] {
+			return a, err
+		}
+		if e := s.Clock.Sleep(ctx, s.Bounds.Retry()); e != nil {
+			return nil, outcome(doubt, err)
+		}
+	}
+}
+
+var settled = map[problem.Kind]bool{problem.DescriptionRaced: true, problem.DescriptionBad: true, problem.OutcomeUnknown: true, problem.Oversize: true}
+
+// settle reads the current description and changes it on the count it read. Each description builds on one before it with a lower sequence, so
+// one that stands elsewhere than between this one's base and this one tells that this one was never current, doubt or not.
+func (s *Service) settle(ctx context.Context, d description.Description, by string, doubt *bool) (*Accepted, error) {
 	for {
 		v, err := s.Client.Read(ctx, confirm.Key)
 		if err != nil {
-			return nil, outcome(doubt, err)
+			return nil, err
 		}
 		cur, err := confirm.Parse(v)
 		if err != nil {
 			return nil, problem.Wrap(problem.Internal, err, "read the current description")
 		}
-		if v.By == by {
-			return s.accepted(v.Body)
+		if v.By == by || len(v.Body) > 0 && cur.Same(d) {
+			return s.accepted(cur)
 		}
 		if cur.Sequence != d.Base {
-			if doubt {
+			if *doubt && cur.Base >= d.Sequence {
 				return nil, outcome(true, problem.New(problem.OutcomeUnknown, "description %d is current", cur.Sequence).At(cur.Sequence))
 			}
 			return nil, problem.New(problem.DescriptionRaced, "the description builds on %d, current is %d", d.Base, cur.Sequence).At(cur.Sequence)
 		}
-		if err := d.Follows(cur); err != nil {
+		n, err := s.stand(ctx, d, cur)
+		if err != nil {
 			return nil, err
 		}
-		if err := s.retire(ctx, d, cur); err != nil {
-			return nil, outcome(doubt, err)
+		body := n.Pack()
+		if len(body) > description.PackedMost {
+			return nil, problem.New(problem.Oversize, "the description takes %d bytes with its source, the limit is %d", len(body), description.PackedMost)
 		}
-		d.Sequence = d.Base + 1
-		w, err := s.Client.Change(ctx, confirm.Key, v.Writes, by, d.Pack())
+		_, err = s.Client.Change(ctx, confirm.Key, v.Writes, by, body)
 		if err == nil {
-			return s.accepted(w.Body)
+			return s.accepted(n)
 		}
-		if problem.Has(err, problem.NoMajority) || problem.Has(err, problem.Unreachable) {
-			doubt = true
+		*doubt = *doubt || problem.Has(err, problem.NoMajority) || problem.Has(err, problem.Unreachable)
+		if *doubt || ctx.Err() != nil {
+			return nil, err
 		}
-		if ctx.Err() != nil {
-			return nil, outcome(doubt, err)
+	}
+}
+
+// check finds the faults that need no other description, those against the fleet's bounds among them.
+func (s *Service) check(d description.Description) error {
+	f := d.Faults()
+	for i, x := range d.Spaces {
+		if most := uint64(s.Bounds.KeptMost().Milliseconds()); x.KeepMS > most {
+			f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].keep_ms", i), Say: fmt.Sprintf("must be at most ten times the fleet's keeping (%d), is %d", most, x.KeepMS)})
 		}
 	}
+	return description.Bad(f)
 }
 
 func outcome(doubt bool, err error) error {
@@ -141,13 +217,9 @@
 	return p
 }
 
-func (s *Service) accepted(b []byte) (*Accepted, error) {
-	var d description.Description
-	if err := easyjson.Unmarshal(b, &d); err != nil {
-		return nil, problem.Wrap(problem.Internal, err, "read the accepted description")
-	}
+func (s *Service) accepted(d description.Description) (*Accepted, error) {
 	s.Board.Offer(gossip.News{Description: &d})
-	return &Accepted{Sequence: d.Sequence}, nil
+	return &Accepted{Sequence: d.Sequence, KeptLanes: d.KeptLanes()}, nil
 }
 
 // Status is what a node knows of the fleet.
@@ -191,7 +263,7 @@
 	rows := []usage.Row{}
 	for _, a := range as {
 		for _, u := range a.A {
-			sp, t, _ := strings.Cut(u.Topic, "/")
+			sp, t := s.named(u.Topic)
 			rows = append(rows, usage.Row{Space: sp, Topic: t, Partition: int32(a.Who), Messages: int64(u.Messages), Senders: int32(u.Senders), LastOffset: int64(u.Offset)})
 		}
 	}
@@ -201,14 +273,29 @@
 	return map[string]any{"usage": rows}, nil
 }
 
+// named splits the full name of a topic into its space and the rest; of a topic by prefix, and of one that no space has, the whole is given.
+func (s *Service) named(topic string) (space, rest string) {
+	sp, err := s.Board.Index().Find(topic)
+	if err == nil && sp.Open() {
+		return sp.Name, topic
+	}
+	space, rest, ok := strings.Cut(topic, "/")
+	if !ok {
+		return "", topic
+	}
+	return space, rest
+}
+
 // Counters gives this node's counts.
 func (s *Service) Counters() any { return s.Tallies() }
 
-// Detail is one partition's record with its history.
+// Detail is one partition's record with its history, and which withdrawals stand there, as far as its owner answers.
 type Detail struct {
 	Topic  string        `json:"topic,omitempty"`
 	Urgent bool          `json:"urgent"`
 	Record record.Record `json:"record"`
+	// Withdrawn is nil where nothing has keys.
+	Withdrawn *owner.MarksView `json:"withdrawn,omitempty"`
 }
 
 // Partition reads one partition's record, named by number or by a topic of it.
@@ -227,7 +314,7 @@
 	}
 	ctx, stop := s.limit(ctx)
 	defer stop()
-	v, err := s.Client.Read(ctx, record.Key(p))
+	v, err := s.read(ctx, record.Key(p))
 	if err != nil {
 		return nil, err
 	}
@@ -237,14 +324,18 @@
 			return nil, problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
 		}
 	}
-	return Detail{Topic: topic, Urgent: partition.Urgent(p, l), Record: r}, nil
+	d := Detail{Topic: topic, Urgent: partition.Urgent(p, l), Record: r}
+	cx, end := context.WithTimeout(ctx, s.Bounds.Call())
+	defer end()
+	d.Withdrawn, _ = s.Marks(cx, p)
+	return d, nil
 }
 
 // Drains lists the machines that are being or were emptied.
 func (s *Service) Drains(ctx context.Context) (any, error) {
 	ctx, stop := s.limit(ctx)
 	defer stop()
-	v, err := s.Client.Read(ctx, drain.Key)
+	v, err := s.read(ctx, drain.Key)
 	if err != nil {
 		return nil, err
 	}
@@ -256,14 +347,12 @@
 	return map[string]any{"drains": ds}, nil
 }
 
-const copies = 3
-
 // Drain asks for a machine to be emptied. The duty is recorded and goes on whoever runs it.
 func (s *Service) Drain(ctx context.Context, node string) (any, error) {
 	ctx, stop := s.limit(ctx)
 	defer stop()
 	for {
-		v, err := s.Client.Read(ctx, drain.Key)
+		v, err := s.read(ctx, drain.Key)
 		if err != nil {
 			return nil, err
 		}
@@ -280,7 +369,7 @@
 		}
 		b[node] = x
 		if _, err := s.Client.Change(ctx, drain.Key, v.Writes, client.Name(), b.Pack()); err != nil {
-			if problem.Has(err, problem.StaleBase) {
+			if problem.Has(err, problem.StaleBase) || problem.Has(err, problem.StaleRoster) && s.Clock.Sleep(ctx, s.Bounds.Retry()) == nil {
 				continue
 			}
 			return nil, outcome(true, err)
@@ -292,12 +381,22 @@
 
 func (s *Service) askable(ctx context.Context, node string, b drain.Book) (drain.Drain, error) {
 	left, known := 0, false
+	var ps []int
 	for p := range s.Board.Roster().Layout.Count() {
-		v, err := s.Client.Read(ctx, record.Key(p))
+		ps = append(ps, p)
+	}
+	for _, a := range gather.Ask(ctx, ps, func(ctx context.Context, p int) (bool, error) {
+		v, err := s.read(ctx, record.Key(p))
 		if err != nil {
-			return drain.Drain{}, err
+			return false, err
+		}
+		r, err := record.Parse(v.Body, v.Writes)
+		return err == nil && r.Holds(node), nil
+	}, nil) {
+		if a.Err != nil {
+			return drain.Drain{}, a.Err
 		}
-		if r, err := record.Parse(v.Body, v.Writes); err == nil && r.Holds(node) {
+		if a.A {
 			left++
 			known = true
 		}
@@ -317,11 +416,11 @@
 	if !known || me.Name != "" && me.Disk == options.DiskNone {
 		return drain.Drain{}, problem.New(problem.UnknownNode, "%q is no machine with a disk of this fleet", node)
 	}
-	if left == 0 {
+	if left == 0 && me.Disk != options.DiskStorage {
 		return drain.Drain{}, problem.New(problem.AlreadyEmpty, "%s holds no partition", node)
 	}
-	if rest < copies {
-		return drain.Drain{}, problem.New(problem.DrainUnsafe, "without %s only %d machines with disks serve, %d are needed to bear a loss", node, rest, copies)
+	if n := s.Board.Roster().Layout.Copies(); rest < n {
+		return drain.Drain{}, problem.New(problem.DrainUnsafe, "without %s only %d machines with disks serve, %d are needed to bear a loss", node, rest, n)
 	}
-	return drain.Drain{Node: node, Boot: me.Boot, Asked: time.Now().UTC(), Left: left}, nil
+	return drain.Drain{Node: node, Boot: me.Boot, Asked: time.Now().UTC(), Left: left, Done: left == 0}, nil
 }
--- a/internal/operator/retire.go
+++ b/internal/operator/retire.go
@@ -10,6 +10,30 @@
 
 const retiredKey = "spaces/retired"
 
+// stand makes a description of what an operator wrote and where lines stand. The table of lanes, once there is one, says it all;
+// before, the current spaces and the removed ones do.
+func (s *Service) stand(ctx context.Context, d, cur description.Description) (description.Description, error) {
+	known := cur.Lanes.IsDefined()
+	if !d.StandingLanes && !known {
+		if err := d.Follows(cur); err != nil {
+			return d, err
+		}
+		return d, s.retire(ctx, d, cur)
+	}
+	r := description.Retired{}
+	if !known {
+		v, err := s.Client.Read(ctx, retiredKey)
+		if err != nil {
+			return d, err
+		}
+		if r, err = description.ParseRetired(v.Body); err != nil {
+			return d, err
+		}
+	}
+	d = d.Stand(cur, r)
+	return d, d.Asked()
+}
+
 // retire keeps the urgency of every space that a description removes, before the description is changed, and checks spaces that come back against it.
 // Names kept by a description that then loses its race do no harm: they stand with the urgency that they have.
 func (s *Service) retire(ctx context.Context, d, cur description.Description) error {
--- /dev/null
+++ b/internal/operator/submit.go
@@ -0,0 +1,111 @@
+package operator
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"net/http"
+
+	"postjunction/internal/control/client"
+	"postjunction/internal/description"
+	"postjunction/internal/problem"
+	"postjunction/internal/wire"
+)
+
+// Reader reads an operator's own document as a description that builds on base.
+type Reader = func(doc []byte, base uint64) (description.Description, error)
+
+// SubmitTask hands an operator's own document over to a control node, deflated, under the name that its change is to have.
+type SubmitTask struct {
+	Base uint64 `json:"b"`
+	By   string `json:"n"`
+	Doc  []byte `json:"d"`
+}
+
+// SubmitAnswer is the answer to an accepted document.
+type SubmitAnswer struct{}
+
+// Submit is the call that hands a document over.
+var Submit = wire.Name[SubmitTask, SubmitAnswer]("Operator", "Submit")
+
+// Read sets how this node reads the documents that other nodes hand over.
+func (s *Service) Read(r Reader) { s.reader.Store(&r) }
+
+// Submit takes an operator's own document, read with the Reader, and goes on for the time of a call when the asker has gone, since a
+// description half taken helps nobody. A node without a control disk has a control node do it, as it takes a hundred times the work of a
+// message and several times the document's bytes; where that doesn't answer it goes on itself, under the same name.
+func (s *Service) Submit(ctx context.Context, doc []byte, base uint64, read Reader) error {
+	ctx, stop := s.limit(context.WithoutCancel(ctx))
+	defer stop()
+	by := client.Name()
+	doubt, err := s.hand(ctx, doc, base, by)
+	if err == nil || final[problem.Of(err).Kind] {
+		return err
+	}
+	return s.take(ctx, doc, base, by, doubt, read)
+}
+
+// final problems are those after which a control node surely did nothing, nor will, and no other would.
+var final = map[problem.Kind]bool{problem.DescriptionRaced: true, problem.DescriptionBad: true, problem.Malformed: true, problem.Oversize: true}
+
+func (s *Service) hand(ctx context.Context, doc []byte, base uint64, by string) (doubt bool, err error) {
+	b, err := deflate(doc)
+	if err != nil {
+		return false, err
+	}
+	sent, err := client.Once(ctx, s.Client, Submit, &SubmitTask{Base: base, By: by, Doc: b})
+	return sent && !problem.Has(err, problem.NotReady), err
+}
+
+func (s *Service) take(ctx context.Context, doc []byte, base uint64, by string, doubt bool, read Reader) error {
+	d, err := read(doc, base)
+	if err != nil {
+		return err
+	}
+	_, err = s.say(s.replace(ctx, d.Whole(), by, doubt))
+	return err
+}
+
+// Serve adds the call that hands a document over.
+func (s *Service) Serve(m *http.ServeMux) {
+	Submit.Handle(m, func(ctx context.Context, q *SubmitTask) (*SubmitAnswer, error) {
+		read := s.reader.Load()
+		if read == nil {
+			return nil, problem.New(problem.NotReady, "this node reads no documents")
+		}
+		doc, err := inflate(q.Doc)
+		if err != nil {
+			return nil, err
+		}
+		ctx, stop := s.limit(context.WithoutCancel(ctx))
+		defer stop()
+		if err := s.take(ctx, doc, q.Base, q.By, false, *read); err != nil {
+			return nil, err
+		}
+		return &SubmitAnswer{}, nil
+	})
+}
+
+func deflate(b []byte) ([]byte, error) {
+	var w bytes.Buffer
+	f, err := flate.NewWriter(&w, flate.BestSpeed)
+	if err != nil {
+		return nil, problem.Wrap(problem.Internal, err, "pack a document")
+	}
+	if _, err = f.Write(b); err == nil {
+		err = f.Close()
+	}
+	return w.Bytes(), problem.Wrap(problem.Internal, err, "pack a document")
+}
+
+func inflate(b []byte) ([]byte, error) {
+	doc, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), description.BytesMost+1))
+	switch {
+	case err != nil:
+		return nil, problem.Because(problem.Malformed, err, "the document can't be unpacked")
+	case len(doc) > description.BytesMost:
+		return nil, problem.New(problem.Oversize, "the document has more than %d bytes", description.BytesMost)
+	}
+	return doc, nil
+}
--- a/internal/options/bounds.go
+++ b/internal/options/bounds.go
@@ -27,11 +27,20 @@
 	handPercent     = 10
 	repairShare     = 1
 	sweepShare      = 4
-	previousShare   = 12
+	previousShare   = 48
+	beatShare       = 80
+	silentShare     = 16
+	againShare      = 120
+	hedgeShare      = 48
+	handShare       = 24
 	tendShare       = 24
 	retryShare      = 60
+	soonShare       = 480
+	eagerShare      = 6
 	changelogShare  = 6
 	changelogAtMost = 2
+	keptMost        = 10
+	growMost        = 8
 )
 
 // Pulse is how often a node renews its session and gossips.
@@ -55,12 +64,24 @@
 // Slow is how long a machine's pulses may take before it counts as slow, if that is also much longer than usual.
 func (b Bounds) Slow() time.Duration { return b.Spread / slowShare }
 
+// SlowTimes is how much longer than usual the pulses of a slow machine take.
+const SlowTimes = 8
+
 // Settle is how long a take-over may take before another store is tried.
 func (b Bounds) Settle() time.Duration { return b.Recovery / settleShare }
 
 // Kept is how long entries stay, the keeping time with a margin.
 func (b Bounds) Kept() time.Duration { return b.Keeping + b.Keeping/marginShare }
 
+// KeptMost is the longest that a space may ask to keep for.
+func (b Bounds) KeptMost() time.Duration { return keptMost * b.Keeping }
+
+// KeptFor is Kept where spaces ask for up to that long.
+func (b Bounds) KeptFor(longest time.Duration) time.Duration {
+	b.Keeping = max(b.Keeping, min(longest, b.KeptMost()))
+	return b.Kept()
+}
+
 // Stop is the longest a stopping node takes, inside the platform's 6 s.
 func (b Bounds) Stop() time.Duration { return b.Recovery * stopPercent / 100 }
 
@@ -73,6 +94,21 @@
 // Sweep is the pace of the repair sweep over one partition.
 func (b Bounds) Sweep() time.Duration { return b.Keeping / sweepShare }
 
+// Beat is how often the machines that share partitions look after one another.
+func (b Bounds) Beat() time.Duration { return b.Recovery / beatShare }
+
+// Silent is how long a machine that is looked after and answers promptly may be silent before its partitions go to their successors.
+func (b Bounds) Silent() time.Duration { return b.Recovery / silentShare }
+
+// Again is the pause before a port that turned a call away is tried once more; if it does so again, its process is gone.
+func (b Bounds) Again() time.Duration { return b.Recovery / againShare }
+
+// Hedge is how long a control call may be unanswered before the next control node is asked as well.
+func (b Bounds) Hedge() time.Duration { return b.Recovery / hedgeShare }
+
+// Hand is how long the holder of a key may take for a call that was handed over to it.
+func (b Bounds) Hand() time.Duration { return b.Recovery / handShare }
+
 // Previous is how long a partition waits for the machine that had it.
 func (b Bounds) Previous() time.Duration { return b.Recovery / previousShare }
 
@@ -82,6 +118,17 @@
 // Retry is the pause before a failed step between nodes is tried again.
 func (b Bounds) Retry() time.Duration { return b.Recovery / retryShare }
 
+// Soon is the first pause before a step that failed is tried again; further ones grow up to Retry.
+func (b Bounds) Soon() time.Duration { return b.Recovery / soonShare }
+
+// Grown gives the pause before the next try of a step that failed tries times in a row.
+func (b Bounds) Grown(tries int) time.Duration {
+	return min(b.Soon()<<(min(tries, growMost)/2), b.Retry())
+}
+
+// Eager is the pace of pulses while a node waits for its first licence.
+func (b Bounds) Eager() time.Duration { return b.Pulse() / eagerShare }
+
 // Changelog is the default interval of changelog batches.
 func (b Bounds) Changelog() time.Duration { return b.Recovery / changelogShare }
 
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -41,9 +41,54 @@
 	Changelog Span     `json:"changelog"`
 	Body      int      `json:"body_limit"`
 	Backlog   int      `json:"backlog"`
-	Level     string   `json:"log_level"`
+	// Marks is how many withdrawals of one partition may stand.
+	Marks int    `json:"marks"`
+	Level string `json:"log_level"`
+	// Visits is where visitors' line sessions are taken; empty for none.
+	Visits string `json:"visit_listen,omitempty"`
+	// Founding says who founds the fleet when founders are not named: self, seeds or never.
+	Founding string `json:"founding"`
+	// Losses is how many machines with a disk may be lost at once; copies and acknowledgements follow from it.
+	Losses int `json:"losses"`
+	// Stretch lengthens the licence of a node that no control node can confirm for.
+	Stretch Span `json:"stretch"`
+	// Keepalive is how long a visitor may be silent before it gives a sign of life; three times that ends its visit.
+	Keepalive Span `json:"keepalive"`
+	// Redelivery is how long after its taking a call may come again.
+	Redelivery Span `json:"redelivery"`
+	// Memory, Descriptors and Room bound the process and its disk, in MiB, numbers and MiB; 0 for no bound.
+	Memory      int `json:"memory_mb"`
+	Descriptors int `json:"descriptors"`
+	Room        int `json:"disk_mb"`
+	// Processor is what the process has of one, in thousandths of a core; 0 for plenty.
+	Processor int `json:"processor_thousandths"`
+	// Link is what the machine's link carries each way, in Kbit/s; 0 for plenty.
+	Link int `json:"link_kbits"`
 }
 
+// packsBelow is the Kbit/s of link for each thousandth of a core below which a link is narrow: packed bodies are asked for, and visitors go elsewhere.
+const packsBelow = 25
+
+// Carries is how many thousandths of a core the machine is worth to visitors: its processor, or less where the link is narrow beside it. 0 where that isn't known.
+func (o *Options) Carries() int {
+	if !o.Packs() {
+		return o.Processor
+	}
+	return max(o.Link/packsBelow, 1)
+}
+
+// Packs tells whether the link is so narrow beside the processor that what fellows tell is to come packed.
+func (o *Options) Packs() bool {
+	return o.Link > 0 && o.Processor > 0 && o.Link < packsBelow*o.Processor
+}
+
+// Who founds the fleet when founders are not named.
+const (
+	FoundSelf  = "self"
+	FoundSeeds = "seeds"
+	FoundNever = "never"
+)
+
 // Span is a duration written as Go writes it.
 type Span time.Duration
 
@@ -74,7 +119,10 @@
 // String writes a flag.
 func (s *Span) String() string { return time.Duration(*s).String() }
 
-const foundersMost = 7
+const (
+	foundersMost = 7
+	seedsMost    = 7
+)
 
 // Disks that a machine may have.
 const (
@@ -89,7 +137,8 @@
 		Listen: "127.0.0.1:7400", Fellows: "127.0.0.1:7500", Disk: DiskNone,
 		Routine: 12, Urgent: 4,
 		Keeping: Span(DefaultBounds.Keeping), Spread: Span(DefaultBounds.Spread), Recovery: Span(DefaultBounds.Recovery),
-		Body: 64 << 10, Backlog: 64, Level: "info",
+		Body: 64 << 10, Backlog: 64, Marks: 4096, Level: "info",
+		Founding: FoundSelf, Losses: 1, Keepalive: Span(2 * time.Second), Redelivery: Span(10 * time.Second),
 	}
 }
 
@@ -127,7 +176,7 @@
 	fs.StringVar(&o.Listen, "listen", o.Listen, "`address` for callers and operators")
 	fs.StringVar(&o.Fellows, "fellow-listen", o.Fellows, "`address` for the other nodes")
 	fs.StringVar(&o.Reach, "fellow-address", o.Reach, "`address` that the other nodes dial, when it differs from fellow-listen")
-	fs.Func("seeds", "three `addresses` of other nodes, with commas between", func(t string) error {
+	fs.Func("seeds", "one to seven `addresses` of other nodes, with commas between", func(t string) error {
 		o.Seeds = strings.Split(t, ",")
 		return nil
 	})
@@ -145,6 +194,18 @@
 	fs.Var(&o.Changelog, "changelog", "`interval` of changelog batches, 0 for recovery/6")
 	fs.IntVar(&o.Body, "body-limit", o.Body, "largest message body in `bytes`")
 	fs.IntVar(&o.Backlog, "backlog", o.Backlog, "tasks that may wait in a lane, a `number`")
+	fs.IntVar(&o.Marks, "marks", o.Marks, "withdrawals of one partition that may stand, a `number`")
+	fs.StringVar(&o.Visits, "visit-listen", o.Visits, "`address` for visitors' line sessions, empty for none")
+	fs.StringVar(&o.Founding, "founding", o.Founding, "`who` founds when founders are not named: self (and seeds), seeds or never")
+	fs.IntVar(&o.Losses, "losses", o.Losses, "`number` of machines with a disk that may be lost at once")
+	fs.Var(&o.Stretch, "stretch", "`time` that a licence lasts longer while no control node can confirm")
+	fs.Var(&o.Keepalive, "keepalive", "`time` after which a silent visitor gives a sign of life")
+	fs.Var(&o.Redelivery, "redelivery", "`time` within which a taken call may come again")
+	fs.IntVar(&o.Memory, "memory-mb", o.Memory, "memory of the process in `MiB`, 0 for no bound")
+	fs.IntVar(&o.Processor, "processor-thousandths", o.Processor, "`thousandths` of a core that the process has, 0 for plenty")
+	fs.IntVar(&o.Link, "link-kbits", o.Link, "`Kbit/s` that the link carries each way, 0 for plenty")
+	fs.IntVar(&o.Descriptors, "descriptors", o.Descriptors, "`number` of descriptors, 0 for no bound")
+	fs.IntVar(&o.Room, "disk-mb", o.Room, "room on the disk in `MiB`, 0 for no bound")
 	fs.StringVar(&o.Level, "log-level", o.Level, "`level`: trace, debug, info, warn or error")
 }
 
@@ -203,9 +264,10 @@
 }
 
 var (
-	nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-	levels   = map[string]bool{"trace": true, "debug": true, "info": true, "warn": true, "error": true}
-	disks    = map[string]bool{DiskNone: true, DiskControl: true, DiskStorage: true}
+	nameRule  = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	levels    = map[string]bool{"trace": true, "debug": true, "info": true, "warn": true, "error": true}
+	foundings = map[string]bool{FoundSelf: true, FoundSeeds: true, FoundNever: true}
+	disks     = map[string]bool{DiskNone: true, DiskControl: true, DiskStorage: true}
 )
 
 // Check gives all that is wrong with the settings, by field.
@@ -225,7 +287,7 @@
 	add(address(o.Fellows), "fellow_listen", "must be an IP number and a port from 1 to 65535, is %q", o.Fellows)
 	add(o.Reach == "" || address(o.Reach), "fellow_address", "must be empty or an IP number and a port from 1 to 65535, is %q", o.Reach)
 	add(o.Listen != o.Fellows, "fellow_listen", "must differ from listen, is %q too", o.Fellows)
-	add(len(o.Seeds) == 3, "seeds", "must be 3 addresses, are %d", len(o.Seeds))
+	add(len(o.Seeds) >= 1 && len(o.Seeds) <= seedsMost, "seeds", "must be 1 to %d addresses, are %d", seedsMost, len(o.Seeds))
 	for i, s := range o.Seeds {
 		add(address(s), fmt.Sprintf("seeds[%d]", i), "must be an IP number and a port from 1 to 65535, is %q", s)
 	}
@@ -235,10 +297,22 @@
 	for i, s := range o.Founders {
 		add(address(s), fmt.Sprintf("founders[%d]", i), "must be an IP number and a port from 1 to 65535, is %q", s)
 	}
+	add(o.Visits == "" || address(o.Visits), "visit_listen", "must be empty or an IP number and a port from 1 to 65535, is %q", o.Visits)
+	add(foundings[o.Founding], "founding", "must be self, seeds or never, is %q", o.Founding)
+	span("losses", o.Losses, 1, 3)
+	add(o.Stretch >= 0 && time.Duration(o.Stretch) <= 10*time.Minute, "stretch", "must be from 0s to 10m, is %s", time.Duration(o.Stretch))
+	add(time.Duration(o.Keepalive) >= 100*time.Millisecond && time.Duration(o.Keepalive) <= time.Hour, "keepalive", "must be from 100ms to 1h, is %s", time.Duration(o.Keepalive))
+	add(o.Redelivery > 0 && o.Redelivery <= o.Keeping, "redelivery", "must be above 0s and at most keeping, is %s", time.Duration(o.Redelivery))
+	span("memory_mb", o.Memory, 0, 1<<20)
+	span("processor_thousandths", o.Processor, 0, 1<<20)
+	span("link_kbits", o.Link, 0, 1<<30)
+	span("descriptors", o.Descriptors, 0, 1<<20)
+	span("disk_mb", o.Room, 0, 1<<30)
 	span("routine_partitions", o.Routine, 1, 256)
 	span("urgent_partitions", o.Urgent, 1, 64)
 	span("body_limit", o.Body, 1, 1<<20)
 	span("backlog", o.Backlog, 8, 1<<16)
+	span("marks", o.Marks, 1, 1<<20)
 	add(levels[o.Level], "log_level", "must be trace, debug, info, warn or error, is %q", o.Level)
 	for _, b := range o.Bounds().check() {
 		f = append(f, b)
@@ -279,6 +353,7 @@
 var Live = map[string]func(dst *Options, src Options){
 	"log_level": func(d *Options, s Options) { d.Level = s.Level },
 	"backlog":   func(d *Options, s Options) { d.Backlog = s.Backlog },
+	"marks":     func(d *Options, s Options) { d.Marks = s.Marks },
 	"changelog": func(d *Options, s Options) { d.Changelog = s.Changelog },
 }
 
--- a/internal/placement/duty/duty.go
+++ b/internal/placement/duty/duty.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"postjunction/internal/control/client"
 	"postjunction/internal/control/holder"
 	"postjunction/internal/event"
+	"postjunction/internal/gather"
 	"postjunction/internal/gossip"
 	"postjunction/internal/member"
 	"postjunction/internal/options"
@@ -33,29 +35,56 @@
 	Client *client.Client
 	Board  *gossip.Board
 	Live   func() []member.Info
-	Log    *event.Logger
-
-	held   bool
-	since  time.Time
-	recs   map[int]record.Record
-	gone   map[string]time.Time
-	deaf   map[string]time.Time
-	slow   map[string]time.Time
+	// Changed gives what is closed at news of the members.
+	Changed func() <-chan struct{}
+	Log     *event.Logger
+	// Tell has records that were written here known at once.
+	Tell func(context.Context, ...record.Record)
+
+	held  bool
+	since time.Time
+	recs  map[int]record.Record
+	gone  map[string]time.Time
+	deaf  map[string]time.Time
+	slow  map[string]time.Time
+	// fresh are the storage machines that held nothing when they were first seen, and when that was, until nothing is gone.
+	fresh  map[string]time.Time
 	opened map[int]time.Time
 	epochs map[int]uint64
 	moved  time.Time
+	wants  []want
+
+	members, records <-chan struct{}
 }
 
+// want is a change of a record that a round has decided on.
+type want struct{ old, n record.Record }
+
 const (
-	replicas     = 3
-	learnersMost = 4
+	learnersMost = 32
+	// newsShare makes the least pause between two rounds.
+	newsShare = 4
 	// worthPercent is how much of the highest load a move must take off to be worth its take-over.
 	worthPercent = 15
 )
 
+// wait waits for the next round: the one that has the duty acts on news, the others look at their own pace.
+func (d *Duty) wait(ctx context.Context) error {
+	pace := clock.Jitter(d.Bounds.Tend(), 0.2, rand.Float64())
+	if !d.held {
+		return d.Clock.Sleep(ctx, pace)
+	}
+	if err := d.Clock.Sleep(ctx, d.Bounds.Retry()/newsShare); err != nil {
+		return err
+	}
+	clock.Wait(ctx, d.Clock, pace, d.members, d.records)
+	d.members, d.records = d.Changed(), d.Board.Changed()
+	return ctx.Err()
+}
+
 // Run tends the partitions until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
-	for d.Clock.Sleep(ctx, clock.Jitter(d.Bounds.Tend(), 0.2, rand.Float64())) == nil {
+	for d.wait(ctx) == nil {
 		if d.Board.Roster().Sequence == 0 {
 			continue
 		}
@@ -94,53 +123,81 @@
 
 func (d *Duty) take(ctx context.Context) {
 	d.recs, d.gone, d.deaf, d.slow = map[int]record.Record{}, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
+	d.fresh = map[string]time.Time{}
 	d.opened, d.epochs = map[int]time.Time{}, map[int]uint64{}
+	var ps []int
 	for p := range d.Board.Roster().Layout.Count() {
-		if err := d.read(ctx, p); err != nil {
-			d.Log.Say(event.PlaceTrouble, "partition", p, "problem", err)
+		ps = append(ps, p)
+	}
+	for _, a := range gather.Ask(ctx, ps, d.fetch, nil) {
+		if a.Err != nil {
+			d.Log.Say(event.PlaceTrouble, "partition", a.Who, "problem", a.Err)
 			return
 		}
+		d.keep(a.A)
 	}
 	d.held, d.since, d.moved = true, d.Clock.Now(), d.Clock.Now()
 	d.Log.Say(event.DutyTaken, "partitions", len(d.recs))
 }
 
-func (d *Duty) read(ctx context.Context, p int) error {
+func (d *Duty) fetch(ctx context.Context, p int) (record.Record, error) {
 	v, err := d.Client.Read(ctx, record.Key(p))
 	if err != nil {
-		return err
+		return record.Record{}, err
 	}
 	r := record.Record{Partition: p}
 	if len(v.Body) > 0 {
 		if r, err = record.Parse(v.Body, v.Writes); err != nil {
-			return problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
+			return r, problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
 		}
 	}
 	r.Writes = v.Writes
-	d.recs[p] = r
-	if v.Writes > 0 {
+	return r, nil
+}
+
+func (d *Duty) keep(r record.Record) {
+	d.recs[r.Partition] = r
+	if r.Writes > 0 {
 		d.Board.Offer(gossip.News{Records: []record.Record{r}})
 	}
-	return nil
 }
 
-func (d *Duty) write(ctx context.Context, old, n record.Record) bool {
-	v, err := d.Client.Change(ctx, record.Key(n.Partition), old.Writes, client.Name(), n.Pack())
-	if err != nil {
+func (d *Duty) read(ctx context.Context, p int) error {
+	r, err := d.fetch(ctx, p)
+	if err == nil {
+		d.keep(r)
+	}
+	return err
+}
+
+// write notes a change, which is made with all others of the round.
+func (d *Duty) write(old, n record.Record) { d.wants = append(d.wants, want{old, n}) }
+
+// flush makes all changes that were noted, at once.
+func (d *Duty) flush(ctx context.Context) {
+	ws := d.wants
+	d.wants = nil
+	for _, a := range gather.Ask(ctx, ws, func(ctx context.Context, w want) (record.Record, error) {
+		v, err := d.Client.Change(ctx, record.Key(w.n.Partition), w.old.Writes, client.Name(), w.n.Pack())
+		if err == nil {
+			w.n.Writes = v.Writes
+			d.Tell(context.WithoutCancel(ctx), w.n)
+			return w.n, nil
+		}
 		if !problem.Has(err, problem.StaleBase) {
-			d.Log.Say(event.PlaceTrouble, "partition", n.Partition, "problem", err)
+			d.Log.Say(event.PlaceTrouble, "partition", w.n.Partition, "problem", err)
+		}
+		return d.fetch(ctx, w.n.Partition)
+	}, nil) {
+		if a.Err != nil {
+			continue
+		}
+		d.keep(a.A)
+		if n := a.Who.n; a.A.Epoch == n.Epoch && n.Epoch != a.Who.old.Epoch && a.A.Owner == n.Owner {
+			h := n.History[len(n.History)-1]
+			d.Log.Say(event.Placed, "partition", n.Partition, "epoch", n.Epoch, "owner", n.Owner, "replicas", strings.Join(h.Replicas, ","), "reason", h.Reason)
 		}
-		_ = d.read(ctx, n.Partition)
-		return false
-	}
-	n.Writes = v.Writes
-	d.recs[n.Partition] = n
-	d.Board.Offer(gossip.News{Records: []record.Record{n}})
-	if n.Epoch != old.Epoch {
-		h := n.History[len(n.History)-1]
-		d.Log.Say(event.Placed, "partition", n.Partition, "epoch", n.Epoch, "owner", n.Owner, "replicas", strings.Join(h.Replicas, ","), "reason", h.Reason)
 	}
-	return true
 }
 
 type machine struct {
@@ -171,6 +228,8 @@
 	now    time.Time
 	m      map[string]*machine
 	stores int
+	// copies is how many disks are to hold a partition.
+	copies int
 	drains drain.Book
 	usual  time.Duration
 }
@@ -180,12 +239,23 @@
 	return ok && m.Incarnation == p.Incarnation && m.Fitness == ""
 }
 
+// emptied tells whether a machine that is gone was asked to be emptied, so that it is not waited for.
+func (s *scene) emptied(node string) bool {
+	_, ok := s.drains[node]
+	return ok
+}
+
+// fit tells whether a machine may be given a copy.
+func (s *scene) fit(m *machine) bool {
+	return m != nil && !m.out && m.Fitness == "" && !m.Deaf && m.Stage == member.Serving && (m.Disk == options.DiskStorage || s.stores < s.copies)
+}
+
 func (s *scene) canOwn(p record.Place) bool {
 	return s.usable(p) && s.m[p.Node].Stage == member.Serving && !s.m[p.Node].Deaf && !s.m[p.Node].slow
 }
 
 func (d *Duty) scene(ctx context.Context) (*scene, error) {
-	s := &scene{now: d.Clock.Now(), m: map[string]*machine{}}
+	s := &scene{now: d.Clock.Now(), m: map[string]*machine{}, copies: d.Board.Roster().Layout.Copies()}
 	v, err := d.Client.Read(ctx, drain.Key)
 	if err != nil {
 		return nil, err
@@ -221,6 +291,7 @@
 		}
 	}
 	d.lags(s)
+	defer d.newcomers(s)
 	for n, m := range s.m {
 		delete(d.gone, n)
 		if !m.Deaf {
@@ -239,7 +310,52 @@
 	return s, nil
 }
 
-const slower = 8
+// newcomers notes the storage machines that hold nothing: they take the place of one that is gone, all of it.
+func (d *Duty) newcomers(s *scene) {
+	for n := range d.gone {
+		if !slices.ContainsFunc(slices.Collect(maps.Values(d.recs)), func(r record.Record) bool { _, ok := r.Place(n); return ok }) {
+			delete(d.gone, n)
+		}
+	}
+	for n := range d.fresh {
+		if m, ok := s.m[n]; !ok || m.holds > 0 && len(d.gone) == 0 {
+			delete(d.fresh, n)
+		}
+	}
+	for n, m := range s.m {
+		if _, ok := d.fresh[n]; !ok && m.Disk == options.DiskStorage && m.holds == 0 && s.fit(m) {
+			d.fresh[n] = s.now
+		}
+	}
+}
+
+// patience is how long a copy on a machine that is gone is waited for: hardly, where a newcomer came to take its place; for half a session more, which most restarts
+// are back within, where a newcomer was there before; as long as service may take to be back, where another storage machine is there; and long, where it would be a small disk.
+func (d *Duty) patience(s *scene, r record.Record, p record.Place) time.Duration {
+	wait := d.Bounds.Repair()
+	for n, m := range s.m {
+		if _, ok := r.Place(n); ok || m.Disk != options.DiskStorage || !s.fit(m) {
+			continue
+		}
+		switch t, ok := d.fresh[n]; {
+		case !ok:
+			wait = min(wait, d.Bounds.Recovery)
+		case t.Before(d.gone[p.Node].Add(-d.Bounds.Session())):
+			wait = min(wait, d.Bounds.Session()/2)
+		default:
+			wait = min(wait, d.early(s))
+		}
+	}
+	return wait
+}
+
+// early is how long a machine must be gone before anything is done, longer while the duty is young and may not have heard of it.
+func (d *Duty) early(s *scene) time.Duration {
+	if s.now.Sub(d.since) < d.Bounds.Session() {
+		return d.Bounds.Session() / 2
+	}
+	return d.Bounds.Previous()
+}
 
 // lags finds machines whose pulses take much longer than is usual among those with a disk, and for how long.
 func (d *Duty) lags(s *scene) {
@@ -255,13 +371,13 @@
 	for n, m := range s.m {
 		lag := time.Duration(m.Lag) * time.Microsecond
 		switch since := d.slow[n]; {
-		case lag > max(slower*s.usual, d.Bounds.Slow()):
+		case lag > max(options.SlowTimes*s.usual, d.Bounds.Slow()):
 			if since.IsZero() {
 				since = s.now
 				d.slow[n] = s.now
 			}
 			m.slow, m.slowFor = true, s.now.Sub(since)
-		case lag < max(slower*s.usual, d.Bounds.Slow())/2:
+		case lag < max(options.SlowTimes*s.usual, d.Bounds.Slow())/2:
 			delete(d.slow, n)
 		default:
 			m.slow = !since.IsZero()
@@ -283,6 +399,7 @@
 }
 
 func (d *Duty) round(ctx context.Context) {
+	d.wants = nil
 	d.refresh(ctx)
 	s, err := d.scene(ctx)
 	if err != nil {
@@ -312,66 +429,61 @@
 			d.epochs[p], d.opened[p] = r.Epoch, s.now
 		}
 		if r.Epoch == 0 {
-			d.first(ctx, s, r)
+			d.first(s, r)
 			continue
 		}
-		if d.owner(ctx, s, r) || !r.Settled {
+		if d.owner(s, r) || !r.Settled {
 			continue
 		}
-		d.copies(ctx, s, r, &learners)
+		d.copies(s, r, &learners)
 	}
-	d.balance(ctx, s)
+	d.flush(ctx)
+	d.balance(s)
+	d.flush(ctx)
 	d.book(ctx, s)
 }
 
-func (d *Duty) first(ctx context.Context, s *scene, r record.Record) {
-	if s.stores < replicas && s.now.Sub(d.since) < d.Bounds.Session() {
+func (d *Duty) first(s *scene, r record.Record) {
+	if s.stores < s.copies && s.now.Sub(d.since) < d.Bounds.Session() {
 		return
 	}
 	var ps []record.Place
-	for len(ps) < replicas {
+	for len(ps) < s.copies {
 		m := d.candidate(s, ps)
 		if m == nil {
 			break
 		}
 		ps = append(ps, record.Place{Node: m.Name, Incarnation: m.Incarnation})
 	}
-	if len(ps) < replicas {
+	if len(ps) < s.copies {
 		return
 	}
 	o := slices.MinFunc(ps, func(a, b record.Place) int { return s.m[a.Node].owns - s.m[b.Node].owns })
-	if d.write(ctx, r, r.Next(o.Node, ps, "first placement", s.now)) {
-		for _, p := range ps {
-			s.m[p.Node].holds++
-		}
-		s.give(o.Node, idle)
+	d.write(r, r.Next(o.Node, ps, "first placement", s.now))
+	for _, p := range ps {
+		s.m[p.Node].holds++
 	}
+	s.give(o.Node, idle)
 }
 
 func (d *Duty) candidate(s *scene, ps []record.Place) *machine {
-	zones, names := map[string]bool{}, map[string]bool{}
+	zones, names := map[string]int{}, map[string]bool{}
 	for _, p := range ps {
 		names[p.Node] = true
 		if m, ok := s.m[p.Node]; ok {
-			zones[m.Zone] = true
+			zones[m.Zone]++
 		}
 	}
 	var best *machine
 	rank := func(m *machine) [3]int {
-		k := [3]int{0, 0, m.holds}
+		k := [3]int{0, zones[m.Zone], m.holds}
 		if m.Disk != options.DiskStorage {
 			k[0] = 1
 		}
-		if zones[m.Zone] {
-			k[1] = 1
-		}
 		return k
 	}
 	for _, m := range s.m {
-		if names[m.Name] || m.out || m.Fitness != "" || m.Deaf || m.Stage != member.Serving {
-			continue
-		}
-		if m.Disk != options.DiskStorage && s.stores >= replicas {
+		if names[m.Name] || !s.fit(m) {
 			continue
 		}
 		if best == nil {
@@ -417,14 +529,14 @@
 	return p.Node < q.Node
 }
 
-func (d *Duty) owner(ctx context.Context, s *scene, r record.Record) bool {
+func (d *Duty) owner(s *scene, r record.Record) bool {
 	me, ok := r.Place(r.Owner)
 	reason := ""
 	switch m := s.m[r.Owner]; {
 	case !ok || m != nil && m.Incarnation != me.Incarnation:
 		reason = "the owner's disk is another one"
 	case m == nil:
-		if s.now.Sub(d.gone[r.Owner]) < d.Bounds.Previous() {
+		if s.now.Sub(d.gone[r.Owner]) < d.early(s) {
 			return true
 		}
 		reason = "the owner is gone"
@@ -432,14 +544,14 @@
 		reason = "the owner's disk fails: " + m.Fitness
 	case m.Stage != member.Serving:
 		reason = "the owner is stopping"
-	case m.Deaf && s.now.Sub(d.deaf[r.Owner]) >= d.Bounds.Previous():
+	case m.Deaf && s.now.Sub(d.deaf[r.Owner]) >= d.Bounds.Session()/2:
 		reason = "the owner has no licence: it is heard but does not hear"
 	case m.slow && m.slowFor >= d.Bounds.Session()/2:
 		if _, ok := d.heir(s, r, r.Owner); !ok || !r.Settled {
 			return false
 		}
 		reason = fmt.Sprintf("the owner is slow: its pulses take %s, %s are usual", time.Duration(m.Lag)*time.Microsecond, s.usual)
-	case m.out && len(r.Replicas) <= replicas:
+	case m.out && len(r.Replicas) <= s.copies:
 		if h, ok := d.heir(s, r, r.Owner); !ok || s.m[h.Node].out || !r.Settled {
 			return false
 		}
@@ -460,18 +572,20 @@
 		return true
 	}
 	w := s.weight(r)
-	if d.write(ctx, r, r.Next(h.Node, r.Replicas, reason, s.now)) {
-		s.give(h.Node, w)
-	}
+	d.write(r, r.Next(h.Node, r.Replicas, reason, s.now))
+	s.give(h.Node, w)
 	return true
 }
 
 func (d *Duty) faulty(s *scene, r record.Record, p record.Place) string {
 	m, ok := s.m[p.Node]
 	switch {
-	case !ok && s.now.Sub(d.gone[p.Node]) > d.Bounds.Repair():
-		return "gone for longer than " + d.Bounds.Repair().String()
+	case !ok && s.emptied(p.Node):
+		return "it is being emptied and gone"
 	case !ok:
+		if w := d.patience(s, r, p); s.now.Sub(d.gone[p.Node]) > w {
+			return "gone for longer than " + w.String()
+		}
 		return ""
 	case m.Incarnation != p.Incarnation:
 		return "its disk is another one"
@@ -479,13 +593,13 @@
 		return "it is being emptied"
 	case m.Fitness != "":
 		return "its disk fails"
-	case m.Disk != options.DiskStorage && s.stores >= replicas:
+	case m.Disk != options.DiskStorage && s.stores >= s.copies:
 		return "storage machines suffice again"
 	}
 	return ""
 }
 
-func (d *Duty) copies(ctx context.Context, s *scene, r record.Record, learners *int) {
+func (d *Duty) copies(s *scene, r record.Record, learners *int) {
 	bad, why := -1, ""
 	for i, p := range r.Replicas {
 		if w := d.faulty(s, r, p); w != "" && (bad < 0 || !s.usable(p)) {
@@ -494,14 +608,14 @@
 	}
 	if r.Learner != nil {
 		m, ok := s.m[r.Learner.Node]
-		if !ok || m.Incarnation != r.Learner.Incarnation || m.Fitness != "" || m.out || bad < 0 && len(r.Replicas) >= replicas {
+		if !ok || m.Incarnation != r.Learner.Incarnation || m.Fitness != "" || m.out || bad < 0 && len(r.Replicas) >= s.copies {
 			n := r
 			n.Learner = nil
-			d.write(ctx, r, n)
+			d.write(r, n)
 		}
 		return
 	}
-	if len(r.Replicas) > replicas {
+	if len(r.Replicas) > s.copies {
 		if bad < 0 {
 			bad, why = d.spare(s, r), "one copy more than needed"
 		}
@@ -514,10 +628,10 @@
 			}
 			o = h.Node
 		}
-		d.write(ctx, r, r.Next(o, rest, fmt.Sprintf("removed %s: %s", r.Replicas[bad].Node, why), s.now))
+		d.write(r, r.Next(o, rest, fmt.Sprintf("removed %s: %s", r.Replicas[bad].Node, why), s.now))
 		return
 	}
-	if bad < 0 && len(r.Replicas) >= replicas || *learners >= learnersMost {
+	if bad < 0 && len(r.Replicas) >= s.copies || *learners >= learnersMost {
 		return
 	}
 	keep := slices.Clone(r.Replicas)
@@ -525,22 +639,25 @@
 		keep = slices.Delete(keep, bad, bad+1)
 	}
 	m := d.candidate(s, keep)
-	if m == nil {
-		return
+	if bad >= 0 {
+		if b := s.m[r.Replicas[bad].Node]; s.fit(b) && b.Incarnation != r.Replicas[bad].Incarnation {
+			m = b
+		}
 	}
-	if bad >= 0 && m.Name == r.Replicas[bad].Node {
-		d.write(ctx, r, r.Next(r.Owner, keep, fmt.Sprintf("removed the lost disk of %s", m.Name), s.now))
+	if m == nil {
 		return
 	}
 	n := r
 	n.Learner = &record.Place{Node: m.Name, Incarnation: m.Incarnation}
-	if d.write(ctx, r, n) {
-		m.holds++
-		*learners++
-	}
+	d.write(r, n)
+	m.holds++
+	*learners++
 }
 
 func (d *Duty) spare(s *scene, r record.Record) int {
+	if i := slices.IndexFunc(r.Replicas, func(p record.Place) bool { return s.m[p.Node] == nil }); i >= 0 {
+		return i
+	}
 	at := 0
 	for i, p := range r.Replicas {
 		if p.Node != r.Owner && s.m[p.Node] != nil && (s.m[r.Replicas[at].Node] == nil || r.Replicas[at].Node == r.Owner || s.m[p.Node].holds > s.m[r.Replicas[at].Node].holds) {
@@ -550,7 +667,7 @@
 	return at
 }
 
-func (d *Duty) balance(ctx context.Context, s *scene) {
+func (d *Duty) balance(s *scene) {
 	if s.now.Sub(d.moved) < d.Bounds.Repair()/2 {
 		return
 	}
@@ -566,7 +683,7 @@
 	best, to, low := record.Record{}, record.Place{}, most.load
 	for p := range len(d.recs) {
 		r := d.recs[p]
-		if r.Owner != most.Name || !r.Settled || r.Learner != nil || len(r.Replicas) != replicas {
+		if r.Owner != most.Name || !r.Settled || r.Learner != nil || len(r.Replicas) != s.copies {
 			continue
 		}
 		for _, q := range r.Replicas {
@@ -587,7 +704,7 @@
 		return
 	}
 	d.moved = s.now
-	d.write(ctx, best, best.Next(to.Node, best.Replicas, fmt.Sprintf("load was uneven: %s took %.1f a second, %s %.1f", most.Name, most.load, to.Node, s.m[to.Node].load), s.now))
+	d.write(best, best.Next(to.Node, best.Replicas, fmt.Sprintf("load was uneven: %s took %.1f a second, %s %.1f", most.Name, most.load, to.Node, s.m[to.Node].load), s.now))
 }
 
 func (d *Duty) book(ctx context.Context, s *scene) {
