--- a/internal/placement/record/record.go
+++ b/internal/placement/record/record.go
@@ -34,7 +34,7 @@
 	Learner   *Place  `json:"learner,omitempty"`
 	Settled   bool    `json:"settled"`
 	Writes    uint64  `json:"writes"`
-	History   []Step  `json:"history"`
+	History   []Step  `json:"history,omitempty"`
 }
 
 const (
@@ -79,6 +79,16 @@
 	return Place{}, false
 }
 
+// With gives the places with one more, or with it in the place of its node's other disk.
+func (r Record) With(l Place) []Place {
+	ps := slices.Clone(r.Replicas)
+	if i := slices.IndexFunc(ps, func(p Place) bool { return p.Node == l.Node }); i >= 0 {
+		ps[i] = l
+		return ps
+	}
+	return append(ps, l)
+}
+
 // Majority is how many places decide.
 func (r Record) Majority() int { return len(r.Replicas)/2 + 1 }
 
@@ -103,8 +113,36 @@
 	return n
 }
 
+// Lean gives the record without its history, for nodes that only need to know who decides.
+func (r Record) Lean() Record {
+	r.History = nil
+	return r
+}
+
 // Holds tells whether the record places the partition on a node, as replica or learner.
 func (r Record) Holds(node string) bool {
 	_, ok := r.Place(node)
 	return ok || r.Learner != nil && r.Learner.Node == node
 }
+
+// Heirs are the places that may take a partition over when its owner is gone, in the order in which they do.
+type Heirs []Place
+
+// Heirs names who follows the owner. The order starts at another place for each partition, so that one machine's partitions go to several;
+// rank says how late a place comes, below 0 for one that can't take over.
+func (r Record) Heirs(rank func(Place) int) Heirs {
+	var h Heirs
+	for i := range r.Replicas {
+		p := r.Replicas[(i+r.Partition)%len(r.Replicas)]
+		if p.Node != r.Owner && rank(p) >= 0 {
+			h = append(h, p)
+		}
+	}
+	slices.SortStableFunc(h, func(a, b Place) int { return rank(a) - rank(b) })
+	return h
+}
+
+// Turn gives a node's place in the order, -1 if it has none.
+func (h Heirs) Turn(node string) int {
+	return slices.IndexFunc(h, func(p Place) bool { return p.Node == node })
+}
--- a/internal/problem/catalogue.go
+++ b/internal/problem/catalogue.go
@@ -14,9 +14,11 @@
 	TokenMissing   Kind = "token_missing"
 	TokenForeign   Kind = "token_foreign"
 	TokenFenced    Kind = "token_fenced"
-	CallGap        Kind = "call_gap"
+	CallPassed     Kind = "call_passed"
 	CallAltered    Kind = "call_altered"
 	CallForgotten  Kind = "call_forgotten"
+	KeyUnknown     Kind = "key_unknown"
+	WithdrawalOpen Kind = "withdrawal_open"
 	CursorBad      Kind = "cursor_malformed"
 	CursorExpired  Kind = "cursor_expired"
 	SlowReader     Kind = "slow_reader"
@@ -58,6 +60,7 @@
 	ReplayDiffers Kind = "replay_differs"
 	Usage         Kind = "usage"
 	Stopped       Kind = "stopped"
+	Held          Kind = "still_held"
 	Internal      Kind = "internal"
 )
 
@@ -78,9 +81,11 @@
 	TokenMissing:   {401, 0, "Attach first and send the token as a bearer token."},
 	TokenForeign:   {401, 0, "Attach again; this fleet did not give out this token."},
 	TokenFenced:    {409, 0, "A newer attachment under this name took over; attach again only if this client is the one in use."},
-	CallGap:        {409, 0, "Send the number named as current plus one, or the numbers between first."},
+	CallPassed:     {409, 0, "A higher number of this visitor was taken on this topic; this one never will be. Send the message under a number above the one named as current."},
 	CallAltered:    {409, 0, "This number was taken with another body; use the next number for a new message."},
-	CallForgotten:  {409, 0, "This number was taken long ago and its answer is no longer kept; go on with the next number."},
+	CallForgotten:  {409, 0, "This number may have been taken long ago, and its answer is no longer kept; go on with a number above the one named as current."},
+	KeyUnknown:     {404, 0, "Nothing is held under this key: check topic and key; to withdraw what may still come, name its sender and number."},
+	WithdrawalOpen: {503, 500 * time.Millisecond, "The withdrawal stands and nothing new is shown; the named nodes have not said that they forgot. Send the same number again to learn when they have."},
 	CursorBad:      {400, 0, "Send a cursor exactly as a stream line gave it, or none."},
 	CursorExpired:  {410, 0, "The cursor is older than the keeping time; start without a cursor."},
 	SlowReader:     {409, 0, "Read faster, or resume from the last cursor with fewer topics."},
@@ -121,6 +126,7 @@
 	RecordingBad:  {400, 0, "Use an undamaged recording of this format."},
 	ReplayDiffers: {409, 0, "The lines received differ from the recording; the report names the first."},
 	Usage:         {400, 0, "See postjunction help."},
+	Held:          {503, 500 * time.Millisecond, "Another process holds the port or folder; end it, or name another one in the settings."},
 	Stopped:       {503, 0, "The part was stopped."},
 	Internal:      {503, 500 * time.Millisecond, "Come back after the time given; if it goes on, read the node's log."},
 }
--- a/internal/proof/caller/caller.go
+++ b/internal/proof/caller/caller.go
@@ -213,7 +213,7 @@
 }
 
 var definite = map[problem.Kind]bool{
-	problem.CallGap: true, problem.CallAltered: true, problem.CallForgotten: true, problem.UnknownTopic: true, problem.UnknownSpace: true,
+	problem.CallPassed: true, problem.CallAltered: true, problem.CallForgotten: true, problem.UnknownTopic: true, problem.UnknownSpace: true,
 	problem.TokenFenced: true, problem.TokenForeign: true, problem.TokenMissing: true, problem.Malformed: true, problem.Oversize: true,
 }
 
--- a/internal/proof/fleet/day.go
+++ b/internal/proof/fleet/day.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -29,6 +31,8 @@
 	Next     string
 	Pairs    bool
 	Out      io.Writer
+	// Still is how long the machine that the day ran on stood still by itself, as far as a probe beside the fleet saw it.
+	Still time.Duration
 }
 
 // FullLoad is that of both deployments: about 600 connections, 600 kept topics at 200 messages a second,
@@ -194,11 +198,11 @@
 		}
 	}
 	d.say("all %d machines are ready", len(f.Processes))
-	seq, err := f.Processes[0].Port().Put(ctx, d.Load.Describe(0))
+	seq, err := d.begin(ctx, f)
 	if err != nil {
 		return history.Report{}, err
 	}
-	h.Accept(seq, time.Now())
+	h.Accept(0, seq, string(d.Load.Describe(0)), time.Now())
 	wait(ctx, spread)
 	h.Bound = options.DefaultBounds.Recovery
 	for _, p := range f.Processes {
@@ -222,6 +226,10 @@
 	}
 	f.arrive(d.Load, d.Seed, "")
 	wg.Go(func() { d.operate(sends, f, h, seq) })
+	still := make(chan time.Duration, 1)
+	watching, watched := context.WithCancel(ctx)
+	defer watched()
+	go func() { still <- d.probe(watching, f, h) }()
 	for i := range d.Load.Flood {
 		wg.Go(func() { d.flood(sends, f, i) })
 	}
@@ -256,10 +264,59 @@
 	quiet()
 	cut := time.Now()
 	wait(ctx, options.DefaultBounds.Recovery)
+	watched()
+	d.Still = <-still
 	r := h.Check(cut, time.Now())
 	return r, nil
 }
 
+// begin puts the first description; where its outcome is not known, the very same one again tells.
+func (d *Day) begin(ctx context.Context, f *Fleet) (uint64, error) {
+	end := time.Now().Add(options.DefaultBounds.Recovery)
+	for {
+		seq, err := f.Processes[0].Port().Put(ctx, d.Load.Describe(0))
+		if err == nil || time.Now().After(end) || !problem.Has(err, problem.OutcomeUnknown) {
+			return seq, err
+		}
+	}
+}
+
+const (
+	probePace  = 100 * time.Millisecond
+	probeBytes = 4096
+)
+
+// probe looks whether the machine that all of this runs on goes on: it writes and syncs beside the fleet's disks, and sleeps. What takes as long as
+// a machine may be silent before it counts as lost is something that went wrong, and its end another. It gives the sum.
+func (d *Day) probe(ctx context.Context, f *Fleet, h *history.History) (sum time.Duration) {
+	look := func(what string, usual time.Duration, do func()) {
+		t := time.Now()
+		do()
+		e := time.Now()
+		if late := e.Sub(t) - usual; late >= options.DefaultBounds.Silent() {
+			d.say("%s of the machine under the fleet stood still for %s until now", what, late)
+			h.Disturb("stood still: "+what, t)
+			h.Disturb("end of stood still: "+what, e)
+			sum += late
+		}
+	}
+	o, err := os.Create(filepath.Join(f.Processes[0].dir, "probe"))
+	if err != nil {
+		d.say("no probe: %v", err)
+		return 0
+	}
+	defer func() { _ = o.Close() }()
+	b := make([]byte, probeBytes)
+	for ctx.Err() == nil {
+		look("the disk", 0, func() {
+			_, _ = o.WriteAt(b, 0)
+			_ = o.Sync()
+		})
+		look("the processor", probePace, func() { wait(ctx, probePace) })
+	}
+	return sum
+}
+
 func (d *Day) operate(ctx context.Context, f *Fleet, h *history.History, seq uint64) {
 	rng := rand.New(rand.NewPCG(d.Seed, 4))
 	for {
@@ -273,9 +330,10 @@
 		cur, err := ps[rng.IntN(len(ps))].Get(cx)
 		if err == nil {
 			h.ReadBack(cur, asked)
-			n, e := ps[rng.IntN(len(ps))].Put(cx, d.Load.Describe(cur))
+			doc := d.Load.Numbered(cur, cur+1+rng.Uint64N(9), "")
+			n, e := ps[rng.IntN(len(ps))].Put(cx, doc)
 			if e == nil {
-				h.Accept(n, time.Now())
+				h.Accept(cur, n, string(doc), time.Now())
 			} else if problem.Has(e, problem.DescriptionBad) {
 				h.Violate(history.Invalid, "a sound description was turned away: %v", e)
 			}
--- a/internal/proof/fleet/fleet.go
+++ b/internal/proof/fleet/fleet.go
@@ -313,7 +313,7 @@
 	s := ""
 	for _, p := range f.Processes {
 		if !f.ready[p.Name] {
-			b, _ := os.ReadFile(filepath.Join(p.dir, p.Name+".log"))
+			b := p.logged()
 			s += fmt.Sprintf("\n%s: %s", p.Name, b[max(0, len(b)-logEnd):])
 		}
 	}
@@ -322,6 +322,12 @@
 
 const logEnd = 600
 
+// logged gives what a machine has logged in all its runs.
+func (p *Process) logged() []byte {
+	b, _ := os.ReadFile(filepath.Join(p.dir, p.Name+".log"))
+	return b
+}
+
 // Ports gives the access machines of a zone that are ready, or of any zone when none is.
 func (f *Fleet) Ports(zone string) []port.Port {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/proof/fleet/visits.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/guest"
+	"postjunction/internal/proof/sim"
+	"postjunction/internal/proof/stays"
+	"postjunction/internal/visitor/visit"
+)
+
+// Visits are visitors on line sessions of a fleet, who carry keys and withdraw.
+type Visits struct {
+	Book  *stays.Book
+	f     *Fleet
+	ctx   context.Context
+	sends context.Context
+	stop  context.CancelFunc
+	quiet context.CancelFunc
+	wg    sync.WaitGroup
+}
+
+// unread is how long bytes may lie between the node's socket and the visitor here, who can't see when the socket took them.
+const unread = 500 * time.Millisecond
+
+// asked is a task and told an answer as they stand on a line.
+type asked struct {
+	Verb    visit.Verb `json:"verb"`
+	Visitor string     `json:"visitor,omitempty"`
+	Topic   string     `json:"topic,omitempty"`
+	Cursor  string     `json:"cursor,omitempty"`
+	Call    uint64     `json:"call_seq,omitempty"`
+	Body    *string    `json:"body,omitempty"`
+	Key     string     `json:"key,omitempty"`
+	Of      string     `json:"of,omitempty"`
+	Upto    uint64     `json:"upto,omitempty"`
+}
+
+type told struct {
+	What    visit.What   `json:"what"`
+	Re      visit.Verb   `json:"re"`
+	Topic   string       `json:"topic"`
+	From    string       `json:"from"`
+	Call    uint64       `json:"call_seq"`
+	Cursor  string       `json:"cursor"`
+	Key     string       `json:"key"`
+	Count   int          `json:"count"`
+	Body    string       `json:"body"`
+	Address string       `json:"address"`
+	Code    problem.Kind `json:"code"`
+	Say     string       `json:"say"`
+}
+
+func (a told) answer() visit.Answer {
+	x := visit.Answer{What: a.What, Re: a.Re, Topic: a.Topic, From: a.From, Call: a.Call, Cursor: a.Cursor, Key: a.Key, Count: a.Count, Body: []byte(a.Body), Address: a.Address}
+	if a.Code != "" {
+		x.Err = &problem.Problem{Kind: a.Code, Say: a.Say}
+	}
+	return x
+}
+
+// wired is a connection to a node. Tasks wait until they are written.
+type wired struct {
+	c     net.Conn
+	mu    sync.Mutex
+	out   []byte
+	more  chan struct{}
+	ended chan struct{}
+	once  sync.Once
+}
+
+// Do sends a task.
+func (l *wired) Do(t visit.Task) {
+	q := asked{Verb: t.Verb, Visitor: t.Visitor, Topic: t.Topic, Cursor: t.Cursor, Call: t.Call, Key: t.Key, Of: t.Of, Upto: t.Upto}
+	if t.Verb == visit.Send {
+		s := string(t.Body)
+		q.Body = &s
+	}
+	b, err := json.Marshal(q)
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	l.out = append(append(l.out, b...), '\n')
+	l.mu.Unlock()
+	select {
+	case l.more <- struct{}{}:
+	default:
+	}
+}
+
+// End closes the connection.
+func (l *wired) End() {
+	l.once.Do(func() {
+		close(l.ended)
+		_ = l.c.Close()
+	})
+}
+
+func (l *wired) write() {
+	for {
+		select {
+		case <-l.more:
+		case <-l.ended:
+			return
+		}
+		l.mu.Lock()
+		b := l.out
+		l.out = nil
+		l.mu.Unlock()
+		if _, err := l.c.Write(b); err != nil {
+			return
+		}
+	}
+}
+
+func (l *wired) read(hear func(visit.Answer, time.Time), broken func()) {
+	defer l.End()
+	defer broken()
+	r := bufio.NewReader(l.c)
+	for {
+		b, err := r.ReadBytes('\n')
+		now := time.Now()
+		if err != nil {
+			return
+		}
+		var a told
+		if err := json.Unmarshal(b, &a); err != nil {
+			hear(visit.Answer{What: visit.What(fmt.Sprintf("%.200s: %v", b, err))}, now)
+			return
+		}
+		if a.What == visit.Message {
+			now = now.Add(-unread)
+		}
+		hear(a.answer(), now)
+	}
+}
+
+func (v *Visits) doors() (ds []guest.Door) {
+	for _, p := range v.f.Processes {
+		if p.Opts.Visits == "" || !v.f.isReady(p.Name) {
+			continue
+		}
+		ds = append(ds, v.door(p))
+	}
+	if len(ds) > 0 {
+		return ds
+	}
+	for _, p := range v.f.Processes {
+		if p.Opts.Visits != "" {
+			ds = append(ds, v.door(p))
+		}
+	}
+	return ds
+}
+
+func (v *Visits) door(p *Process) guest.Door {
+	return guest.Door{Address: p.Opts.Visits, Enter: func(hear func(visit.Answer, time.Time), broken func()) guest.Line {
+		c, err := (&net.Dialer{Timeout: time.Second}).DialContext(v.ctx, "tcp", p.Opts.Visits)
+		if err != nil {
+			return nil
+		}
+		l := &wired{c: c, more: make(chan struct{}, 1), ended: make(chan struct{})}
+		v.wg.Go(l.write)
+		v.wg.Go(func() { l.read(hear, broken) })
+		context.AfterFunc(v.ctx, l.End)
+		return l
+	}}
+}
+
+// Enter lets n visitors in, who follow and send on topics of a load until Leave.
+func (f *Fleet) Enter(ctx context.Context, n int, l sim.Load, seed uint64) *Visits {
+	b := options.DefaultBounds
+	v := &Visits{Book: stays.New(b.Keeping, 3*b.Spread), f: f}
+	v.ctx, v.stop = context.WithCancel(ctx)
+	v.sends, v.quiet = context.WithCancel(v.ctx)
+	for i := range n {
+		r := rand.New(rand.NewPCG(seed, uint64(i)+1000))
+		x := &guest.Guest{Name: fmt.Sprintf("g%d", i), Habits: sim.Habits(), Rand: r, Doors: v.doors, Book: v.Book, Calm: func() bool { return false }}
+		x.Habits.Withdraw = 3 * time.Second
+		for _, k := range r.Perm(l.Topics)[:min(l.Topics, 3+r.IntN(3))] {
+			x.Follow = append(x.Follow, guest.Topic{Name: fmt.Sprintf("kept/t%d", k), Kept: true})
+		}
+		for k := range 2 {
+			x.Lanes = append(x.Lanes, guest.Lane{Topic: fmt.Sprintf("kept/t%d", (i+7*k)%l.Topics), Width: 1 + 3*(i%2), Every: l.Every / time.Duration(1+3*(i%2))})
+		}
+		v.wg.Go(func() { x.Run(v.ctx, v.sends) })
+	}
+	return v
+}
+
+// Leave stops the senders, waits until visitors have caught up, has them leave, and judges what they saw.
+func (v *Visits) Leave(wait time.Duration) (stays.Tally, []stays.Breach) {
+	cut := time.Now()
+	v.quiet()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-v.ctx.Done():
+	}
+	v.stop()
+	v.wg.Wait()
+	return v.Book.Judge(cut)
+}
+
+func (f *Fleet) isReady(n string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ready[n]
+}
--- /dev/null
+++ b/internal/proof/guest/guest.go
@@ -0,0 +1,617 @@
+// Package guest is a seeded stand-in for visitors on line sessions: it joins its topics with its cursors, sends, goes away and returns,
+// and notes all it sees.
+package guest
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/stays"
+	"postjunction/internal/visitor/visit"
+)
+
+// Line is one connection to a node. End is its closing by the visitor.
+type Line interface {
+	Do(t visit.Task)
+	End()
+}
+
+// Door is a node that visitors can connect to. Enter gives nil when nobody answers there; hear gets all that comes with the moment at which
+// the connection took its last byte, broken the end of the connection, if the visitor did not end it itself.
+type Door struct {
+	Address string
+	Enter   func(hear func(a visit.Answer, shown time.Time), broken func()) Line
+}
+
+// Topic is something that a guest follows, from a cursor that another was given with a message, if there is one.
+type Topic struct {
+	Name   string
+	Kept   bool
+	Cursor string
+	Place  stays.Message
+	Given  time.Time
+}
+
+// Lane is a topic that a guest sends on, with so many messages under way at once.
+type Lane struct {
+	Topic string
+	Width int
+	Every time.Duration
+}
+
+// Habits are the times of a guest.
+type Habits struct {
+	// Keepalive is how long it is silent before it gives a sign of life.
+	Keepalive time.Duration
+	// Answer is how long it waits for an answer to a send, Longest for one to a join, and Deadline for the decision on a message.
+	Answer, Longest, Deadline time.Duration
+	// Change is how often it drops or takes up a topic, Away how often it leaves, Count how often it counts; 0 for never.
+	Change, Away, Count time.Duration
+	// Absence is the longest that it stays away.
+	Absence time.Duration
+	// Keyed is the share of messages that stand under a key, one of Keys on a topic; Withdraw is how often a guest withdraws on a lane, 0 for never, and Forget how long it
+	// asks for the yes.
+	Keyed            float64
+	Keys             int
+	Withdraw, Forget time.Duration
+}
+
+// Guest is one visitor.
+type Guest struct {
+	Name   string
+	Doors  func() []Door
+	Book   *stays.Book
+	Follow []Topic
+	Lanes  []Lane
+	Habits Habits
+	Rand   *rand.Rand
+	// Calm tells whether the fleet has been undisturbed for a while.
+	Calm func() bool
+	// Saved gets cursors that others may take up later.
+	Saved func(t Topic)
+
+	mu    sync.Mutex
+	inbox []heard
+	bell  chan struct{}
+
+	line    Line
+	serial  int
+	up      bool
+	begun   time.Time
+	heardAt time.Time
+	shown   time.Time
+	saidAt  time.Time
+	back    time.Time
+	to      string
+	subs    []*sub
+	lanes   []*lane
+	last    uint64
+	shift   time.Time
+	leave   time.Time
+	tell    time.Time
+	counted map[string]time.Time
+	seen    map[string]stays.Message
+	sending context.Context
+}
+
+type heard struct {
+	serial int
+	a      visit.Answer
+	shown  time.Time
+	broken bool
+}
+
+type state int
+
+const (
+	idle state = iota
+	asked
+	joined
+	dropping
+	dropped
+)
+
+type sub struct {
+	Topic
+	want   bool
+	state  state
+	since  time.Time
+	retry  time.Time
+	cursor string
+	stay   *stays.Stay
+	here   *stays.Presence
+}
+
+type lane struct {
+	Lane
+	next time.Time
+	draw time.Time
+	ms   []*message
+}
+
+type message struct {
+	call  uint64
+	body  string
+	first time.Time
+	asked time.Time
+	retry time.Time
+	fresh int
+	out   bool
+	key   string
+	// draw is that of a withdrawal, and none of a message.
+	draw *stays.Withdrawal
+}
+
+// Promises are the problems that say that a message was not taken and never will be.
+var Promises = map[problem.Kind]bool{
+	problem.Overloaded: true, problem.Leaving: true, problem.Unlicensed: true, problem.NoOwner: true,
+	problem.CallPassed: true,
+}
+
+// Voids are the problems that say that nothing was withdrawn under a number and never will be.
+var Voids = map[problem.Kind]bool{problem.KeyUnknown: true, problem.CallPassed: true}
+
+const (
+	tickOf   = 40
+	upOf     = 2
+	silent   = 2.5
+	freshly  = 3
+	bodyLeas = 20
+	bodyMore = 400
+	savedOf  = 40
+	ofOthers = 4
+	ahead    = 4
+)
+
+func (g *Guest) span(d time.Duration) time.Duration {
+	return time.Duration(g.Rand.Float64() * float64(d))
+}
+
+func (g *Guest) later(now time.Time, d time.Duration) time.Time {
+	if d <= 0 {
+		return now.Add(1 << 60)
+	}
+	return now.Add(d/2 + g.span(d))
+}
+
+func (g *Guest) hear(h heard) {
+	g.mu.Lock()
+	g.inbox = append(g.inbox, h)
+	g.mu.Unlock()
+	select {
+	case g.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Move has the guest's connection broken, as a reset would.
+func (g *Guest) Move() {
+	g.mu.Lock()
+	n := g.serial
+	g.mu.Unlock()
+	g.hear(heard{serial: n, broken: true})
+}
+
+// Run goes on until ctx ends, and sends new messages until sends ends.
+func (g *Guest) Run(ctx, sends context.Context) {
+	now := time.Now()
+	g.bell, g.sending, g.counted, g.seen = make(chan struct{}, 1), sends, map[string]time.Time{}, map[string]stays.Message{}
+	for _, t := range g.Follow {
+		s := &sub{Topic: t, want: true}
+		if t.Cursor != "" {
+			s.stay, s.cursor = g.Book.OpenLate(g.Name, t.Place, t.Given), t.Cursor
+		}
+		g.subs = append(g.subs, s)
+	}
+	for _, l := range g.Lanes {
+		g.lanes = append(g.lanes, &lane{Lane: l, next: g.later(now, l.Every), draw: g.later(now, g.Habits.Withdraw)})
+	}
+	g.back = now.Add(g.span(g.Habits.Keepalive / 2))
+	g.shift, g.leave, g.tell = g.later(now, g.Habits.Change), g.later(now, g.Habits.Away), g.later(now, g.Habits.Count)
+	tick := time.NewTicker(g.Habits.Keepalive / tickOf)
+	defer tick.Stop()
+	for {
+		select {
+		case <-g.bell:
+		case <-tick.C:
+		case <-ctx.Done():
+			g.close(time.Now(), 0, false)
+			return
+		}
+		g.mu.Lock()
+		hs := g.inbox
+		g.inbox = nil
+		g.mu.Unlock()
+		now := time.Now()
+		for _, h := range hs {
+			if h.serial != g.serial || g.line == nil {
+				continue
+			}
+			if h.broken {
+				g.close(now, g.Habits.Keepalive/2, false)
+				continue
+			}
+			g.heardAt, g.shown = now, h.shown
+			if f, ok := takes[h.a.What]; ok {
+				f(g, now, h.a)
+			} else {
+				g.Book.Breach(stays.Mixed, "%s got an answer %q", g.Name, h.a.What)
+			}
+		}
+		g.step(now)
+	}
+}
+
+// close ends the connection and comes back within a time. A silent leave keeps the old one open for a while.
+func (g *Guest) close(now time.Time, within time.Duration, silently bool) {
+	l := g.line
+	if l == nil {
+		return
+	}
+	g.line, g.up = nil, false
+	if silently {
+		d := g.span(3 * g.Habits.Keepalive)
+		go func() {
+			time.Sleep(d)
+			l.End()
+		}()
+	} else {
+		go l.End()
+	}
+	g.back = now.Add(g.span(within))
+	for _, s := range g.subs {
+		if s.here != nil {
+			s.here.Gone(now)
+			s.here = nil
+		}
+		s.state = idle
+		s.retry = time.Time{}
+	}
+	for _, l := range g.lanes {
+		for _, m := range l.ms {
+			m.out, m.retry = false, time.Time{}
+		}
+	}
+	clear(g.counted)
+}
+
+func (g *Guest) enter(now time.Time) {
+	ds := g.Doors()
+	d := ds[g.Rand.IntN(len(ds))]
+	if i := slices.IndexFunc(ds, func(d Door) bool { return d.Address == g.to }); i >= 0 {
+		d = ds[i]
+	}
+	g.to = ""
+	g.mu.Lock()
+	g.serial++
+	n := g.serial
+	g.mu.Unlock()
+	g.line = d.Enter(func(a visit.Answer, shown time.Time) { g.hear(heard{serial: n, a: a, shown: shown}) }, func() { g.hear(heard{serial: n, broken: true}) })
+	if g.line == nil {
+		g.back = now.Add(g.span(g.Habits.Keepalive / 2))
+		return
+	}
+	g.begun, g.heardAt, g.up = now, now, false
+	g.say(now, visit.Task{Verb: visit.Attach, Visitor: g.Name})
+}
+
+func (g *Guest) say(now time.Time, t visit.Task) {
+	g.saidAt = now
+	g.line.Do(t)
+}
+
+func (g *Guest) step(now time.Time) {
+	if g.line == nil {
+		if now.Before(g.back) && (g.sending.Err() == nil || g.back.Sub(now) < g.Habits.Keepalive) {
+			return
+		}
+		if g.enter(now); g.line == nil {
+			return
+		}
+	}
+	h := g.Habits
+	if !g.up {
+		if now.Sub(g.begun) > h.Keepalive/upOf {
+			g.close(now, h.Keepalive/2, false)
+		}
+		return
+	}
+	if now.Sub(g.heardAt) > time.Duration(silent*float64(h.Keepalive)) {
+		g.close(now, h.Keepalive/2, false)
+		return
+	}
+	stays := g.sending.Err() != nil
+	if now.After(g.leave) && !stays {
+		g.leave = g.later(now, h.Away)
+		g.close(now, 0, g.Rand.IntN(2) == 0)
+		g.back = now.Add(g.span(h.Absence))
+		return
+	}
+	if now.After(g.shift) && !stays {
+		g.shift = g.later(now, h.Change)
+		s := g.subs[g.Rand.IntN(len(g.subs))]
+		s.want = !s.want
+	}
+	if now.After(g.tell) {
+		g.tell = g.later(now, h.Count)
+		t := g.subs[g.Rand.IntN(len(g.subs))].Name
+		if _, ok := g.counted[t]; !ok {
+			g.counted[t] = now
+			g.say(now, visit.Task{Verb: visit.Count, Topic: t})
+		}
+	}
+	for _, s := range g.subs {
+		if !g.follow(now, s) {
+			return
+		}
+	}
+	for _, l := range g.lanes {
+		if !g.publish(now, l) {
+			return
+		}
+	}
+	if now.Sub(g.saidAt) > h.Keepalive {
+		g.say(now, visit.Task{Verb: visit.Pulse})
+	}
+}
+
+// follow brings a topic to what is wanted of it; it tells whether the connection still stands.
+func (g *Guest) follow(now time.Time, s *sub) bool {
+	if (s.state == asked || s.state == dropping) && now.Sub(s.since) > g.Habits.Longest {
+		g.close(now, g.Habits.Keepalive/2, false)
+		return false
+	}
+	switch {
+	case s.want && (s.state == idle || s.state == dropped) && !now.Before(s.retry):
+		if s.stay == nil {
+			s.stay = g.Book.Open(g.Name, s.Name, s.Kept)
+			s.cursor = ""
+		}
+		s.state, s.since = asked, now
+		s.here = g.Book.Here(s.Name, now)
+		g.say(now, visit.Task{Verb: visit.Join, Topic: s.Name, Cursor: s.cursor})
+	case !s.want && s.state == joined:
+		s.stay.Ended(now)
+		s.here.Gone(now)
+		s.here = nil
+		s.state, s.since = dropping, now
+		g.say(now, visit.Task{Verb: visit.Leave, Topic: s.Name})
+	case !s.want && s.state == idle && s.stay != nil:
+		s.stay.Ended(now)
+		s.stay = nil
+	}
+	return true
+}
+
+func (g *Guest) body(topic string, n uint64) string {
+	return fmt.Sprintf("%s %s %d %s", g.Name, topic, n, strings.Repeat(string(rune('a'+n%26)), bodyLeas+g.Rand.IntN(bodyMore)))
+}
+
+func (g *Guest) number() uint64 {
+	g.last += 1 + uint64(g.Rand.IntN(3))
+	return g.last
+}
+
+func (g *Guest) publish(now time.Time, l *lane) bool {
+	l.ms = slices.DeleteFunc(l.ms, func(m *message) bool {
+		if m.draw != nil {
+			return now.Sub(m.first) > g.Habits.Forget
+		}
+		return now.Sub(m.first) > g.Habits.Deadline
+	})
+	drawing := slices.IndexFunc(l.ms, func(m *message) bool { return m.draw != nil })
+	if n := len(l.ms) - 1; (drawing < 0 && n+1 < l.Width || drawing >= 0 && n < l.Width) && now.After(l.next) && g.sending.Err() == nil {
+		l.next = g.later(now, l.Every)
+		l.ms = append(l.ms, &message{first: now})
+	}
+	if drawing < 0 && now.After(l.draw) && g.sending.Err() == nil {
+		l.draw = g.later(now, g.Habits.Withdraw)
+		l.ms = append(l.ms, g.withdrawal(now, l.Topic))
+	}
+	slices.SortStableFunc(l.ms, func(a, b *message) int { return cmp.Compare(a.call-1, b.call-1) })
+	for _, m := range l.ms {
+		if m.out {
+			if now.Sub(m.asked) > g.Habits.Answer {
+				g.close(now, g.Habits.Keepalive/2, false)
+				return false
+			}
+			continue
+		}
+		if now.Before(m.retry) {
+			continue
+		}
+		m.out, m.asked = true, now
+		if w := m.draw; w != nil {
+			g.say(now, visit.Task{Verb: visit.Withdraw, Topic: l.Topic, Call: m.call, Key: w.Key, Of: w.Of, Upto: w.Upto})
+			continue
+		}
+		if m.call == 0 {
+			m.call = g.number()
+			m.body = g.body(l.Topic, m.call)
+			if g.Habits.Keyed > 0 && g.Rand.Float64() < g.Habits.Keyed {
+				m.key = g.key()
+			}
+		}
+		g.Book.Try(stays.Message{Topic: l.Topic, From: g.Name, Call: m.call}, m.key, m.body, now)
+		g.say(now, visit.Task{Verb: visit.Send, Topic: l.Topic, Call: m.call, Key: m.key, Body: []byte(m.body)})
+	}
+	return true
+}
+
+func (g *Guest) key() string { return fmt.Sprintf("k%d", g.Rand.IntN(max(1, g.Habits.Keys))) }
+
+// withdrawal withdraws what stands under a key, at times with a sender that was seen on the topic and a number that it may not have reached.
+func (g *Guest) withdrawal(now time.Time, topic string) *message {
+	w := stays.Withdrawal{Topic: topic, Key: g.key(), By: g.Name, Call: g.number()}
+	if m, ok := g.seen[topic]; ok && m.From != g.Name && g.Rand.IntN(ofOthers) == 0 {
+		w.Of, w.Upto = m.From, m.Call+uint64(g.Rand.IntN(ahead))
+	}
+	return &message{call: w.Call, first: now, draw: g.Book.Withdraw(w, now)}
+}
+
+func (g *Guest) sub(topic string) *sub {
+	if i := slices.IndexFunc(g.subs, func(s *sub) bool { return s.Name == topic }); i >= 0 {
+		return g.subs[i]
+	}
+	return nil
+}
+
+func (g *Guest) message(topic string, call uint64) (*lane, *message) {
+	for _, l := range g.lanes {
+		if l.Topic != topic {
+			continue
+		}
+		for _, m := range l.ms {
+			if m.call == call {
+				return l, m
+			}
+		}
+	}
+	return nil, nil
+}
+
+var takes = map[visit.What]func(g *Guest, now time.Time, a visit.Answer){
+	visit.Attached: func(g *Guest, _ time.Time, _ visit.Answer) { g.up = true },
+	visit.Alive:    func(*Guest, time.Time, visit.Answer) {},
+	visit.Joined: func(g *Guest, now time.Time, a visit.Answer) {
+		s := g.sub(a.Topic)
+		if s == nil || s.state != asked {
+			g.Book.Breach(stays.Mixed, "%s was told that it joined %s, which it did not ask", g.Name, a.Topic)
+			return
+		}
+		s.state = joined
+		s.stay.Joined(now)
+		s.here.Joined(now)
+		if s.cursor != "" && s.cursor != a.Cursor && s.Kept {
+			g.Book.Breach(stays.Mixed, "%s joined %s with cursor %q and was told %q", g.Name, s.Name, s.cursor, a.Cursor)
+		}
+		s.cursor = a.Cursor
+	},
+	visit.Left: func(g *Guest, now time.Time, a visit.Answer) {
+		s := g.sub(a.Topic)
+		if s == nil || s.state != dropping {
+			g.Book.Breach(stays.Mixed, "%s was told that it left %s, which it did not ask", g.Name, a.Topic)
+			return
+		}
+		s.state, s.stay, s.cursor, s.retry = dropped, nil, "", now
+	},
+	visit.Message: func(g *Guest, now time.Time, a visit.Answer) {
+		m := stays.Message{Topic: a.Topic, From: a.From, Call: a.Call}
+		s := g.sub(a.Topic)
+		if s == nil || s.state == idle || s.state == dropped {
+			g.Book.Stray(g.Name, m, now)
+			return
+		}
+		if s.state == dropping {
+			return
+		}
+		s.stay.Got(m, string(a.Body), stays.Place{Partition: a.Partition, Offset: a.Offset}, g.shown)
+		g.seen[a.Topic] = m
+		s.cursor = a.Cursor
+		if g.Saved != nil && s.Kept && g.Rand.IntN(savedOf) == 0 {
+			g.Saved(Topic{Name: s.Name, Kept: true, Cursor: a.Cursor, Place: m, Given: now})
+		}
+	},
+	visit.Taken: func(g *Guest, now time.Time, a visit.Answer) {
+		g.Book.Taken(stays.Message{Topic: a.Topic, From: g.Name, Call: a.Call}, now)
+		if l, m := g.message(a.Topic, a.Call); m != nil {
+			l.ms = slices.DeleteFunc(l.ms, func(x *message) bool { return x == m })
+		}
+	},
+	visit.Forgotten: func(g *Guest, now time.Time, a visit.Answer) {
+		l, m := g.message(a.Topic, a.Call)
+		if m == nil {
+			return
+		}
+		if m.draw == nil || m.draw.Key != a.Key {
+			g.Book.Breach(stays.Mixed, "%s was told that %s of %s, %d, is forgotten, which it did not ask", g.Name, a.Key, a.Topic, a.Call)
+			return
+		}
+		m.draw.Forgotten(stays.Place{Partition: a.Partition, Offset: a.Offset}, g.shown)
+		l.ms = slices.DeleteFunc(l.ms, func(x *message) bool { return x == m })
+	},
+	visit.Withdrawn: func(g *Guest, now time.Time, a visit.Answer) { g.Book.Told(g.Name, a.Topic, a.Key, now) },
+	visit.Counted: func(g *Guest, now time.Time, a visit.Answer) {
+		at, ok := g.counted[a.Topic]
+		if !ok {
+			g.Book.Breach(stays.Mixed, "%s was told a count of %s, which it did not ask", g.Name, a.Topic)
+			return
+		}
+		delete(g.counted, a.Topic)
+		g.Book.Count(a.Topic, a.Count, at, now, g.Calm())
+	},
+	visit.Turned: func(g *Guest, now time.Time, a visit.Answer) {
+		f, ok := turns[a.Re]
+		if !ok || a.Err == nil {
+			g.Book.Breach(stays.Mixed, "%s was turned away with %q: %v", g.Name, a.Re, a.Err)
+			return
+		}
+		f(g, now, a)
+	},
+	visit.Moved: func(g *Guest, now time.Time, a visit.Answer) {
+		g.close(now, g.Habits.Keepalive/tickOf, false)
+		g.to = a.Address
+	},
+}
+
+var turns = map[visit.Verb]func(g *Guest, now time.Time, a visit.Answer){
+	visit.Attach: func(g *Guest, now time.Time, _ visit.Answer) { g.close(now, g.Habits.Keepalive/2, false) },
+	visit.Count:  func(g *Guest, _ time.Time, a visit.Answer) { delete(g.counted, a.Topic) },
+	visit.Leave:  func(g *Guest, now time.Time, _ visit.Answer) { g.close(now, g.Habits.Keepalive/2, false) },
+	visit.Join: func(g *Guest, now time.Time, a visit.Answer) {
+		s := g.sub(a.Topic)
+		if s == nil || s.state != asked {
+			g.Book.Breach(stays.Mixed, "%s was turned away from %s, which it did not ask: %v", g.Name, a.Topic, a.Err)
+			return
+		}
+		s.here.Gone(now)
+		s.here = nil
+		s.state, s.retry = idle, now.Add(g.span(g.Habits.Keepalive/2))
+		switch {
+		case problem.Has(a.Err, problem.CursorExpired):
+			s.stay.Expired(now)
+			s.stay = nil
+		case problem.Has(a.Err, problem.CursorBad):
+			g.Book.Breach(stays.Mixed, "%s was told that its cursor %q of %s is bad: %v", g.Name, s.cursor, s.Name, a.Err)
+		}
+	},
+	visit.Withdraw: func(g *Guest, now time.Time, a visit.Answer) {
+		l, m := g.message(a.Topic, a.Call)
+		if m == nil || m.draw == nil {
+			return
+		}
+		m.out, m.retry = false, now.Add(g.span(g.Habits.Keepalive/10))
+		switch k := problem.Of(a.Err).Kind; {
+		case k == problem.WithdrawalOpen:
+			m.draw.Stands(now)
+		case Voids[k]:
+			m.draw.Void()
+			l.ms = slices.DeleteFunc(l.ms, func(x *message) bool { return x == m })
+		}
+	},
+	visit.Send: func(g *Guest, now time.Time, a visit.Answer) {
+		k := problem.Of(a.Err).Kind
+		if Promises[k] {
+			g.Book.Turned(stays.Message{Topic: a.Topic, From: g.Name, Call: a.Call})
+		}
+		l, m := g.message(a.Topic, a.Call)
+		if m == nil {
+			return
+		}
+		m.out, m.retry = false, now.Add(g.span(g.Habits.Keepalive/10))
+		if !Promises[k] {
+			return
+		}
+		l.ms = slices.DeleteFunc(l.ms, func(x *message) bool { return x == m })
+		if m.fresh < freshly {
+			l.ms = append(l.ms, &message{first: m.first, retry: m.retry, fresh: m.fresh + 1})
+		}
+	},
+}
--- /dev/null
+++ b/internal/proof/sim/flap_test.go
@@ -0,0 +1,105 @@
+package sim
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func changes(w *World) (n uint64) {
+	for _, r := range w.records() {
+		n += r.Epoch
+	}
+	return n
+}
+
+// What is slow, lossy or pauses for a moment is not gone: nothing changes hands.
+func TestNothingChangesHandsWhileMachinesAreOnlySlow(t *testing.T) {
+	t.Parallel()
+	quiet := []struct {
+		name string
+		f    func(w *World)
+	}{
+		{"packet loss of 3 %", func(w *World) { w.Lose(0.03); time.Sleep(60 * time.Second) }},
+		{"packet loss of 10 %", func(w *World) { w.Lose(0.1); time.Sleep(20 * time.Second) }},
+		{"a store five times slower", func(w *World) { w.Slow(busiest(w), 4*w.Site.Latency); time.Sleep(30 * time.Second) }},
+		{"all five times slower", func(w *World) {
+			for _, n := range w.Names {
+				w.Slow(n, 4*w.Site.Latency)
+			}
+			time.Sleep(30 * time.Second)
+		}},
+		{"pauses of 600 ms", func(w *World) {
+			for range 5 {
+				o := busiest(w)
+				w.Freeze(o)
+				time.Sleep(600 * time.Millisecond)
+				w.Thaw(o)
+				time.Sleep(2 * time.Second)
+			}
+		}},
+		{"all pause for 3 s", func(w *World) {
+			for _, n := range w.Names {
+				w.Freeze(n)
+			}
+			time.Sleep(3 * time.Second)
+			for _, n := range w.Names {
+				w.Thaw(n)
+			}
+			time.Sleep(5 * time.Second)
+		}},
+		{"a successor pauses for 3 s", func(w *World) {
+			o := busiest(w)
+			for _, n := range w.Names {
+				if n[0] == 's' && n != o {
+					w.Freeze(n)
+					time.Sleep(700 * time.Millisecond)
+					w.Thaw(n)
+					time.Sleep(time.Second)
+				}
+			}
+		}},
+		{"connections reset", func(w *World) {
+			for range 5 {
+				for _, n := range w.Names {
+					w.Reset(n)
+				}
+				time.Sleep(2 * time.Second)
+			}
+		}},
+		{"control nodes restart", func(w *World) { w.bounce(300*time.Millisecond, "c"); time.Sleep(8 * time.Second) }},
+		{"the link between two stores is cut", func(w *World) {
+			w.Cut("s1", "s2")
+			w.Cut("s2", "s1")
+			time.Sleep(10 * time.Second)
+			w.Heal()
+			time.Sleep(3 * time.Second)
+		}},
+	}
+	for _, x := range quiet {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := standing(t, Armor, 72)
+				defer w.Close()
+				was := changes(w)
+				x.f(w)
+				assert.Equal(t, changes(w), was, "partitions changed hands")
+			})
+		})
+	}
+}
+
+// Each loss is over in its time.
+func TestServiceIsBackInItsTime(t *testing.T) {
+	t.Parallel()
+	for _, x := range losses {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			d := gapOf(t, Armor, 73, x.f)
+			assert.Assert(t, d <= x.most, "some partition took nothing for %s, at most %s are allowed", d, x.most)
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/sim/hand.go
@@ -0,0 +1,259 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"postjunction/internal/problem"
+	"postjunction/internal/proof/guest"
+	"postjunction/internal/proof/stays"
+	"postjunction/internal/visitor/visit"
+)
+
+// Hand is a visitor that does what a script says, on one connection to a named machine; what it sees goes into the guests' book.
+type Hand struct {
+	Name, At string
+
+	g     *Guests
+	line  guest.Line
+	mu    sync.Mutex
+	seen  []Seen
+	stays map[string]*stays.Stay
+	// cursor is what a topic was resumed with.
+	cursor map[string]string
+	ended  bool
+	bell   chan struct{}
+}
+
+// Seen is an answer, and when the connection took its last byte.
+type Seen struct {
+	visit.Answer
+	Shown time.Time
+}
+
+const handLimit = 3 * time.Second
+
+// Hand lets a scripted visitor in, nil where nobody answers.
+func (g *Guests) Hand(at, name string) *Hand {
+	h := &Hand{Name: name, At: at, g: g, stays: map[string]*stays.Stay{}, cursor: map[string]string{}, bell: make(chan struct{}, 1)}
+	h.line = g.door(g.w.Machines[at]).Enter(h.hear, h.lose)
+	if h.line == nil {
+		return nil
+	}
+	g.mu.Lock()
+	h.line.(*session).scripted = true
+	g.mu.Unlock()
+	h.line.Do(visit.Task{Verb: visit.Attach, Visitor: name})
+	if a, ok := h.Wait(0, handLimit, func(a visit.Answer) bool { return a.What == visit.Attached || a.Re == visit.Attach }); !ok || a.What != visit.Attached {
+		h.line.End()
+		return nil
+	}
+	g.wg.Go(h.pulse)
+	return h
+}
+
+func (h *Hand) pulse() {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for !h.Ended() {
+		select {
+		case <-t.C:
+			h.line.Do(visit.Task{Verb: visit.Pulse})
+		case <-h.g.w.ctx.Done():
+			h.line.End()
+			return
+		}
+	}
+}
+
+func (h *Hand) lose() {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
+	ring(h.bell)
+}
+
+// Ended tells whether the connection broke or was closed.
+func (h *Hand) Ended() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended
+}
+
+// End goes.
+func (h *Hand) End() {
+	h.mu.Lock()
+	for _, s := range h.stays {
+		s.Ended(time.Now())
+	}
+	h.mu.Unlock()
+	h.lose()
+	h.line.End()
+}
+
+// Break loses the connection; the subscriptions may be resumed.
+func (h *Hand) Break() {
+	h.lose()
+	h.line.End()
+}
+
+// Still has the hand not read for a while.
+func (h *Hand) Still(d time.Duration) { h.line.(*session).Still(d) }
+
+func (h *Hand) hear(a visit.Answer, shown time.Time) {
+	h.mu.Lock()
+	if h.ended {
+		h.mu.Unlock()
+		return
+	}
+	h.seen = append(h.seen, Seen{a, shown})
+	s := h.stays[a.Topic]
+	h.mu.Unlock()
+	now, b := time.Now(), h.g.Book
+	switch a.What {
+	case visit.Joined:
+		s.Joined(now)
+	case visit.Message:
+		s.Got(stays.Message{Topic: a.Topic, From: a.From, Call: a.Call}, string(a.Body), stays.Place{Partition: a.Partition, Offset: a.Offset}, shown)
+	case visit.Taken:
+		b.Taken(stays.Message{Topic: a.Topic, From: h.Name, Call: a.Call}, now)
+	case visit.Withdrawn:
+		b.Told(h.Name, a.Topic, a.Key, now)
+	case visit.Turned:
+		if a.Re == visit.Send && guest.Promises[problem.Of(a.Err).Kind] {
+			b.Turned(stays.Message{Topic: a.Topic, From: h.Name, Call: a.Call})
+		}
+	}
+	ring(h.bell)
+}
+
+// Mark tells how much the hand has heard.
+func (h *Hand) Mark() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.seen)
+}
+
+// All gives what it has heard.
+func (h *Hand) All() []Seen {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seen[:len(h.seen):len(h.seen)]
+}
+
+// Wait waits for an answer behind a mark.
+func (h *Hand) Wait(from int, limit time.Duration, ok func(visit.Answer) bool) (Seen, bool) {
+	end := time.NewTimer(limit)
+	defer end.Stop()
+	for {
+		h.mu.Lock()
+		for ; from < len(h.seen); from++ {
+			if ok(h.seen[from].Answer) {
+				s := h.seen[from]
+				h.mu.Unlock()
+				return s, true
+			}
+		}
+		gone := h.ended
+		h.mu.Unlock()
+		if gone {
+			return Seen{}, false
+		}
+		select {
+		case <-h.bell:
+		case <-end.C:
+			return Seen{}, false
+		}
+	}
+}
+
+// Follow joins a topic, from a cursor if there is one, and tells whether it was taken up.
+func (h *Hand) Follow(topic, cursor string) (Seen, bool) {
+	h.mu.Lock()
+	if h.stays[topic] == nil {
+		h.stays[topic] = h.g.Book.Open(h.Name, topic, strings.HasPrefix(topic, "kept/"))
+	}
+	n := len(h.seen)
+	h.mu.Unlock()
+	h.line.Do(visit.Task{Verb: visit.Join, Topic: topic, Cursor: cursor})
+	s, ok := h.Wait(n, handLimit, func(a visit.Answer) bool { return a.Topic == topic && (a.What == visit.Joined || a.Re == visit.Join) })
+	return s, ok && s.What == visit.Joined
+}
+
+// Resume goes on where another hand of the same name has ended, on the stay of that.
+func (h *Hand) Resume(was *Hand, topic string) (Seen, bool) {
+	was.mu.Lock()
+	cursor := was.cursor[topic]
+	for _, s := range was.seen {
+		if s.Topic == topic && s.Cursor != "" {
+			cursor = s.Cursor
+		}
+	}
+	stay, seen := was.stays[topic], was.seen
+	was.mu.Unlock()
+	h.mu.Lock()
+	h.seen = append(seen[:len(seen):len(seen)], h.seen...)
+	h.stays[topic], h.cursor[topic] = stay, cursor
+	h.mu.Unlock()
+	return h.Follow(topic, cursor)
+}
+
+// Body is what a hand sends under a number.
+func (h *Hand) Body(call uint64) string {
+	return fmt.Sprintf("%s %d %s", h.Name, call, strings.Repeat("x", handBody))
+}
+
+const handBody = 300
+
+// Post sends without waiting.
+func (h *Hand) Post(topic, key string, call uint64) {
+	h.g.Book.Try(stays.Message{Topic: topic, From: h.Name, Call: call}, key, h.Body(call), time.Now())
+	h.line.Do(visit.Task{Verb: visit.Send, Topic: topic, Key: key, Call: call, Body: []byte(h.Body(call))})
+}
+
+// Send sends and gives the answer.
+func (h *Hand) Send(topic, key string, call uint64) (Seen, bool) {
+	n := h.Mark()
+	h.Post(topic, key, call)
+	return h.Wait(n, handLimit, func(a visit.Answer) bool {
+		return a.Topic == topic && a.Call == call && (a.What == visit.Taken || a.Re == visit.Send)
+	})
+}
+
+// Sent sends until the message is taken or never will be, and tells whether it was.
+func (h *Hand) Sent(topic, key string, call uint64) bool {
+	for range 20 {
+		s, ok := h.Send(topic, key, call)
+		if ok && s.What == visit.Taken {
+			return true
+		}
+		if ok && guest.Promises[problem.Of(s.Err).Kind] {
+			return false
+		}
+		time.Sleep(h.g.w.Site.Bounds.Retry())
+	}
+	return false
+}
+
+// Withdraw asks for a withdrawal once and notes the answer.
+func (h *Hand) Withdraw(w stays.Withdrawal) (Seen, bool) {
+	w.By = h.Name
+	x := h.g.Book.Withdraw(w, time.Now())
+	n := h.Mark()
+	h.line.Do(visit.Task{Verb: visit.Withdraw, Topic: w.Topic, Key: w.Key, Call: w.Call, Of: w.Of, Upto: w.Upto})
+	s, ok := h.Wait(n, handLimit, func(a visit.Answer) bool {
+		return a.Topic == w.Topic && a.Call == w.Call && (a.What == visit.Forgotten || a.Re == visit.Withdraw)
+	})
+	switch {
+	case !ok:
+	case s.What == visit.Forgotten:
+		x.Forgotten(stays.Place{Partition: s.Partition, Offset: s.Offset}, s.Shown)
+	case problem.Has(s.Err, problem.WithdrawalOpen):
+		x.Stands(time.Now())
+	case guest.Voids[problem.Of(s.Err).Kind]:
+		x.Void()
+	}
+	return s, ok
+}
--- a/internal/proof/sim/hold.go
+++ b/internal/proof/sim/hold.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"postjunction/internal/clock"
 )
 
 // Stages of a call between machines at which it can be held up.
@@ -71,3 +74,42 @@
 		}
 	}
 }
+
+// Meddle is what may happen to a call between machines: it or its answer is lost, it comes a second time, late, or it takes longer.
+type Meddle struct {
+	Lose  bool
+	Again time.Duration
+	Late  time.Duration
+}
+
+// Meddle has a function decide what happens to each call at each of its stages, until the function that it gives is called.
+func (w *World) Meddle(f func(Point) Meddle) (stop func()) {
+	w.note("meddle")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.meddle = f
+	return func() {
+		w.note("meddle no more")
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.meddle = nil
+	}
+}
+
+// meddled holds a call up as it is meddled with, for good when it is lost; it gives how late it comes again, 0 for not at all.
+func (w *World) meddled(ctx context.Context, p Point) time.Duration {
+	w.mu.Lock()
+	f := w.meddle
+	w.mu.Unlock()
+	if f == nil {
+		return 0
+	}
+	x := f(p)
+	if x.Late > 0 {
+		_ = clock.Real{}.Sleep(ctx, x.Late)
+	}
+	if x.Lose {
+		<-ctx.Done()
+	}
+	return x.Again
+}
--- a/internal/proof/sim/lag_test.go
+++ b/internal/proof/sim/lag_test.go
@@ -52,3 +52,17 @@
 		})
 	}
 }
+
+// How long pulses take is told by nodes whose duties can move for it, and by no others.
+func TestOnlyNodesWithADiskTellHowLongPulsesTake(t *testing.T) {
+	t.Parallel()
+	stand(t, Armor, 380, func(t *testing.T, w *World) {
+		slow := w.Site.Bounds.Slow()
+		for _, n := range []string{"a1", "s1"} {
+			w.Slow(n, 2*slow)
+		}
+		time.Sleep(w.Site.Bounds.Spread)
+		assert.Equal(t, w.Machines["a1"].Node().Info().Lag, int64(0))
+		assert.Assert(t, w.Machines["s1"].Node().Info().Lag > slow.Microseconds())
+	})
+}
--- a/internal/proof/sim/measure_test.go
+++ b/internal/proof/sim/measure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,35 @@
 		})
 	}
 }
+
+// TestMeasureIdle counts what a node of a quiet fleet spends on each procedure, by nodes.
+func TestMeasureIdle(t *testing.T) {
+	measuring(t)
+	for _, access := range []int{7, 20, 46, 72} {
+		synctest.Test(t, func(t *testing.T) {
+			s := Armor
+			s.Access = access
+			w := New(s, 1, nil)
+			defer w.Close()
+			assert.NilError(t, w.Start(w.Names...))
+			assert.NilError(t, w.Settle(20*time.Second))
+			described(t, w)
+			time.Sleep(5 * time.Second)
+			was, secs := w.Flows(), 10
+			time.Sleep(time.Duration(secs) * time.Second)
+			var all Flow
+			var ls []string
+			n := float64(secs * len(w.Names))
+			for k, f := range w.Flows() {
+				f.Calls, f.Bytes = f.Calls-was[k].Calls, f.Bytes-was[k].Bytes
+				all = Flow{all.Calls + f.Calls, all.Bytes + f.Bytes}
+				if f.Calls > 0 {
+					ls = append(ls, fmt.Sprintf("%9.0f B/s %6.2f/s %s", float64(f.Bytes)/n, float64(f.Calls)/n, k))
+				}
+			}
+			slices.Sort(ls)
+			slices.Reverse(ls)
+			t.Logf("%d nodes: %.0f B/s and %.2f calls/s a node\n%s", len(w.Names), float64(all.Bytes)/n, float64(all.Calls)/n, strings.Join(ls, "\n"))
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/sim/storm_test.go
@@ -0,0 +1,50 @@
+package sim
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	keys "postjunction/internal/control/holder"
+	"postjunction/internal/control/voter"
+)
+
+// While a change is on its way to some voters, copies of the description differ. All control nodes saw that each pulse, read the key, compared whole
+// copies and sent them again; where its holder was slow to answer they claimed the key from one another, which made the copies differ anew, and
+// with documents of the users' size the control nodes' links were full for good.
+func TestAChangeOnItsWayIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := Traductores
+		s.Control = 8
+		w := New(s, 3, nil)
+		defer w.Close()
+		assert.NilError(t, w.Start(w.Names...))
+		assert.NilError(t, w.Settle(20*time.Second))
+		_, err := w.Put("c1", bootLoad.Describe(0))
+		assert.NilError(t, err)
+		time.Sleep(s.Bounds.Spread)
+		release, hits := w.Hold(func(p Point) bool {
+			return p.Path == voter.Accept.Path && (p.To == "c6" || p.To == "c7" || p.To == "c8")
+		})
+		was := w.Flows()
+		_, err = w.Put("a1", bootLoad.Describe(1))
+		assert.NilError(t, err)
+		time.Sleep(s.Bounds.Licence() / 3)
+		is := w.Flows()
+		release()
+		assert.Assert(t, hits() > 0)
+		reads := is[keys.Read.Path].Calls - was[keys.Read.Path].Calls
+		bytes := is[voter.Peek.Path].Bytes - was[voter.Peek.Path].Bytes
+		claims := is[voter.Promise.Path].Calls - was[voter.Promise.Path].Calls
+		t.Logf("%d reads, %d bytes of copies, %d promises asked", reads, bytes, claims)
+		assert.Assert(t, reads <= 6, "%d reads", reads)
+		time.Sleep(s.Bounds.Recovery)
+		for _, n := range w.Names {
+			assert.Equal(t, w.Machines[n].Node().Board.Description().Sequence, uint64(2), n)
+		}
+		assert.Assert(t, w.copied(), "the copies are alike at last")
+	})
+}
--- /dev/null
+++ b/internal/proof/sim/submit_test.go
@@ -0,0 +1,49 @@
+package sim
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/description"
+	"postjunction/internal/problem"
+)
+
+func plainReader(doc []byte, _ uint64) (description.Description, error) {
+	return description.Parse(doc)
+}
+
+// A document is handed over to a control node; where none reads documents, the node that was asked goes on itself. Either way it is taken once.
+func TestADocumentIsHandedOver(t *testing.T) {
+	t.Parallel()
+	for _, handed := range []bool{true, false} {
+		stand(t, Armor, 77, func(t *testing.T, w *World) {
+			w.Watch()
+			here := 0
+			read := func(doc []byte, base uint64) (description.Description, error) {
+				here++
+				return plainReader(doc, base)
+			}
+			for _, n := range w.Names {
+				if handed {
+					w.Machines[n].Node().Operators.Read(plainReader)
+				}
+			}
+			o := w.Machines["a1"].Node().Operators
+			base := uint64(0)
+			for range 4 {
+				assert.NilError(t, o.Submit(w.ctx, load.Describe(base), base, read))
+				d, err := o.Current(w.ctx)
+				assert.NilError(t, err)
+				assert.Equal(t, d.Sequence, base+1)
+				assert.NilError(t, o.Submit(w.ctx, load.Describe(base), base, read), "the same again")
+				base = d.Sequence
+			}
+			err := o.Submit(w.ctx, load.Describe(base-2), base-2, read)
+			assert.Assert(t, problem.Has(err, problem.DescriptionRaced), "%v", err)
+			err = o.Submit(w.ctx, []byte(`{"base":1,"spaces":[{"name":"A"}]}`), base, read)
+			assert.Assert(t, err != nil && len(problem.Of(err).Faults) > 0, "%v", err)
+			assert.Equal(t, here == 0, handed, "read here %d times", here)
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/sim/woken_test.go
@@ -0,0 +1,59 @@
+package sim
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	keys "postjunction/internal/control/holder"
+	"postjunction/internal/control/voter"
+)
+
+// Many control nodes that lose power right after a description was accepted, and come back one after another, are licensed soon, and do not send
+// whole descriptions to all others to compare them.
+func TestDescriptionsAreNotSentAroundAfterALossOfPower(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s, big := Traductores, bootLoad
+				s.Control, s.Sync, big.Topics = 8, 5*time.Millisecond, 2000
+				w := New(s, 40+seed, Logger())
+				defer w.Close()
+				assert.NilError(t, w.Start(w.Names...))
+				assert.NilError(t, w.Settle(20*time.Second))
+				_, err := w.Put("c1", big.Describe(0))
+				assert.NilError(t, err)
+				time.Sleep(s.Bounds.Recovery)
+				_, err = w.Put("a1", big.Describe(1))
+				assert.NilError(t, err)
+				for _, n := range w.Names {
+					w.LosePower(n, w.Int(2) == 0)
+				}
+				time.Sleep(s.Bounds.Silent())
+				ns := slices.Clone(w.Names)
+				for i := range ns {
+					k := w.Int(i + 1)
+					ns[i], ns[k] = ns[k], ns[i]
+				}
+				was := w.Flows()
+				for _, n := range ns {
+					assert.NilError(t, w.Start(n))
+					time.Sleep(time.Duration(w.Int(60)) * time.Millisecond)
+				}
+				assert.NilError(t, w.Until(s.Bounds.Tend(), "all are ready", func() bool {
+					return !slices.ContainsFunc(ns, func(n string) bool { return w.Machines[n].Node().Ready() != nil })
+				}))
+				is, bytes := w.Flows(), 0
+				for _, p := range []string{keys.Read.Path, voter.Peek.Path, voter.Promise.Path, voter.Accept.Path} {
+					bytes += is[p].Bytes - was[p].Bytes
+				}
+				assert.Assert(t, bytes < 50*len(big.Describe(1)), "%d bytes for a description of %d", bytes, len(big.Describe(1)))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/stays/book.go
@@ -0,0 +1,384 @@
+// Package stays records what stand-in guests on line sessions saw and judges it: each stay is one subscription of one visitor to one
+// topic, from its first joined answer to its end, across connections.
+package stays
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Message names one numbered message of a sender on a topic.
+type Message struct {
+	Topic string
+	From  string
+	Call  uint64
+}
+
+type sent struct {
+	body    string
+	key     string
+	place   Place
+	at      time.Time
+	taken   time.Time
+	tries   int
+	turned  int
+	settled bool
+}
+
+// The rules that are judged.
+const (
+	Twice     = "twice"
+	Order     = "order"
+	Lost      = "lost"
+	Expired   = "expired"
+	Mixed     = "mixed"
+	Refused   = "refused"
+	Count     = "count"
+	Withdrawn = "withdrawn"
+)
+
+// Rules lists them.
+var Rules = []string{Twice, Order, Lost, Expired, Mixed, Refused, Count, Withdrawn}
+
+// Breach is a rule that was broken.
+type Breach struct {
+	Rule string
+	Say  string
+}
+
+// Book is shared by all guests of a run.
+type Book struct {
+	// Keeping is how long messages of kept topics are held.
+	Keeping time.Duration
+	// Window is how far back a count of listeners may look.
+	Window time.Duration
+
+	mu    sync.Mutex
+	sent  map[Message]*sent
+	stays []*Stay
+	bad   []Breach
+	there map[string][]*Presence
+	drawn map[string][]*Withdrawal
+	tally Tally
+}
+
+// Tally says how much there was to judge.
+type Tally struct {
+	Sent, Taken, Tries, Turned, Got, Stays, Resumed, Expired, Counts, Late int
+	Keyed, Withdrawals, Forgotten, Open, Void, Covered, Spared             int
+}
+
+// New makes an empty book.
+func New(keeping, window time.Duration) *Book {
+	return &Book{Keeping: keeping, Window: window, sent: map[Message]*sent{}, there: map[string][]*Presence{}, drawn: map[string][]*Withdrawal{}}
+}
+
+// Stay is a subscription.
+type Stay struct {
+	b       *Book
+	visitor string
+	topic   string
+	kept    bool
+	late    bool
+	expired bool
+	since   time.Time
+	place   time.Time
+	end     time.Time
+	conn    int
+	taken   time.Time
+	got     []receipt
+	have    map[Message]int
+}
+
+type receipt struct {
+	m    Message
+	conn int
+	at   time.Time
+	// since is when the connection took the subscription up.
+	since time.Time
+}
+
+func (b *Book) breach(rule, f string, a ...any) {
+	b.bad = append(b.bad, Breach{rule, fmt.Sprintf(f, a...)})
+}
+
+// Breach notes a rule that a guest itself saw broken.
+func (b *Book) Breach(rule, f string, a ...any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.breach(rule, f, a...)
+}
+
+// Try notes that a message is about to be sent, under a key if that is not empty; the first try gives its body and time.
+func (b *Book) Try(m Message, key, body string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.sent[m]
+	if s == nil {
+		s = &sent{body: body, key: key, at: now}
+		b.sent[m] = s
+	}
+	s.tries++
+}
+
+// Turned notes that a try was turned away with the promise that it never will be done.
+func (b *Book) Turned(m Message) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent[m].turned++
+}
+
+// Taken notes that a message was acknowledged.
+func (b *Book) Taken(m Message, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.sent[m]
+	if s == nil {
+		b.breach(Mixed, "%v was acknowledged and never sent", m)
+		return
+	}
+	if s.taken.IsZero() {
+		s.taken = now
+	}
+}
+
+// Open begins a stay that nothing is owed to before it was joined.
+func (b *Book) Open(visitor, topic string, kept bool) *Stay {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := &Stay{b: b, visitor: visitor, topic: topic, kept: kept, have: map[Message]int{}}
+	b.stays = append(b.stays, s)
+	return s
+}
+
+// OpenLate begins a stay at a cursor that another was given with a message at a time.
+func (b *Book) OpenLate(visitor string, m Message, given time.Time) *Stay {
+	s := b.Open(visitor, m.Topic, true)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.late, s.since, s.place = true, given, given
+	if x := b.sent[m]; x != nil {
+		s.place = x.at
+	}
+	return s
+}
+
+// Joined notes that the subscription was taken up, on a further connection unless it is the first.
+func (s *Stay) Joined(now time.Time) {
+	s.b.mu.Lock()
+	defer s.b.mu.Unlock()
+	s.conn++
+	s.taken = now
+	if s.since.IsZero() {
+		s.since = now
+	}
+	if s.conn > 1 {
+		s.b.tally.Resumed++
+	}
+}
+
+// Ended notes that the visitor ends the subscription.
+func (s *Stay) Ended(now time.Time) {
+	s.b.mu.Lock()
+	defer s.b.mu.Unlock()
+	if s.end.IsZero() {
+		s.end = now
+	}
+}
+
+// Expired notes that the visitor is told that the subscription can't be taken up.
+func (s *Stay) Expired(now time.Time) {
+	s.b.mu.Lock()
+	defer s.b.mu.Unlock()
+	s.b.tally.Expired++
+	if !s.end.IsZero() {
+		return
+	}
+	s.end, s.expired = now, true
+	if !s.kept || s.since.IsZero() {
+		return
+	}
+	from := s.since
+	if s.late {
+		from = s.place
+	}
+	for m, x := range s.b.sent {
+		if m.Topic == s.topic && !x.taken.IsZero() && x.at.After(from) && s.have[m] == 0 && now.Sub(x.at) > s.b.Keeping {
+			return
+		}
+	}
+	s.b.breach(Expired, "%s was told at %s that %s can't be taken up, and lacks nothing older than %s", s.visitor, now.Format("04:05.000"), s.topic, s.b.Keeping)
+}
+
+// Got notes a message that came on this stay's connection: its place in the line, where that is known, and when the connection took its last byte.
+func (s *Stay) Got(m Message, body string, at Place, shown time.Time) {
+	s.b.mu.Lock()
+	defer s.b.mu.Unlock()
+	s.b.tally.Got++
+	s.got = append(s.got, receipt{m, s.conn, shown, s.taken})
+	s.have[m]++
+	s.b.same(s.visitor, m, body)
+	if x := s.b.sent[m]; x != nil && at != (Place{}) {
+		x.place = at
+	}
+	if m.Topic != s.topic {
+		s.b.breach(Mixed, "%s got %v on %s", s.visitor, m, s.topic)
+	}
+}
+
+func (b *Book) same(who string, m Message, body string) {
+	x := b.sent[m]
+	switch {
+	case x == nil:
+		b.breach(Mixed, "%s got %v, which nobody sent", who, m)
+	case x.body != body:
+		b.breach(Mixed, "%s got %v with another body", who, m)
+	}
+}
+
+// Stray notes a message on a topic that the connection has left or never asked for.
+func (b *Book) Stray(visitor string, m Message, now time.Time) {
+	b.Breach(Mixed, "%s got %v at %s, a topic that its connection does not follow", visitor, m, now.Format("04:05.000"))
+}
+
+func (s *Stay) owed(m Message, x *sent) bool {
+	return m.Topic == s.topic && s.kept && !s.since.IsZero() && !x.taken.IsZero() && x.at.After(s.since) && (s.end.IsZero() || x.taken.Before(s.end)) && !s.b.spared(m, x)
+}
+
+const slack = 2
+
+// Presence is the time that a visitor listens to a topic on one connection.
+type Presence struct {
+	b                *Book
+	asked, since, to time.Time
+}
+
+// Here notes that a visitor asks to listen.
+func (b *Book) Here(topic string, now time.Time) *Presence {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := &Presence{b: b, asked: now}
+	b.there[topic] = append(b.there[topic], p)
+	return p
+}
+
+// Joined notes that it does.
+func (p *Presence) Joined(now time.Time) {
+	p.b.mu.Lock()
+	defer p.b.mu.Unlock()
+	p.since = now
+}
+
+// Gone notes that it does no longer.
+func (p *Presence) Gone(now time.Time) {
+	p.b.mu.Lock()
+	defer p.b.mu.Unlock()
+	if p.to.IsZero() {
+		p.to = now
+	}
+}
+
+// Count notes a count of listeners that was asked for and told. A calm fleet counts all that were there all through the window.
+func (b *Book) Count(topic string, n int, asked, told time.Time, calm bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tally.Counts++
+	least, most := 0, 0
+	from := asked.Add(-b.Window)
+	for _, p := range b.there[topic] {
+		if (p.to.IsZero() || p.to.After(from)) && p.asked.Before(told) {
+			most++
+		}
+		if p.to.IsZero() && !p.since.IsZero() && p.since.Before(from) {
+			least++
+		}
+	}
+	if n > most+slack {
+		b.breach(Count, "%d were counted on %s at %s, %d were there at some moment, and %d more are let pass", n, topic, told.Format("04:05.000"), most, slack)
+	}
+	if calm && n < least {
+		b.breach(Count, "%d were counted on %s at %s, %d were there all the time", n, topic, told.Format("04:05.000"), least)
+	}
+}
+
+// Judge judges all that was seen. What was acknowledged after the cut need not have arrived.
+func (b *Book) Judge(cut time.Time) (Tally, []Breach) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tally.Sent, b.tally.Stays = len(b.sent), len(b.stays)
+	for _, x := range b.sent {
+		b.tally.Tries += x.tries
+		b.tally.Turned += x.turned
+		if !x.taken.IsZero() {
+			b.tally.Taken++
+		}
+	}
+	b.shown()
+	lines := map[string]*order{}
+	for _, s := range b.stays {
+		if s.late {
+			b.tally.Late++
+		}
+		s.judge()
+		s.complete(cut)
+		if s.kept {
+			if lines[s.topic] == nil {
+				lines[s.topic] = &order{next: map[Message]map[Message]bool{}}
+			}
+			lines[s.topic].add(s.got)
+		}
+	}
+	for t, l := range lines {
+		if m, ok := l.knot(); ok {
+			b.breach(Order, "two visitors got %v and others on %s in differing orders", m, t)
+		}
+	}
+	return b.tally, b.bad
+}
+
+func (s *Stay) judge() {
+	b := s.b
+	seen, last, conn := map[Message]bool{}, map[string]uint64{}, 0
+	owed := map[string][]Message{}
+	for m, x := range b.sent {
+		if s.owed(m, x) {
+			owed[m.From] = append(owed[m.From], m)
+		}
+	}
+	for _, g := range s.got {
+		if !s.kept && g.conn != conn {
+			clear(seen)
+			clear(last)
+			conn = g.conn
+		}
+		if seen[g.m] {
+			b.breach(Twice, "%s got %v twice, again at %s", s.visitor, g.m, g.at.Format("04:05.000"))
+			continue
+		}
+		seen[g.m] = true
+		if l := last[g.m.From]; g.m.Call <= l {
+			b.breach(Order, "%s got %v after call %d at %s", s.visitor, g.m, l, g.at.Format("04:05.000"))
+		}
+		last[g.m.From] = max(last[g.m.From], g.m.Call)
+		for _, m := range owed[g.m.From] {
+			if m.Call < g.m.Call && !seen[m] {
+				b.breach(Order, "%s got %v at %s, which passed over call %d, owed since %s", s.visitor, g.m, g.at.Format("04:05.000"), m.Call, b.sent[m].taken.Format("04:05.000"))
+				seen[m] = true
+			}
+		}
+		if x := b.sent[g.m]; x != nil && x.tries > 0 && x.turned >= x.tries {
+			b.breach(Refused, "%s got %v, each of whose %d tries was turned away", s.visitor, g.m, x.tries)
+		}
+	}
+}
+
+func (s *Stay) complete(cut time.Time) {
+	for m, x := range s.b.sent {
+		if s.owed(m, x) && s.have[m] == 0 && x.taken.Before(cut) && s.open(cut) && (!s.late || x.taken.After(cut.Add(-s.b.Keeping))) {
+			s.b.breach(Lost, "%s never got %v, sent at %s, acknowledged at %s (joined at %s, late: %v)", s.visitor, m, x.at.Format("04:05.000"), x.taken.Format("04:05.000"), s.since.Format("04:05.000"), s.late)
+		}
+	}
+}
+
+func (s *Stay) open(cut time.Time) bool { return !s.expired && (s.end.IsZero() || s.end.After(cut)) }
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -184,7 +184,7 @@
 }
 
 var lasting = map[problem.Kind]bool{
-	problem.UnknownTopic: true, problem.UnknownSpace: true, problem.CallGap: true, problem.CallAltered: true, problem.TokenFenced: true, problem.Oversize: true,
+	problem.UnknownTopic: true, problem.UnknownSpace: true, problem.CallPassed: true, problem.CallAltered: true, problem.TokenFenced: true, problem.Oversize: true,
 }
 
 func (s *sender) topic(ctx context.Context, ms []recording.Message) error {
--- a/internal/samza/changelog/changelog_test.go
+++ b/internal/samza/changelog/changelog_test.go
@@ -37,9 +37,13 @@
 		in, err := Replay(got, 0, log)
 		assert.NilError(t, err)
 		assert.Equal(t, in, uint64(cut))
+		for _, e := range es[:in] {
+			got.Recall(e)
+		}
 		apply(got, es[in:])
 		apply(got, es[in/2:])
 		assert.Equal(t, string(got.Pack()), string(whole.Pack()), "cut at %d", cut)
+		assert.DeepEqual(t, got.Accepted, whole.Accepted)
 	}
 }
 
@@ -57,3 +61,26 @@
 	assert.Equal(t, in, uint64(0), "the offset counts by its own record only")
 	assert.Equal(t, got.Size(), s.Size())
 }
+
+// A batch stood in the changelog, and its owner was lost before the record that commits it: the state is ahead of the input offset. What is processed again
+// changes nothing, but the answers to it must be known, or a repeat of a taken call would be told that it never was.
+func TestBatchWithoutItsRecordKnowsItsAnswers(t *testing.T) {
+	es := ledger(5000)
+	s := apply(state.New(), es[:2000])
+	log := append(Pack(s.Input, s.Dirty(), false), PackCommit(Commit{Input: s.Input}))
+	apply(s, es[2000:])
+	log = append(log, Pack(s.Input, s.Dirty(), false)...)
+	got := state.New()
+	in, err := Replay(got, 0, log)
+	assert.NilError(t, err)
+	assert.Equal(t, in, uint64(2000))
+	for _, e := range es[:in] {
+		got.Recall(e)
+	}
+	apply(got, es[in:])
+	assert.Equal(t, string(got.Pack()), string(s.Pack()))
+	for _, e := range es[:5000] {
+		x, ok := got.Accepted[state.Key(e.Visitor, e.Topic)].Find(e.Call)
+		assert.Assert(t, ok && x.Offset == e.Offset, "call %d of %s on %s", e.Call, e.Visitor, e.Topic)
+	}
+}
--- /dev/null
+++ b/internal/samza/changelog/marks_test.go
@@ -0,0 +1,64 @@
+package changelog
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/samza/state"
+)
+
+func marked() []line.Entry {
+	return []line.Entry{
+		{Offset: 1, What: line.Message, Topic: "t", Visitor: "v", Call: 1, Key: "k"}, {Offset: 2, What: line.Message, Topic: "t", Visitor: "v", Call: 2, Key: "l"},
+		{Offset: 3, What: line.Reader, Visitor: "a1", Body: state.Body(state.Reads{Boot: "b"})}, {Offset: 4, What: line.Reader, Visitor: "a2", Body: state.Body(state.Reads{Boot: "b"})},
+		{Offset: 5, What: line.Withdraw, Topic: "t", Visitor: "v", Call: 3, Key: "k"}, {Offset: 6, What: line.Withdraw, Topic: "t", Visitor: "w", Call: 1, Key: "l", Body: state.Body(state.Passes{Of: "v", Upto: 9})},
+		{Offset: 7, What: line.Reader, Visitor: "a2", Body: state.Body(state.Reads{Boot: "b", Gone: true})}, {Offset: 8, What: line.Reader, Visitor: "a1", Body: state.Body(state.Reads{Boot: "b", GivenUp: true})},
+	}
+}
+
+// Marks and readers outlive their owner wherever its batches were cut, and so does that one of them was let go.
+func TestMarksSurviveReplay(t *testing.T) {
+	es := marked()
+	for cut := range len(es) + 1 {
+		for _, whole := range []bool{false, true} {
+			s := apply(state.New(), es[:cut])
+			log := append(Pack(s.Input, s.Dirty(), false), PackCommit(Commit{Input: s.Input}))
+			apply(s, es[cut:])
+			s.Unmark(state.Key("t", "k"))
+			if whole {
+				s.All()
+			}
+			log = append(log, Pack(s.Input, s.Dirty(), whole)...)
+			in, err := Replay(state.New(), 0, append(log[:len(log):len(log)], PackCommit(Commit{Input: s.Input})))
+			assert.NilError(t, err)
+			assert.Equal(t, in, uint64(len(es)))
+			got := state.New()
+			_, err = Replay(got, 0, append(log, PackCommit(Commit{Input: s.Input})))
+			assert.NilError(t, err)
+			for _, x := range []*state.State{got, unpacked(t, got)} {
+				assert.DeepEqual(t, x.Marks, map[string]state.Mark{state.Key("t", "l"): {Offset: 6, Visitor: "w", Call: 1}})
+				assert.DeepEqual(t, x.Readers, map[string]state.Reader{"a1": {Boot: "b", Offset: 8, GivenUp: true}})
+				assert.Equal(t, x.Accepted[state.Key("v", "t")].Last, uint64(9))
+			}
+			got = state.New()
+			in, err = Replay(got, 0, log)
+			assert.NilError(t, err)
+			for _, e := range es[:in] {
+				got.Recall(e)
+			}
+			apply(got, es[in:])
+			assert.DeepEqual(t, got.Readers, s.Readers)
+			assert.DeepEqual(t, got.Held, s.Held)
+			assert.Equal(t, len(got.Marks), 2, "what the ledger still tells stands")
+		}
+	}
+}
+
+func unpacked(t *testing.T, s *state.State) *state.State {
+	t.Helper()
+	got, err := state.Unpack(s.Pack())
+	assert.NilError(t, err)
+	return got
+}
--- /dev/null
+++ b/internal/samza/state/marks_test.go
@@ -0,0 +1,117 @@
+package state
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/ledger/line"
+)
+
+func message(o uint64, visitor string, call uint64, key string) line.Entry {
+	return line.Entry{Offset: o, What: line.Message, Topic: "s/a", Visitor: visitor, Call: call, Key: key, Digest: "d"}
+}
+
+func withdrawal(o uint64, visitor string, call uint64, key string, p Passes) line.Entry {
+	return line.Entry{Offset: o, What: line.Withdraw, Topic: "s/a", Visitor: visitor, Call: call, Key: key, Body: Body(p), Digest: "w"}
+}
+
+func reader(o uint64, node string, r Reads) line.Entry {
+	return line.Entry{Offset: o, What: line.Reader, Visitor: node, Body: Body(r)}
+}
+
+func keyed() []line.Entry {
+	return []line.Entry{
+		message(1, "v", 1, "k"), message(2, "v", 2, "l"), reader(3, "a1", Reads{Boot: "b"}), reader(4, "a2", Reads{Boot: "b"}),
+		withdrawal(5, "w", 3, "k", Passes{"v", 7}), message(6, "u", 1, "k"), reader(7, "a1", Reads{Boot: "c"}), reader(8, "a2", Reads{Boot: "b", GivenUp: true}),
+		reader(9, "a3", Reads{Boot: "b"}), reader(10, "a3", Reads{Boot: "b", Gone: true}),
+	}
+}
+
+func all(es ...line.Entry) *State {
+	s := New()
+	for _, e := range es {
+		s.Apply(e)
+	}
+	return s
+}
+
+var known = Key("s/a", "k")
+
+// A withdrawal is a call of its visitor, a mark, and where it names a sender the end of that one's lower numbers.
+func TestWithdrawalsAndReadersAreState(t *testing.T) {
+	s := all(keyed()...)
+	for range 2 {
+		assert.DeepEqual(t, s.Marks, map[string]Mark{known: {5, "w", 3}})
+		assert.DeepEqual(t, s.Readers, map[string]Reader{"a1": {"c", 7, false, "b"}, "a2": {"b", 8, true, ""}})
+		assert.DeepEqual(t, s.Held, map[string]uint64{known: 6, Key("s/a", "l"): 2})
+		assert.DeepEqual(t, s.Accepted[Key("w", "s/a")].Recent, []Taken{{3, 5, Named(line.Withdraw, "k", "w")}})
+		v := s.Accepted[Key("v", "s/a")]
+		assert.Equal(t, v.Last, uint64(7))
+		assert.Equal(t, v.Floor, uint64(0))
+		_, ok := v.Find(2)
+		assert.Assert(t, ok, "what was taken stays taken")
+		assert.Equal(t, s.Progress["s/a"], Progress{Offset: 6, Count: 3})
+		assert.Assert(t, s.Covers(keyed()[0]) && !s.Covers(keyed()[1]) && !s.Covers(keyed()[5]))
+		before := string(s.Pack())
+		for _, e := range keyed() {
+			s.Apply(e)
+		}
+		assert.Equal(t, string(s.Pack()), before, "applied again, it changed something")
+	}
+}
+
+// What a call was taken with is its body, its key, and what it asked; a message without a key is known as ever.
+func TestCallsAreKnownByKeyAndBody(t *testing.T) {
+	seen := map[string]bool{}
+	for _, n := range []string{Named(line.Message, "", "d"), Named(line.Message, "k", "d"), Named(line.Withdraw, "k", "d"), Named(line.Message, "l", "d"), Named(line.Message, "k", "e")} {
+		assert.Assert(t, !seen[n], n)
+		seen[n] = true
+	}
+	assert.Equal(t, Named(line.Message, "", "d"), "d")
+}
+
+// What is held, and the marks of what is held, come back from the ledger, also a mark that was let go by an owner whose ledger was cut further.
+func TestMarksComeBackFromTheLedger(t *testing.T) {
+	es := keyed()
+	s := all(es...)
+	s.Prune(es...)
+	assert.Equal(t, len(s.Held), 0)
+	assert.Equal(t, s.Progress["s/a"].Gone, uint64(6))
+	s.Unmark(known)
+	got, err := Unpack(s.Pack())
+	assert.NilError(t, err)
+	assert.Assert(t, !got.Covers(es[0]))
+	for range 2 {
+		for _, e := range es {
+			got.Recall(e)
+		}
+	}
+	assert.Assert(t, got.Covers(es[0]) && !got.Covers(es[5]))
+	assert.Equal(t, got.Held[known], uint64(6))
+	assert.DeepEqual(t, got.Readers, s.Readers)
+	x, ok := got.Accepted[Key("w", "s/a")].Find(3)
+	assert.Assert(t, ok && x.Offset == 5)
+}
+
+// A withdrawal that the ledger drops counts as gone of its topic, so that a cursor before it is no cursor any more.
+func TestDroppedWithdrawalsCountAsGone(t *testing.T) {
+	es := keyed()
+	s := all(es...)
+	s.Prune(es[:5]...)
+	assert.Equal(t, s.Progress["s/a"].Gone, uint64(5))
+	assert.DeepEqual(t, s.Held, map[string]uint64{known: 6})
+	assert.Equal(t, s.Accepted[Key("w", "s/a")].Floor, uint64(3))
+}
+
+// A state of a build that knew no keys reads as one without any.
+func TestAnOlderStateHasNoMarks(t *testing.T) {
+	s, err := Unpack([]byte(`{"a":{},"p":{},"t":{},"k":{},"i":9}`))
+	assert.NilError(t, err)
+	for _, e := range keyed() {
+		s.Apply(e)
+	}
+	assert.Equal(t, len(s.Marks), 1)
+	assert.Equal(t, len(s.Readers), 2)
+	assert.Equal(t, string(New().Pack()), `{"a":{},"p":{},"t":{},"k":{},"i":0}`)
+}
--- a/internal/samza/state/state.go
+++ b/internal/samza/state/state.go
@@ -3,6 +3,7 @@
 package state
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -12,22 +13,48 @@
 
 // Taken is one accepted call: its number, its place and the name of its body.
 type Taken struct {
-	Call   uint64 `json:"c"`
-	Offset uint64 `json:"o"`
-	Digest string `json:"s"`
+	Call   uint64
+	Offset uint64
+	Digest string
 }
 
-// Accepted is how far a visitor's calls on a topic have come, with the answers still kept.
+// Accepted is how far a visitor's calls on a topic have come. Recent holds the answers to those whose messages the ledger still holds, rising by call
+// and offset; it is not written down, since the ledger itself tells them (Recall). Floor is the highest call whose answer was let go: what is at or below
+// it may have been taken, what stands between it and Last and is not in Recent never was.
 type Accepted struct {
+	Last       uint64
+	Generation uint64
+	Floor      uint64
+	Recent     []Taken
+}
+
+type written struct {
 	Last       uint64  `json:"l"`
 	Generation uint64  `json:"g"`
-	Recent     []Taken `json:"r,omitempty"`
+	Floor      *uint64 `json:"f"`
+}
+
+// MarshalJSON writes what the ledger can't tell again.
+func (a Accepted) MarshalJSON() ([]byte, error) {
+	return json.Marshal(written{a.Last, a.Generation, &a.Floor})
 }
 
-// Progress is where a topic's line stands.
+// UnmarshalJSON reads it. A value of an older build has no floor: all up to its last call may have been taken.
+func (a *Accepted) UnmarshalJSON(b []byte) error {
+	var w written
+	err := json.Unmarshal(b, &w)
+	*a = Accepted{Last: w.Last, Generation: w.Generation, Floor: w.Last}
+	if w.Floor != nil {
+		a.Floor = *w.Floor
+	}
+	return err
+}
+
+// Progress is where a topic's line stands: the offset of its newest message, how many there were, and the offset of the last one that is no longer held.
 type Progress struct {
 	Offset uint64 `json:"o"`
 	Count  uint64 `json:"n"`
+	Gone   uint64 `json:"x,omitempty"`
 }
 
 // Attached is the attachment of a visitor that is in force.
@@ -43,8 +70,61 @@
 	Offset uint64 `json:"o"`
 }
 
-// Keep is how many answers are kept per visitor and topic.
-const Keep = 32
+// Mark is a withdrawal that stands: what came before its offset under its key is withdrawn, by whom and under which number.
+type Mark struct {
+	Offset  uint64 `json:"o"`
+	Visitor string `json:"v"`
+	Call    uint64 `json:"c"`
+}
+
+// By tells whether it is the mark of a visitor's call.
+func (m Mark) By(visitor string, call uint64) bool { return m.Visitor == visitor && m.Call == call }
+
+// Reader is a node that may have been given messages under keys, under which boot, and the offset of the entry that says so. GivenUp is one that was not
+// heard for so long that nobody waits for it. Before is the boot whose place it took: of that run nothing is left but what comes late.
+type Reader struct {
+	Boot    string `json:"b"`
+	Offset  uint64 `json:"o"`
+	GivenUp bool   `json:"x,omitempty"`
+	Before  string `json:"f,omitempty"`
+}
+
+// Reads is what the entry of a reader says: that the node reads under a boot, that it is given up, or that it is gone.
+type Reads struct {
+	Boot    string `json:"b"`
+	GivenUp bool   `json:"x,omitempty"`
+	Gone    bool   `json:"g,omitempty"`
+}
+
+// Passes is what the entry of a withdrawal says when it names a sender: that one's numbers on the topic are passed up to one of them.
+type Passes struct {
+	Of   string `json:"o"`
+	Upto uint64 `json:"u"`
+}
+
+// Body gives a part of an entry as it stands in its body.
+func Body[T any](v T) []byte {
+	b, _ := json.Marshal(v)
+	return b
+}
+
+// Part reads a part of an entry from its body; that of an empty body is empty.
+func Part[T any](e line.Entry) T {
+	var v T
+	_ = json.Unmarshal(e.Body, &v)
+	return v
+}
+
+// Named gives the name under which a call is known: that of its body, and where it has a key also of that and of what it asked.
+func Named(what, key, digest string) string {
+	if key == "" {
+		return digest
+	}
+	return digest + "\x1f" + what + "\x1f" + key
+}
+
+// Keep is the most answers that are kept per visitor and topic, whatever the ledger holds.
+const Keep = 4096
 
 // State is one partition's; it is used under its owner's turn.
 type State struct {
@@ -52,26 +132,37 @@
 	Progress map[string]Progress `json:"p"`
 	Attached map[string]Attached `json:"t"`
 	Acked    map[string]Acked    `json:"k"`
+	Marks    map[string]Mark     `json:"m,omitempty"`
+	Readers  map[string]Reader   `json:"r,omitempty"`
 	Input    uint64              `json:"i"`
-	dirty    map[string]bool
+	// Held is the offset of the last message under a key that the ledger holds; the ledger itself tells it (Recall).
+	Held  map[string]uint64 `json:"-"`
+	dirty map[string]bool
 }
 
 // New makes an empty state.
 func New() *State {
-	return &State{Accepted: map[string]Accepted{}, Progress: map[string]Progress{}, Attached: map[string]Attached{}, Acked: map[string]Acked{}, dirty: map[string]bool{}}
+	return &State{Accepted: map[string]Accepted{}, Progress: map[string]Progress{}, Attached: map[string]Attached{}, Acked: map[string]Acked{}, Marks: map[string]Mark{}, Readers: map[string]Reader{}, Held: map[string]uint64{}, dirty: map[string]bool{}}
 }
 
-// Key names a visitor's calls on a topic.
+// Key names a visitor's calls on a topic, or with the topic first what stands under a key of it.
 func Key(visitor, topic string) string { return visitor + "\x1f" + topic }
 
 // Find gives the answer kept for a call number.
 func (a Accepted) Find(c uint64) (Taken, bool) {
-	for _, t := range a.Recent {
-		if t.Call == c {
-			return t, true
-		}
+	i, ok := slices.BinarySearchFunc(a.Recent, c, func(t Taken, c uint64) int { return cmp.Compare(t.Call, c) })
+	if !ok {
+		return Taken{}, false
+	}
+	return a.Recent[i], true
+}
+
+func (a *Accepted) keep(t Taken) {
+	a.Recent = append(a.Recent, t)
+	if n := len(a.Recent) - Keep; n > 0 {
+		a.Floor = max(a.Floor, a.Recent[n-1].Call)
+		a.Recent = a.Recent[n:]
 	}
-	return Taken{}, false
 }
 
 const (
@@ -79,26 +170,38 @@
 	progress = "p:"
 	attached = "t:"
 	acked    = "k:"
+	marks    = "m:"
+	readers  = "r:"
 )
 
 var apply = map[string]func(*State, line.Entry){
-	line.Message: func(s *State, e line.Entry) {
-		k := Key(e.Visitor, e.Topic)
-		a := s.Accepted[k]
-		if e.Call <= a.Last {
+	line.Message: func(s *State, e line.Entry) { s.take(e, 1) },
+	line.Withdraw: func(s *State, e line.Entry) {
+		s.take(e, 0)
+		s.mark(e)
+		if p := Part[Passes](e); p.Of != "" {
+			k := Key(p.Of, e.Topic)
+			if a := s.Accepted[k]; p.Upto > a.Last {
+				a.Last = p.Upto
+				s.Accepted[k] = a
+				s.dirty[accepted+k] = true
+			}
+		}
+	},
+	line.Reader: func(s *State, e line.Entry) {
+		if e.Offset <= s.Readers[e.Visitor].Offset {
 			return
 		}
-		a.Last, a.Generation = e.Call, max(a.Generation, e.Generation)
-		a.Recent = append(slices.Clone(a.Recent), Taken{e.Call, e.Offset, e.Digest})
-		if n := len(a.Recent) - Keep; n > 0 {
-			a.Recent = a.Recent[n:]
+		r := Part[Reads](e)
+		was := s.Readers[e.Visitor]
+		if was.Boot != r.Boot {
+			was.Before = was.Boot
 		}
-		s.Accepted[k] = a
-		s.dirty[accepted+k] = true
-		if p := s.Progress[e.Topic]; e.Offset > p.Offset {
-			s.Progress[e.Topic] = Progress{e.Offset, p.Count + 1}
-			s.dirty[progress+e.Topic] = true
+		s.Readers[e.Visitor] = Reader{r.Boot, e.Offset, r.GivenUp, was.Before}
+		if r.Gone {
+			delete(s.Readers, e.Visitor)
 		}
+		s.dirty[readers+e.Visitor] = true
 	},
 	line.Attach: func(s *State, e line.Entry) {
 		if e.Generation > s.Attached[e.Visitor].Generation {
@@ -114,6 +217,55 @@
 	},
 }
 
+func (s *State) take(e line.Entry, n uint64) {
+	k := Key(e.Visitor, e.Topic)
+	a := s.Accepted[k]
+	if e.Call <= a.Last {
+		s.Recall(e)
+		return
+	}
+	s.hold(e)
+	a.Last, a.Generation = e.Call, max(a.Generation, e.Generation)
+	a.keep(Taken{e.Call, e.Offset, Named(e.What, e.Key, e.Digest)})
+	s.Accepted[k] = a
+	s.dirty[accepted+k] = true
+	if p := s.Progress[e.Topic]; e.Offset > p.Offset {
+		s.Progress[e.Topic] = Progress{e.Offset, p.Count + n, p.Gone}
+		s.dirty[progress+e.Topic] = true
+	}
+}
+
+func (s *State) hold(e line.Entry) {
+	if e.What == line.Message && e.Key != "" {
+		k := Key(e.Topic, e.Key)
+		s.Held[k] = max(s.Held[k], e.Offset)
+	}
+}
+
+func (s *State) drop(e line.Entry) {
+	if k := Key(e.Topic, e.Key); s.Held[k] <= e.Offset {
+		delete(s.Held, k)
+	}
+}
+
+func (s *State) mark(e line.Entry) {
+	if k := Key(e.Topic, e.Key); e.Offset > s.Marks[k].Offset {
+		s.Marks[k] = Mark{e.Offset, e.Visitor, e.Call}
+		s.dirty[marks+k] = true
+	}
+}
+
+// Covers tells whether a message stands under a key that was withdrawn behind it.
+func (s *State) Covers(e line.Entry) bool {
+	return e.Key != "" && s.Marks[Key(e.Topic, e.Key)].Offset > e.Offset
+}
+
+// Unmark lets go of a mark.
+func (s *State) Unmark(k string) {
+	delete(s.Marks, k)
+	s.dirty[marks+k] = true
+}
+
 // Apply takes one committed entry; applying it again changes nothing.
 func (s *State) Apply(e line.Entry) {
 	if f, ok := apply[e.What]; ok {
@@ -133,6 +285,16 @@
 	progress: func(s *State, n string) any { return s.Progress[n] },
 	attached: func(s *State, n string) any { return s.Attached[n] },
 	acked:    func(s *State, n string) any { return s.Acked[n] },
+	marks:    func(s *State, n string) any { return left(s.Marks, n) },
+	readers:  func(s *State, n string) any { return left(s.Readers, n) },
+}
+
+// left gives what a map holds, and nothing where it lets go of that.
+func left[T any](m map[string]T, n string) any {
+	if v, ok := m[n]; ok {
+		return v
+	}
+	return nil
 }
 
 func (s *State) item(k string) Item {
@@ -170,32 +332,84 @@
 	for k := range s.Acked {
 		s.dirty[acked+k] = true
 	}
+	for k := range s.Marks {
+		s.dirty[marks+k] = true
+	}
+	for k := range s.Readers {
+		s.dirty[readers+k] = true
+	}
+}
+
+// Recall takes an entry of the ledger that the state was written down with, so that its answer is known again. Entries come in the order of the ledger.
+// A mark stands again with its entry: one that was let go elsewhere covers what this ledger still holds.
+func (s *State) Recall(e line.Entry) {
+	if !numbered[e.What] {
+		return
+	}
+	s.hold(e)
+	if e.What == line.Withdraw {
+		s.mark(e)
+	}
+	k := Key(e.Visitor, e.Topic)
+	a, ok := s.Accepted[k]
+	if n := len(a.Recent); !ok || e.Call > a.Last || n > 0 && a.Recent[n-1].Call >= e.Call {
+		return
+	}
+	a.keep(Taken{e.Call, e.Offset, Named(e.What, e.Key, e.Digest)})
+	s.Accepted[k] = a
 }
 
-// Prune forgets the answers that stand at or before an offset, which the ledger no longer holds; how far the calls have come stays for good, so
-// nothing is ever taken twice. It gives how many answers were forgotten.
-func (s *State) Prune(before uint64) int {
+// numbered are the entries that a visitor's call numbers name.
+var numbered = map[string]bool{line.Message: true, line.Withdraw: true}
+
+// Prune lets go of the answers to entries that the ledger is about to drop, in the order of their offsets, and notes per topic what is gone; how far the
+// calls have come stays for good, so nothing is ever taken twice. It gives how many answers were let go.
+func (s *State) Prune(es ...line.Entry) int {
 	n := 0
-	for k, a := range s.Accepted {
-		i := 0
-		for i < len(a.Recent) && a.Recent[i].Offset <= before {
+	for _, e := range es {
+		if !numbered[e.What] {
+			continue
+		}
+		if e.Key != "" {
+			s.drop(e)
+		}
+		k := Key(e.Visitor, e.Topic)
+		a, i := s.Accepted[k], 0
+		for i < len(a.Recent) && a.Recent[i].Offset <= e.Offset {
 			i++
 		}
 		if i > 0 {
-			a.Recent = slices.Clone(a.Recent[i:])
+			a.Floor = max(a.Floor, a.Recent[i-1].Call)
+			a.Recent = a.Recent[i:]
+			if len(a.Recent) == 0 {
+				a.Recent = nil
+			}
 			s.Accepted[k] = a
+			s.dirty[accepted+k] = true
 			n += i
 		}
+		if p := s.Progress[e.Topic]; e.Offset > p.Gone {
+			p.Gone = e.Offset
+			s.Progress[e.Topic] = p
+			s.dirty[progress+e.Topic] = true
+		}
 	}
 	return n
 }
 
+// Changed tells whether a key changed since the last call of Dirty.
+func (s *State) Changed() bool { return len(s.dirty) > 0 }
+
 // Size is the number of keys.
 func (s *State) Size() int {
-	return len(s.Accepted) + len(s.Progress) + len(s.Attached) + len(s.Acked)
+	return len(s.Accepted) + len(s.Progress) + len(s.Attached) + len(s.Acked) + len(s.Marks) + len(s.Readers)
 }
 
 func put[T any](m map[string]T, n string, b []byte) error {
+	if len(b) == 0 || string(b) == "null" {
+		delete(m, n)
+		return nil
+	}
 	var v T
 	err := json.Unmarshal(b, &v)
 	m[n] = v
@@ -207,6 +421,8 @@
 	progress: func(s *State, n string, b []byte) error { return put(s.Progress, n, b) },
 	attached: func(s *State, n string, b []byte) error { return put(s.Attached, n, b) },
 	acked:    func(s *State, n string, b []byte) error { return put(s.Acked, n, b) },
+	marks:    func(s *State, n string, b []byte) error { return put(s.Marks, n, b) },
+	readers:  func(s *State, n string, b []byte) error { return put(s.Readers, n, b) },
 }
 
 // Set takes the latest value of a key from the changelog.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -13,6 +13,7 @@
 	"postjunction/internal/control/roster"
 	"postjunction/internal/description"
 	"postjunction/internal/event"
+	"postjunction/internal/gather"
 	"postjunction/internal/gossip"
 	"postjunction/internal/member"
 	"postjunction/internal/options"
@@ -22,18 +23,38 @@
 
 // PulseTask renews a session.
 type PulseTask struct {
-	Info member.Info `json:"info"`
+	Info member.Info `json:"info,omitzero"`
 	Left bool        `json:"left,omitempty"`
+	// Brief stands for the Info of a run whose last one this control node has, when there is nothing new to say.
+	Brief *Brief `json:"b,omitempty"`
+	// Have says how far the members are known from this control node.
+	Have *member.Mark `json:"h,omitempty"`
+	// Changes tells that a description may come by its changes.
+	Changes bool `json:"c,omitempty"`
+}
+
+// Brief names the run of a node, and which saying of it holds.
+type Brief struct {
+	Name string `json:"n"`
+	Boot string `json:"b"`
+	Said uint64 `json:"s"`
 }
 
 // PulseAnswer gives the members, and, when a majority confirmed it, which description is current.
 type PulseAnswer struct {
-	Members     []member.Info            `json:"members"`
+	Members []member.Info `json:"members,omitempty"`
+	// Change gives the members by difference, to a node that says what it has.
+	Change *member.Change `json:"c,omitempty"`
+	// Said is the number of the node's last whole saying, 0 when one is asked for.
+	Said uint64 `json:"s,omitempty"`
+	// Young tells that the control node began so lately that it can't know all members yet.
+	Young       bool                     `json:"young,omitempty"`
 	Confirmed   bool                     `json:"confirmed"`
 	Sequence    uint64                   `json:"sequence"`
 	Age         time.Duration            `json:"age"`
 	Roster      *roster.Roster           `json:"roster,omitempty"`
 	Description *description.Description `json:"description,omitempty"`
+	Changes     []description.Change     `json:"d,omitempty"`
 }
 
 // Pulse is the session call.
@@ -59,35 +80,79 @@
 	Latest func() Confirmed
 	mu     sync.Mutex
 	own    map[string]mine
+	met    map[string]string
+	news   chan struct{}
+	quiet  map[string]quiet
+	since  time.Time
+	said   uint64
+	told   told
 }
 
 type mine struct {
 	info member.Info
 	at   time.Time
+	said uint64
 }
 
 // Pulse answers a node's pulse.
 func (h *Host) Pulse(_ context.Context, q *PulseTask) (*PulseAnswer, error) {
+	now, name := h.Clock.Now(), q.Info.Name
+	if q.Brief != nil {
+		name = q.Brief.Name
+	}
 	h.mu.Lock()
 	if h.own == nil {
-		h.own = map[string]mine{}
+		h.own, h.since = map[string]mine{}, now
+	}
+	was, ok := h.own[name]
+	is := mine{q.Info, now, was.said}
+	if q.Brief != nil {
+		if !ok || was.info.Boot != q.Brief.Boot || was.said != q.Brief.Said {
+			h.mu.Unlock()
+			return &PulseAnswer{}, nil
+		}
+		is.info = was.info
+	} else {
+		h.said++
+		is.said = h.said
 	}
-	h.own[q.Info.Name] = mine{q.Info, h.Clock.Now()}
+	h.own[name] = is
+	young := now.Sub(h.since) < h.Bounds.Session()
 	h.mu.Unlock()
-	h.Table.Note(q.Info, 0)
-	a := &PulseAnswer{Members: h.Table.Live()}
+	if !ok || was.info.Differs(is.info) {
+		select {
+		case h.word() <- struct{}{}:
+		default:
+		}
+	}
+	h.Table.Note(is.info, 0)
+	a := &PulseAnswer{Young: young}
+	if q.Have != nil {
+		c := h.members().Since(*q.Have)
+		a.Change, a.Said = &c, is.said
+	} else {
+		a.Members = h.Table.Live()
+	}
 	if c := h.Latest(); c.OK {
 		a.Confirmed, a.Sequence, a.Age = true, c.Sequence, h.Clock.Now().Sub(c.At)
 	}
-	if r := h.Board.Roster(); r.Sequence > q.Info.Roster {
+	if r := h.Board.Roster(); r.Sequence > is.info.Roster {
 		a.Roster = &r
 	}
-	if d := h.Board.Description(); d.Sequence > q.Info.Description {
-		a.Description = &d
-	}
+	a.Description, a.Changes = h.Board.Newer(is.info.Description, q.Changes)
 	return a, nil
 }
 
+// word has the other control nodes hear of this one's sessions at once.
+func (h *Host) word() chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.news == nil {
+		h.news = make(chan struct{}, 1)
+	}
+	return h.news
+}
+
 func (h *Host) sessions() []member.Heard {
 	now := h.Clock.Now()
 	h.mu.Lock()
@@ -104,24 +169,119 @@
 	return s
 }
 
-// Run tells the other control nodes this one's sessions every pulse.
+// Run tells the other control nodes this one's sessions every pulse, and at once when there is news of one.
 func (h *Host) Run(ctx context.Context) {
-	for h.Clock.Sleep(ctx, h.Bounds.Pulse()) == nil {
+	for ; ctx.Err() == nil; clock.Wait(ctx, h.Clock, h.Bounds.Pulse(), h.word(), nil) {
+		if h.alone() {
+			go h.seek(ctx)
+		}
 		for _, addr := range h.others() {
-			go func() {
-				cx, stop := context.WithTimeout(ctx, h.Bounds.Call())
-				defer stop()
-				a, err := member.Sessions.Call(cx, h.Net, h.Self, addr, &member.SessionsTask{From: h.Self, Sessions: h.sessions()})
-				if err == nil {
-					h.note(a.Sessions)
-				}
-			}()
+			h.wait(addr)
+			go h.exchange(ctx, addr)
 		}
 	}
 }
 
+// alone tells whether this control node has to find others through its seeds.
+func (h *Host) alone() bool {
+	return h.Board.Roster().Sequence == 0 || len(member.Pick(h.Table.Live(), func(i member.Info) bool { return i.Disk == options.DiskControl && i.Name != h.Self })) == 0
+}
+
+// seek asks all seeds at once who they are and whom they know.
+func (h *Host) seek(ctx context.Context) {
+	cx, stop := context.WithTimeout(ctx, h.Bounds.Call())
+	defer stop()
+	me := h.Info()
+	met := map[string]string{}
+	for _, a := range gather.Good(gather.Ask(cx, others(h.Seeds, me.Fellows), func(ctx context.Context, a string) (*member.HelloAnswer, error) {
+		return member.Hello.Call(ctx, h.Net, h.Self, a, &member.HelloTask{From: &me})
+	}, nil)) {
+		for _, i := range append(a.A.Known, a.A.Info) {
+			if i.Disk == options.DiskControl {
+				met[i.Name] = i.Fellows
+			}
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.met = met
+}
+
+func others(addrs []string, me string) []string {
+	as := slices.Clone(addrs)
+	slices.Sort(as)
+	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == me })
+}
+
+func (h *Host) exchange(ctx context.Context, addr string) {
+	for again := false; ; again = true {
+		q := h.task(addr)
+		cx, stop := context.WithTimeout(ctx, h.Bounds.Call())
+		a, err := member.Sessions.Call(cx, h.Net, h.Self, addr, q)
+		stop()
+		away := wire.TurnedAway(err)
+		switch {
+		case err == nil:
+			h.answered(addr)
+			h.note(a.Sessions)
+			ok := h.hear(a.From, a.Story)
+			if h.reached(addr, q, a) && ok || again {
+				return
+			}
+		case again && away:
+			h.away(addr)
+			return
+		case again || !away || h.Clock.Sleep(ctx, h.Bounds.Again()) != nil:
+			return
+		}
+	}
+}
+
+type quiet struct {
+	since time.Time
+	away  bool
+}
+
+func (h *Host) wait(addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.quiet == nil {
+		h.quiet = map[string]quiet{}
+	}
+	if _, ok := h.quiet[addr]; !ok {
+		h.quiet[addr] = quiet{since: h.Clock.Now()}
+	}
+}
+
+func (h *Host) answered(addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.quiet, addr)
+}
+
+func (h *Host) away(addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.quiet[addr] = quiet{since: h.Clock.Now(), away: true}
+}
+
+const quietMost = 2
+
+// Lost tells whether another control node is silent or turns calls away, long before its session lapses.
+func (h *Host) Lost(addr string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q, ok := h.quiet[addr]
+	return ok && (q.away || h.Clock.Now().Sub(q.since) > quietMost*h.Bounds.Pulse())
+}
+
 func (h *Host) others() []string {
-	as := slices.Clone(h.Seeds)
+	var as []string
+	h.mu.Lock()
+	for _, a := range h.met {
+		as = append(as, a)
+	}
+	h.mu.Unlock()
 	for _, s := range h.Board.Roster().Seats {
 		as = append(as, s.Addr)
 	}
@@ -130,9 +290,7 @@
 			as = append(as, i.Fellows)
 		}
 	}
-	me := h.Info().Fellows
-	slices.Sort(as)
-	return slices.DeleteFunc(slices.Compact(as), func(a string) bool { return a == me })
+	return others(as, h.Info().Fellows)
 }
 
 func (h *Host) note(s []member.Heard) {
@@ -146,7 +304,12 @@
 	Pulse.Handle(m, h.Pulse)
 	member.Sessions.Handle(m, func(_ context.Context, q *member.SessionsTask) (*member.SessionsAnswer, error) {
 		h.note(q.Sessions)
-		return &member.SessionsAnswer{Sessions: h.sessions()}, nil
+		if q.Have == nil {
+			return &member.SessionsAnswer{Sessions: h.sessions()}, nil
+		}
+		h.hear(q.From, q.Story)
+		s, k := h.story(*q.Have), h.heard(q.From)
+		return &member.SessionsAnswer{From: h.Self, Story: &s, Have: &k}, nil
 	})
 }
 
@@ -163,12 +326,30 @@
 	mu    sync.Mutex
 	with  member.Info
 	until time.Time
+	// heard is when a control node last answered a pulse.
+	heard time.Time
 	live  bool
 	known []member.Info
+	met   map[string]mine
 	lags  []time.Duration
+	// usual is how long the last few answered pulses took.
+	usual []time.Duration
+	// behind tells that a control node confirmed a description newer than this node's.
+	behind bool
+	// of is what the control node that the session is with was told, and what it told.
+	of   string
+	copy member.Copy
+	last member.Info
+	said uint64
+	// young is what that control node last said of its table.
+	young bool
 }
 
-const lagsMost = 5
+const (
+	lagsMost = 6
+	// lagAt takes the second shortest, since packets that are lost now and then don't make a machine slow.
+	lagAt = 1
+)
 
 func (k *Keeper) took(d time.Duration) {
 	k.mu.Lock()
@@ -177,14 +358,26 @@
 	k.lags = k.lags[max(0, len(k.lags)-lagsMost):]
 }
 
-// Lag gives the median of the last few pulses' times, 0 before there are enough.
+// Lag gives the second shortest of the last few pulses' times, 0 before there are enough. Times so short that a machine eight times slower is not slow yet
+// count as the longest of them: no judgement hangs on which one it is, and each that is told is told to all control nodes.
 func (k *Keeper) Lag() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.lags) < lagsMost {
 		return 0
 	}
-	return slices.Sorted(slices.Values(k.lags))[lagsMost/2]
+	return max(slices.Sorted(slices.Values(k.lags))[lagAt], k.Opts.Bounds().Slow()/options.SlowTimes)
+}
+
+// Usual gives the second shortest of the last few answered pulses' times, and whether there were enough. Pulses that were not answered don't count, so
+// that it says how slow the way is, not whether there is one.
+func (k *Keeper) Usual() (time.Duration, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.usual) < lagsMost {
+		return 0, false
+	}
+	return slices.Sorted(slices.Values(k.usual))[lagAt], true
 }
 
 // Licensed tells whether this node may serve now.
@@ -192,10 +385,28 @@
 	now := k.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now.Before(k.until) {
+	if now.Before(k.until) || !k.behind && !k.until.IsZero() && now.Before(k.until.Add(time.Duration(k.Opts.Stretch))) {
 		return nil
 	}
-	return problem.New(problem.Unlicensed, "no control node confirmed the description within %s", k.Opts.Bounds().Licence())
+	return problem.New(problem.Unlicensed, "no control node confirmed the description within %s", k.Opts.Bounds().Licence()+time.Duration(k.Opts.Stretch))
+}
+
+// Confirmed tells whether the licence stands by a control node's word alone, not by the stretch.
+func (k *Keeper) Confirmed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Clock.Now().Before(k.until)
+}
+
+// Heard tells when this node last had word from the fleet: an answer to a pulse, or on a control node the word of a majority.
+func (k *Keeper) Heard() time.Time {
+	k.mu.Lock()
+	own, at := k.Local != nil && k.with.Name == k.Opts.Name, k.heard
+	k.mu.Unlock()
+	if own {
+		return k.Local.Latest().At
+	}
+	return at
 }
 
 // With gives the control node that the session is with.
@@ -205,29 +416,64 @@
 	return k.with.Name
 }
 
-// Hello says who this node is and whom it knows.
-func (k *Keeper) Hello(context.Context, *member.HelloTask) (*member.HelloAnswer, error) {
-	return &member.HelloAnswer{Info: k.Info(), Known: k.View.All()}, nil
+// Hello says who this node is and whom it knows, with the control nodes that asked it lately.
+func (k *Keeper) Hello(_ context.Context, q *member.HelloTask) (*member.HelloAnswer, error) {
+	a := &member.HelloAnswer{Info: k.Info(), Known: slices.Clone(k.View.All())}
+	now := k.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.met == nil {
+		k.met = map[string]mine{}
+	}
+	if q.From != nil {
+		k.met[q.From.Name] = mine{info: *q.From, at: now}
+	}
+	for n, m := range k.met {
+		if now.Sub(m.at) > k.Opts.Bounds().Session() {
+			delete(k.met, n)
+			continue
+		}
+		if _, ok := k.View.Get(n); !ok {
+			a.Known = append(a.Known, m.info)
+		}
+	}
+	return a, nil
 }
 
-func (k *Keeper) choose(ctx context.Context, not string) (member.Info, error) {
+func (k *Keeper) able(is []member.Info, not string) []member.Info {
+	return member.Pick(is, func(i member.Info) bool {
+		return i.Disk == options.DiskControl && i.Stage == member.Serving && i.Name != not && i.Name != k.Opts.Name
+	})
+}
+
+// ask asks all seeds at once, and waits no longer than for the first that names a control node.
+func (k *Keeper) ask(ctx context.Context, not string) []member.Info {
+	cx, stop := context.WithTimeout(ctx, k.Opts.Bounds().Call()/2)
+	defer stop()
+	var is []member.Info
+	gather.Ask(cx, others(k.Opts.Seeds, k.Opts.Reached()), func(ctx context.Context, a string) (*member.HelloAnswer, error) {
+		return member.Hello.Call(ctx, k.Net, k.Opts.Name, a, &member.HelloTask{})
+	}, func(as []gather.Answer[string, *member.HelloAnswer]) bool {
+		if h := as[len(as)-1]; h.Err == nil {
+			is = append(append(is, h.A.Info), h.A.Known...)
+		}
+		return len(k.able(is, not)) > 0
+	})
+	return is
+}
+
+// choose finds a control node: after a session that worked among the members known from it, otherwise through the seeds.
+func (k *Keeper) choose(ctx context.Context, not string, worked bool) (member.Info, error) {
 	if k.Local != nil && not == "" {
 		return k.Info(), nil
 	}
 	var is []member.Info
-	for _, a := range k.Opts.Seeds {
-		cx, stop := context.WithTimeout(ctx, k.Opts.Bounds().Call()/2)
-		h, err := member.Hello.Call(cx, k.Net, k.Opts.Name, a, &member.HelloTask{})
-		stop()
-		if err == nil {
-			is = append(append(is, h.Info), h.Known...)
-		}
+	if worked {
+		is = k.able(slices.Concat(k.View.All(), k.known), not)
+	}
+	if len(is) == 0 {
+		is = k.able(slices.Concat(k.ask(ctx, not), k.View.All(), k.known), not)
 	}
-	is = append(is, k.View.All()...)
-	is = append(is, k.known...)
-	is = member.Pick(is, func(i member.Info) bool {
-		return i.Disk == options.DiskControl && i.Stage == member.Serving && i.Name != not && i.Name != k.Opts.Name
-	})
 	if len(is) == 0 {
 		return member.Info{}, problem.New(problem.Unreachable, "no control node was found through the seeds")
 	}
@@ -240,28 +486,35 @@
 
 // Run keeps the session until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	b := k.Opts.Bounds()
-	not, bad := "", 0
+	not, bad, worked, begun := "", 0, false, k.Clock.Now()
 	var with member.Info
 	for ctx.Err() == nil {
 		if with.Name == "" {
 			var err error
-			if with, err = k.choose(ctx, not); err != nil {
+			if with, err = k.choose(ctx, not, worked); err != nil {
 				with = member.Info{}
-				not = ""
+				not, worked = "", false
 				k.watch()
-				_ = k.Clock.Sleep(ctx, clock.Jitter(b.Pulse(), 1, rand.Float64()))
+				_ = k.Clock.Sleep(ctx, clock.Jitter(k.pace(begun), 1, rand.Float64()))
 				continue
 			}
+			worked = false
 			k.Log.Say(event.Joined, "control", with.Name)
 			k.mu.Lock()
 			k.with = with
 			k.mu.Unlock()
 		}
-		if err := k.beat(ctx, with); err != nil {
+		err := k.beat(ctx, with)
+		pause := k.pace(begun)
+		switch {
+		case problem.Has(err, problem.NotReady):
+		case err != nil:
 			bad++
-		} else {
-			bad = 0
+			if problem.Has(err, problem.Unreachable) {
+				pause = k.Opts.Bounds().Again()
+			}
+		default:
+			bad, worked = 0, true
 		}
 		k.watch()
 		if bad >= missesMost {
@@ -269,41 +522,111 @@
 			not, bad, with = with.Name, 0, member.Info{}
 			continue
 		}
-		_ = k.Clock.Sleep(ctx, b.Pulse())
+		_ = k.Clock.Sleep(ctx, pause)
+	}
+}
+
+// pace is the pause before the next pulse: short while the first licence is to come, for no longer than a session, and a while longer
+// under a control node that began lately itself.
+func (k *Keeper) pace(begun time.Time) time.Duration {
+	b := k.Opts.Bounds()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	age := k.Clock.Now().Sub(begun)
+	if k.until.IsZero() && age < b.Session() || k.young && age < b.Session()/2 {
+		return clock.Jitter(b.Eager(), 1, rand.Float64())
 	}
+	return b.Pulse()
 }
 
 const missesMost = 2
 
+// say pulses once: with all that this node says of itself, or with word that nothing of it is new.
+func (k *Keeper) say(ctx context.Context, with member.Info) (*PulseAnswer, error) {
+	if k.of != with.Name {
+		k.of, k.copy, k.last, k.said = with.Name, member.Copy{}, member.Info{}, 0
+	}
+	for {
+		i, m := k.Info(), k.copy.Mark()
+		q := &PulseTask{Info: i, Have: &m, Changes: k.Board.Takes()}
+		if k.said != 0 && i.Alike(k.last) {
+			q.Info, q.Brief = member.Info{}, &Brief{Name: i.Name, Boot: i.Boot, Said: k.said}
+		}
+		a, err := k.pulse(ctx, with, q)
+		if err != nil {
+			return nil, err
+		}
+		if q.Brief != nil && a.Said == 0 {
+			k.said = 0
+			continue
+		}
+		if q.Brief == nil {
+			k.last, k.said = i, a.Said
+		}
+		if a.Change != nil && !k.copy.Take(*a.Change) {
+			k.copy = member.Copy{}
+			continue
+		}
+		return a, nil
+	}
+}
+
+// see takes in the members that a control node told, if they are other ones than before.
+func (k *Keeper) see(a *PulseAnswer) {
+	if a.Change != nil {
+		if a.Change.Empty() && a.Young == k.young {
+			return
+		}
+		a.Members = k.copy.All()
+	}
+	if k.young = a.Young; a.Young {
+		k.View.Add(a.Members)
+	} else {
+		k.View.Set(a.Members)
+	}
+	if cs := member.Pick(a.Members, func(i member.Info) bool { return i.Disk == options.DiskControl }); len(cs) > 0 {
+		k.known = slices.Clone(cs)
+	}
+}
+
+func (k *Keeper) pulse(ctx context.Context, with member.Info, q *PulseTask) (*PulseAnswer, error) {
+	if k.Local != nil && with.Name == k.Opts.Name {
+		return k.Local.Pulse(ctx, q)
+	}
+	cx, stop := context.WithTimeout(ctx, k.Opts.Bounds().Session()/3)
+	defer stop()
+	return Pulse.Call(cx, k.Net, k.Opts.Name, with.Fellows, q)
+}
+
 func (k *Keeper) beat(ctx context.Context, with member.Info) error {
 	b := k.Opts.Bounds()
 	sent := k.Clock.Now()
-	q := &PulseTask{Info: k.Info()}
-	var a *PulseAnswer
-	var err error
-	if k.Local != nil && with.Name == k.Opts.Name {
-		a, err = k.Local.Pulse(ctx, q)
-	} else {
-		cx, stop := context.WithTimeout(ctx, b.Session()/2)
-		a, err = Pulse.Call(cx, k.Net, k.Opts.Name, with.Fellows, q)
-		stop()
-	}
+	a, err := k.say(ctx, with)
 	k.took(k.Clock.Now().Sub(sent))
 	if err != nil {
 		return err
 	}
-	k.Board.Offer(gossip.News{Roster: a.Roster, Description: a.Description})
-	k.View.Set(a.Members)
-	if cs := member.Pick(a.Members, func(i member.Info) bool { return i.Disk == options.DiskControl }); len(cs) > 0 {
-		k.known = slices.Clone(cs)
-	}
+	k.mu.Lock()
+	k.heard = k.Clock.Now()
+	k.usual = append(k.usual, k.heard.Sub(sent))
+	k.usual = k.usual[max(0, len(k.usual)-lagsMost):]
+	k.mu.Unlock()
+	k.Board.Offer(gossip.News{Roster: a.Roster, Description: a.Description, Changes: a.Changes})
+	k.see(a)
 	if k.Board.Roster().Sequence == 0 {
 		return nil
 	}
+	if !a.Confirmed && a.Young {
+		return problem.New(problem.NotReady, "%s began lately and has not confirmed the description yet", with.Name)
+	}
 	if !a.Confirmed {
 		return problem.New(problem.Unlicensed, "%s could not confirm the description", with.Name)
 	}
-	if k.Board.Description().Sequence < a.Sequence {
+	late := k.Board.Description().Sequence < a.Sequence
+	k.mu.Lock()
+	k.behind = late
+	k.mu.Unlock()
+	if late {
 		return problem.New(problem.Unlicensed, "description %d did not arrive yet", a.Sequence)
 	}
 	k.mu.Lock()
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,297 @@
+package session
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/event"
+	"postjunction/internal/gossip"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+)
+
+// A node that heard of a newer description which has not arrived keeps to the plain licence; one that hears nobody has the stretch.
+func TestStretchDoesNotCoverANewerDescription(t *testing.T) {
+	for name, newer := range map[string]bool{"nobody confirms": false, "a newer one is confirmed": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := options.Default()
+				o.Name, o.Stretch = "a1", options.Span(10*time.Second)
+				b := gossip.NewBoard(nil)
+				b.Offer(gossip.News{Roster: &roster.Roster{Sequence: 1, Fleet: "f"}})
+				info := func() member.Info { return member.Info{Name: "a1"} }
+				c := Confirmed{OK: true}
+				h := &Host{Self: "a1", Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: b, Info: info, Latest: func() Confirmed { return c }}
+				k := &Keeper{Opts: o, Clock: clock.Real{}, Board: b, View: member.NewView(), Info: info, Local: h}
+				assert.Assert(t, k.Licensed() != nil, "a node starts without a licence")
+				c.At = time.Now()
+				assert.NilError(t, k.beat(context.Background(), info()))
+				assert.NilError(t, k.Licensed())
+				time.Sleep(time.Second)
+				c = Confirmed{}
+				if newer {
+					c = Confirmed{OK: true, Sequence: 1, At: time.Now()}
+				}
+				assert.Assert(t, k.beat(context.Background(), info()) != nil)
+				time.Sleep(o.Bounds().Licence())
+				assert.Equal(t, k.Licensed() == nil, !newer)
+				assert.Assert(t, !k.Confirmed())
+				c = Confirmed{}
+				_ = k.beat(context.Background(), info())
+				assert.Equal(t, k.Licensed() == nil, !newer)
+				time.Sleep(time.Duration(o.Stretch))
+				assert.Assert(t, k.Licensed() != nil, "the stretch ends")
+			})
+		})
+	}
+}
+
+// pair is a network of one fellow.
+type pair struct{ h *http.ServeMux }
+
+func (p *pair) Do(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	p.h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// A node that has nothing new to say sends no saying, and says all again to a control node that lost it.
+func TestABriefPulseIsUnderstoodOrAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := options.Default()
+		o.Name = "a1"
+		b := gossip.NewBoard(nil)
+		var asked []*PulseTask
+		var h *Host
+		start := func() {
+			h = &Host{Self: "c1", Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: b, Latest: func() Confirmed { return Confirmed{OK: true, At: time.Now()} }}
+		}
+		start()
+		m := http.NewServeMux()
+		Pulse.Handle(m, func(ctx context.Context, q *PulseTask) (*PulseAnswer, error) {
+			asked = append(asked, q)
+			return h.Pulse(ctx, q)
+		})
+		me := member.Info{Name: "a1", Boot: "1", Stage: member.Serving, Lag: 500}
+		k := &Keeper{Opts: o, Clock: clock.Real{}, Net: &pair{m}, Board: b, View: member.NewView(), Info: func() member.Info { return me }}
+		beat := func(whole ...bool) {
+			t.Helper()
+			asked = nil
+			time.Sleep(o.Bounds().Pulse())
+			assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Fellows: "127.0.0.1:1"}))
+			assert.Equal(t, len(asked), len(whole))
+			for n, q := range asked {
+				assert.Equal(t, q.Brief == nil, whole[n])
+			}
+			assert.Equal(t, len(h.Table.Live()), 1)
+			i, ok := k.View.Get("a1")
+			assert.Assert(t, ok && i.Stage == me.Stage)
+		}
+		beat(true)
+		beat(false)
+		me.Lag = 510
+		beat(false)
+		me.Stage = member.Leaving
+		beat(true)
+		beat(false)
+		start()
+		beat(false, true)
+		beat(false)
+	})
+}
+
+// Pulses that are all far from slow are told as alike, however much they differ; a slow one is told as it is.
+func TestPulsesFarFromSlowAreNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := options.Default()
+		o.Name = "a1"
+		b := gossip.NewBoard(nil)
+		h := &Host{Self: "c1", Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: b, Latest: func() Confirmed { return Confirmed{OK: true, At: time.Now()} }}
+		m := http.NewServeMux()
+		whole := 0
+		takes := time.Millisecond
+		Pulse.Handle(m, func(ctx context.Context, q *PulseTask) (*PulseAnswer, error) {
+			time.Sleep(takes)
+			if q.Brief == nil {
+				whole++
+			}
+			return h.Pulse(ctx, q)
+		})
+		k := &Keeper{Opts: o, Clock: clock.Real{}, Net: &pair{m}, Board: b, View: member.NewView()}
+		k.Info = func() member.Info {
+			return member.Info{Name: "a1", Boot: "1", Stage: member.Serving, Lag: k.Lag().Microseconds()}
+		}
+		beats := func(d time.Duration) int {
+			t.Helper()
+			whole, takes = 0, d
+			for range lagsMost + 2 {
+				time.Sleep(o.Bounds().Pulse())
+				assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Fellows: "127.0.0.1:1"}))
+			}
+			return whole
+		}
+		assert.Assert(t, beats(time.Millisecond) > 0)
+		told := 0
+		for range 4 {
+			for _, d := range []time.Duration{500 * time.Microsecond, time.Millisecond, 2 * time.Millisecond, o.Bounds().Slow() / options.SlowTimes} {
+				told += beats(d)
+			}
+		}
+		assert.Equal(t, told, 0)
+		for _, d := range []time.Duration{o.Bounds().Slow() / 2, 2 * o.Bounds().Slow()} {
+			assert.Assert(t, beats(d) > 0)
+			is := h.Table.Live()
+			assert.Equal(t, len(is), 1)
+			assert.Equal(t, is[0].Lag, d.Microseconds())
+		}
+		assert.Assert(t, beats(time.Millisecond) > 0)
+		assert.Assert(t, time.Duration(h.Table.Live()[0].Lag)*time.Microsecond < o.Bounds().Slow()/2)
+	})
+}
+
+// Control nodes tell each other what changed, and every session that stands stays known by the other.
+func TestControlNodesTellSessionsByDifference(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := options.Default()
+		hosts := map[string]*Host{}
+		var asked *member.SessionsTask
+		start := func(name, other string) {
+			h := &Host{Self: name, Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: gossip.NewBoard(nil), Latest: func() Confirmed { return Confirmed{} }, Info: func() member.Info { return member.Info{Name: name} }}
+			h.Net = &reach{func(r *http.Request) (*http.Response, error) {
+				m := http.NewServeMux()
+				hosts[other].Serve(m)
+				return (&pair{m}).Do(r)
+			}}
+			hosts[name] = h
+		}
+		start("c1", "c2")
+		start("c2", "c1")
+		pulse := func(name, stage string) {
+			_, err := hosts["c1"].Pulse(context.Background(), &PulseTask{Info: member.Info{Name: name, Stage: stage}, Have: &member.Mark{}})
+			assert.NilError(t, err)
+		}
+		round := func() {
+			time.Sleep(o.Bounds().Pulse())
+			asked = hosts["c1"].task("c2")
+			hosts["c1"].exchange(context.Background(), "c2")
+		}
+		stages := func() map[string]string {
+			s := map[string]string{}
+			for _, i := range hosts["c2"].Table.Live() {
+				s[i.Name] = i.Stage
+			}
+			return s
+		}
+		pulse("a", member.Serving)
+		round()
+		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving})
+		pulse("b", member.Serving)
+		round()
+		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving, "b": member.Serving})
+		for range 20 {
+			pulse("a", member.Serving)
+			round()
+		}
+		assert.Assert(t, asked.Story != nil && asked.Story.Change.Empty())
+		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving})
+		start("c2", "c1")
+		pulse("a", member.Leaving)
+		round()
+		assert.DeepEqual(t, stages(), map[string]string{"a": member.Leaving})
+		start("c1", "c2")
+		pulse("a", member.Serving)
+		round()
+		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving})
+	})
+}
+
+type reach struct {
+	f func(*http.Request) (*http.Response, error)
+}
+
+func (f *reach) Do(r *http.Request) (*http.Response, error) { return f.f(r) }
+
+// A build that knows nothing of differences is told and tells whole lists.
+func TestOlderBuildsAreSpokenToInWholeLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := options.Default()
+		o.Name = "a1"
+		b := gossip.NewBoard(nil)
+		h := &Host{Self: "c1", Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: b, Latest: func() Confirmed { return Confirmed{OK: true, At: time.Now()} }}
+		m := http.NewServeMux()
+		Pulse.Handle(m, func(ctx context.Context, q *PulseTask) (*PulseAnswer, error) {
+			assert.Assert(t, q.Brief == nil)
+			return h.Pulse(ctx, &PulseTask{Info: q.Info, Left: q.Left})
+		})
+		var asked []*member.SessionsTask
+		member.Sessions.Handle(m, func(_ context.Context, q *member.SessionsTask) (*member.SessionsAnswer, error) {
+			asked = append(asked, q)
+			return &member.SessionsAnswer{Sessions: []member.Heard{{Info: member.Info{Name: "b"}}}}, nil
+		})
+		k := &Keeper{Opts: o, Clock: clock.Real{}, Net: &pair{m}, Board: b, View: member.NewView(), Info: func() member.Info { return member.Info{Name: "a1", Boot: "1"} }}
+		for range 4 {
+			time.Sleep(o.Bounds().Pulse())
+			assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Fellows: "127.0.0.1:1"}))
+			_, ok := k.View.Get("a1")
+			assert.Assert(t, ok)
+		}
+		h.Net = &pair{m}
+		for range 4 {
+			time.Sleep(o.Bounds().Pulse())
+			h.exchange(context.Background(), "c2")
+		}
+		assert.Equal(t, len(asked), 4)
+		for _, q := range asked {
+			assert.Assert(t, q.Story == nil && len(q.Sessions) == 1)
+		}
+		assert.Equal(t, len(h.Table.Live()), 2)
+		n := http.NewServeMux()
+		h.Serve(n)
+		a, err := member.Sessions.Call(context.Background(), &pair{n}, "c2", "c1", &member.SessionsTask{From: "c2"})
+		assert.NilError(t, err)
+		assert.Equal(t, len(a.Sessions), 1)
+		assert.Assert(t, a.Story == nil)
+	})
+}
+
+// A control node that began lately and has not confirmed yet is asked again soon, not left for another one.
+func TestAYoungControlNodeIsAskedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := options.Default()
+		o.Name = "c1"
+		b := gossip.NewBoard(nil)
+		b.Offer(gossip.News{Roster: &roster.Roster{Sequence: 1, Fleet: "f"}})
+		info := func() member.Info { return member.Info{Name: "c1"} }
+		ready := time.Now().Add(o.Bounds().Pulse() * 2)
+		latest := func() Confirmed {
+			return Confirmed{OK: time.Now().After(ready), At: time.Now()}
+		}
+		h := &Host{Self: "c1", Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: b, Info: info, Latest: latest}
+		var lg bytes.Buffer
+		k := &Keeper{Opts: o, Clock: clock.Real{}, Board: b, View: member.NewView(), Info: info, Local: h, Log: event.NewLogger(hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: &lg}))}
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			k.Run(ctx)
+		}()
+		time.Sleep(o.Bounds().Pulse()*2 + o.Bounds().Pulse()/2)
+		synctest.Wait()
+		assert.NilError(t, k.Licensed(), "licensed within half a pulse after the first confirmation")
+		assert.Equal(t, k.With(), "c1")
+		stop()
+		<-done
+		assert.Assert(t, !strings.Contains(lg.String(), event.SessionMoved.Text), "%s", lg.String())
+	})
+}
--- /dev/null
+++ b/internal/session/story.go
@@ -0,0 +1,140 @@
+package session
+
+import (
+	"time"
+
+	"postjunction/internal/member"
+)
+
+// told is what a control node told and heard by difference. The lock of its Host guards it, save the rolls, which have their own.
+type told struct {
+	live   member.Roll
+	own    member.Roll
+	seen   <-chan struct{}
+	looked time.Time
+	// has says how far the other control nodes, by address, know this one's sessions; heard is what they told, by name; names are theirs by address.
+	has   map[string]member.Mark
+	heard map[string]*member.Copy
+	names map[string]string
+}
+
+const (
+	looksPerPulse = 10
+	lateShare     = 3
+)
+
+// members gives the roll of all members, which is looked through anew when one has news, and a few times a pulse for those that lapsed.
+func (h *Host) members() *member.Roll {
+	now := h.Clock.Now()
+	h.mu.Lock()
+	fresh := h.told.seen != nil && now.Sub(h.told.looked) < h.Bounds.Pulse()/looksPerPulse
+	if fresh {
+		select {
+		case <-h.told.seen:
+			fresh = false
+		default:
+		}
+	}
+	if !fresh {
+		h.told.seen, h.told.looked = h.Table.Changed(), now
+	}
+	h.mu.Unlock()
+	if !fresh {
+		is := h.Table.Live()
+		for k := range is {
+			is[k] = is[k].Lasting()
+		}
+		h.told.live.Set(is)
+	}
+	return &h.told.live
+}
+
+// story tells this node's sessions to one who knows them up to a mark.
+func (h *Host) story(have member.Mark) member.Story {
+	var is []member.Info
+	var s member.Story
+	for _, x := range h.sessions() {
+		is = append(is, x.Info)
+		if x.Age > h.Bounds.Pulse()+h.Bounds.Pulse()/lateShare {
+			if s.Late == nil {
+				s.Late = map[string]time.Duration{}
+			}
+			s.Late[x.Info.Name] = x.Age
+			continue
+		}
+		s.Age = max(s.Age, x.Age)
+	}
+	h.told.own.Set(is)
+	s.Change = h.told.own.Since(have)
+	return s
+}
+
+func (h *Host) task(addr string) *member.SessionsTask {
+	h.mu.Lock()
+	have, ok := h.told.has[addr]
+	name := h.told.names[addr]
+	h.mu.Unlock()
+	k := h.heard(name)
+	q := &member.SessionsTask{From: h.Self, Have: &k}
+	if !ok {
+		q.Sessions = h.sessions()
+		return q
+	}
+	s := h.story(have)
+	q.Story = &s
+	return q
+}
+
+func (h *Host) heard(name string) member.Mark {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c := h.told.heard[name]; c != nil {
+		return c.Mark()
+	}
+	return member.Mark{}
+}
+
+// hear takes in another control node's story, and tells whether it is known up to there.
+func (h *Host) hear(name string, s *member.Story) bool {
+	if s == nil {
+		return true
+	}
+	h.mu.Lock()
+	if h.told.heard == nil {
+		h.told.heard = map[string]*member.Copy{}
+	}
+	c := h.told.heard[name]
+	if c == nil {
+		c = &member.Copy{}
+		h.told.heard[name] = c
+	}
+	ok := c.Take(s.Change)
+	var is []member.Info
+	if ok {
+		is = c.All()
+	}
+	h.mu.Unlock()
+	for _, i := range is {
+		age, late := s.Late[i.Name]
+		if !late {
+			age = s.Age
+		}
+		h.Table.Note(i, age)
+	}
+	return ok
+}
+
+// reached notes how far the one at an address knows this node's sessions, and tells whether it could follow what it was told.
+func (h *Host) reached(addr string, q *member.SessionsTask, a *member.SessionsAnswer) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.told.has == nil {
+		h.told.has, h.told.names = map[string]member.Mark{}, map[string]string{}
+	}
+	if a.Have == nil {
+		delete(h.told.has, addr)
+		return true
+	}
+	h.told.has[addr], h.told.names[addr] = *a.Have, a.From
+	return q.Story == nil || a.Have.Run == q.Story.Change.Mark.Run
+}
