--- a/internal/visitor/follow.go
+++ b/internal/visitor/follow.go
@@ -14,10 +14,12 @@
 	"postjunction/internal/visitor/token"
 )
 
-// Line is one line of a stream: a message, a greeting, a change of what is followed, a sign of life, or the end with its reason.
+// Line is one line of a stream: a message, a withdrawal, a greeting, a change of what is followed, a sign of life, or the end with its reason.
 type Line struct {
 	Topic     string          `json:"topic,omitempty"`
 	From      string          `json:"from,omitempty"`
+	Key       string          `json:"key,omitempty"`
+	Withdrawn string          `json:"withdrawn,omitempty"`
 	Call      uint64          `json:"call_seq,omitempty"`
 	Body      json.RawMessage `json:"body,omitempty"`
 	Partition *int            `json:"partition,omitempty"`
@@ -40,7 +42,7 @@
 }
 
 type pulled struct {
-	es  []line.Entry
+	w   feed.Window
 	err error
 }
 
@@ -51,7 +53,7 @@
 	urgent bool
 	busy   bool
 	got    chan pulled
-	left   []line.Entry
+	left   feed.Window
 }
 
 type opened struct {
@@ -384,11 +386,14 @@
 			es = es[:min(len(es), routineTurn)]
 		}
 		for _, e := range es {
-			if err := st.give(*l, e); err != nil {
+			if stale, err := st.give(*l, e); err != nil {
 				return false, err
+			} else if stale {
+				l.left = feed.Window{}
+				return true, nil
 			}
 		}
-		l.left = l.left[min(len(es), len(l.left)):]
+		l.left.Entries = l.left.Entries[len(es):]
 		if len(es) > 0 {
 			return true, nil
 		}
@@ -397,47 +402,67 @@
 }
 
 func (st *stream) pull(ctx context.Context, l *lane) ([]line.Entry, error) {
-	if len(l.left) > 0 {
-		return l.left, nil
+	if len(l.left.Entries) > 0 {
+		return l.left.Entries, nil
 	}
 	if l.busy {
 		select {
 		case g := <-l.got:
-			l.busy, l.left = false, g.es
+			l.busy, l.left = false, g.w
 			if problem.Has(g.err, problem.CursorExpired) {
 				return nil, g.err
 			}
-			return l.left, nil
+			return l.left.Entries, nil
 		default:
 			return nil, nil
 		}
 	}
 	at := st.pos[l.p]
-	if es, ok := l.feed.Held(at); ok {
-		return es, nil
+	if w, ok := l.feed.Held(at); ok {
+		l.left = w
+		return w.Entries, nil
 	}
 	l.busy = true
 	f, got := l.feed, l.got
 	go func() {
-		es, err := f.After(ctx, at)
+		w, err := f.After(ctx, at)
 		if err != nil && !problem.Has(err, problem.CursorExpired) {
 			_ = st.s.Clock.Sleep(ctx, st.s.Bounds.Retry())
 		}
-		got <- pulled{es, err}
+		got <- pulled{w, err}
 		st.nudge()
 	}()
 	return nil, nil
 }
 
-func (st *stream) give(l lane, e line.Entry) error {
+// give gives an entry of a lane's window, or tells that the window is to be filled anew.
+func (st *stream) give(l lane, e line.Entry) (stale bool, err error) {
 	if e.Offset <= st.pos[l.p] {
-		return nil
+		return false, nil
+	}
+	fate, end := feed.Due, func() {}
+	if st.want[e.Topic] {
+		fate, end = l.feed.Begin(l.left, e, st.cut)
+	}
+	if fate == feed.Stale {
+		return true, nil
 	}
+	defer end()
 	st.pos[l.p] = e.Offset
-	if e.What != line.Message || !st.want[e.Topic] || e.Live && (e.Hollow || e.Offset <= l.live) {
-		return nil
+	if e.What == line.Withdraw && st.want[e.Topic] {
+		return false, st.emit(Line{Topic: e.Topic, Withdrawn: e.Key, Partition: &l.p, Offset: e.Offset})
+	}
+	if e.What != line.Message || !st.want[e.Topic] || fate == feed.Withdrawn || e.Key != "" && e.Hollow || e.Live && (e.Hollow || e.Offset <= l.live) {
+		return false, nil
+	}
+	return false, st.emit(Line{Topic: e.Topic, From: e.Visitor, Key: e.Key, Call: e.Call, Body: e.Body, Partition: &l.p, Offset: e.Offset})
+}
+
+// cut ends the write that is under way.
+func (st *stream) cut() {
+	if st.t.Cut != nil {
+		st.t.Cut()
 	}
-	return st.emit(Line{Topic: e.Topic, From: e.Visitor, Call: e.Call, Body: e.Body, Partition: &l.p, Offset: e.Offset})
 }
 
 // refresh drops topics that the current description no longer has, or has with another urgency, and ends a stream without topics.
@@ -484,15 +509,15 @@
 		}
 	}
 	for {
-		es, ok := st.fence.Held(st.seen)
+		w, ok := st.fence.Held(st.seen)
 		if !ok {
 			st.recheck(ctx)
 			return nil
 		}
-		if len(es) == 0 {
+		if len(w.Entries) == 0 {
 			return nil
 		}
-		for _, e := range es {
+		for _, e := range w.Entries {
 			st.seen = max(st.seen, e.Offset)
 			if e.What == line.Attach && e.Visitor == st.t.Visitor && e.Generation > st.t.who.Generation {
 				return st.superseded(e.Generation)
--- a/internal/visitor/follow_test.go
+++ b/internal/visitor/follow_test.go
@@ -27,7 +27,9 @@
 		return nil
 	}}, want: map[string]bool{"s/a": true, "s/gone": true}, urgent: map[string]bool{}, pos: cursor.Cursor{}, index: 1}
 	give := func(o uint64, topic string) {
-		assert.NilError(t, st.give(lane{}, line.Entry{Offset: o, What: line.Message, Topic: topic, Body: []byte("1")}))
+		stale, err := st.give(lane{}, line.Entry{Offset: o, What: line.Message, Topic: topic, Body: []byte("1")})
+		assert.NilError(t, err)
+		assert.Assert(t, !stale)
 	}
 	give(1, "s/a")
 	give(1, "s/a")
--- a/internal/visitor/service.go
+++ b/internal/visitor/service.go
@@ -16,6 +16,7 @@
 	"postjunction/internal/description"
 	"postjunction/internal/gossip"
 	"postjunction/internal/ledger/desk"
+	"postjunction/internal/ledger/line"
 	"postjunction/internal/ledger/owner"
 	"postjunction/internal/options"
 	"postjunction/internal/partition"
@@ -35,15 +36,22 @@
 	Body    json.RawMessage
 	Cursor  string
 	Emit    Emit
+	// Cut makes the line that Emit is writing fail, and all after it; it does not wait.
+	Cut func()
+	// Key is what a message stands under, or what a withdrawal withdraws; Of and Upto name a sender and its highest number that is withdrawn too.
+	Key  *string
+	Of   string
+	Upto uint64
 
 	who    token.Token
 	spaces []description.Space
 	acked  string
+	mark   owner.Decision
 	out    any
 }
 
 func (t *Task) urgent() bool {
-	return (t.Verb == VerbSend || t.Verb == VerbFollow) && slices.ContainsFunc(t.spaces, func(s description.Space) bool { return s.Urgent })
+	return (t.Verb == VerbSend || t.Verb == VerbWithdraw || t.Verb == VerbFollow) && slices.ContainsFunc(t.spaces, func(s description.Space) bool { return s.Urgent })
 }
 
 // Emit writes one line of a stream.
@@ -76,6 +84,8 @@
 	VerbFollow = "follow"
 	VerbAck    = "ack"
 	VerbCount  = "count"
+	// VerbWithdraw withdraws what stands under a key.
+	VerbWithdraw = "withdraw"
 )
 
 // Attachment is the answer to attach.
@@ -95,6 +105,20 @@
 	Repeat    bool   `json:"repeat"`
 }
 
+// Withdrawal is the answer to withdraw: where its mark stands, and that no node shows what it covers. GivenUp names nodes that were not heard for so
+// long that they have turned their visitors away.
+type Withdrawal struct {
+	Topic     string   `json:"topic"`
+	Key       string   `json:"key"`
+	Call      uint64   `json:"call_seq"`
+	Partition int      `json:"partition"`
+	Offset    uint64   `json:"offset"`
+	Repeat    bool     `json:"repeat"`
+	Already   bool     `json:"already"`
+	Forgotten bool     `json:"forgotten"`
+	GivenUp   []string `json:"given_up"`
+}
+
 // Headcount is the answer to count.
 type Headcount struct {
 	Topic  string `json:"topic"`
@@ -127,6 +151,8 @@
 			VerbFollow: policy.Chain[*Task](s.follow, stage, licence, interest, gate),
 			VerbAck:    policy.Chain[*Task](s.ack, stage, licence, gate, limit, identity),
 			VerbCount:  policy.Chain[*Task](s.count, stage, licence, interest, gate, limit, identity),
+
+			VerbWithdraw: policy.Chain[*Task](s.withdraw, stage, licence, interest, policy.Func[*Task](s.forget), gate, limit, identity),
 		}
 	}
 	return s.ways[verb]
@@ -173,10 +199,10 @@
 }
 
 var lanes = map[string]admission.Lane{
-	VerbAttach: admission.Attach, VerbFollow: admission.Stream, VerbAck: admission.Attach, VerbCount: admission.Routine, VerbSend: admission.Routine,
+	VerbAttach: admission.Attach, VerbFollow: admission.Stream, VerbAck: admission.Attach, VerbCount: admission.Routine, VerbSend: admission.Routine, VerbWithdraw: admission.Routine,
 }
 
-var urgentLanes = map[string]admission.Lane{VerbFollow: admission.UrgentStream, VerbSend: admission.Urgent}
+var urgentLanes = map[string]admission.Lane{VerbFollow: admission.UrgentStream, VerbSend: admission.Urgent, VerbWithdraw: admission.Urgent}
 
 func (s *Service) gate(ctx context.Context, t *Task, next policy.Next[*Task]) error {
 	l := lanes[t.Verb]
@@ -260,12 +286,7 @@
 	if b.Len() > s.Body {
 		return problem.New(problem.Oversize, "the body has %d bytes, the limit is %d", b.Len(), s.Body)
 	}
-	x := s.Board.Index()
-	p := partition.Of(t.Topics[0], t.spaces[0].Urgent, s.Board.Roster().Layout)
-	d, err := s.Desk.Submit(ctx, p, &owner.Task{
-		Visitor: t.Visitor, Generation: t.who.Generation, Topic: t.Topics[0], Call: t.Call,
-		Body: b.Bytes(), Live: t.spaces[0].Kind == description.Live, Description: x.Sequence,
-	})
+	d, err := s.submit(ctx, t, &owner.Task{Body: b.Bytes()})
 	if err != nil {
 		return err
 	}
@@ -273,6 +294,23 @@
 	return nil
 }
 
+// submit has a message or a withdrawal decided.
+func (s *Service) submit(ctx context.Context, t *Task, q *owner.Task) (*owner.Decision, error) {
+	if t.Key != nil {
+		if err := line.Plain("key", *t.Key); err != nil {
+			return nil, err
+		}
+		if err := s.Desk.Keys(); err != nil {
+			return nil, err
+		}
+		q.Key = *t.Key
+	}
+	sp := t.spaces[0]
+	q.Visitor, q.Generation, q.Topic, q.Call = t.Visitor, t.who.Generation, t.Topics[0], t.Call
+	q.Live, q.Description = sp.Kind == description.Live, s.Board.Index().Sequence
+	return s.Desk.Submit(ctx, partition.Of(q.Topic, sp.Urgent, s.Board.Roster().Layout), q)
+}
+
 func (s *Service) ack(ctx context.Context, t *Task) error {
 	r := s.Board.Roster()
 	if _, err := cursor.Unpack(r.Fleet, r.Layout.Count(), t.Cursor); err != nil {
--- /dev/null
+++ b/internal/visitor/visit/house_test.go
@@ -0,0 +1,297 @@
+package visit
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/carrier/fan"
+	"postjunction/internal/clock"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/description"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+// source stands in for the owner of the only partition. A nil answer is never given.
+type source struct {
+	mu     sync.Mutex
+	follow func(q *owner.Want) *owner.Told
+	poll   func(q *owner.PollTask) *owner.Polled
+	wants  []*owner.Want
+}
+
+// Follow answers as the test says.
+func (s *source) Follow(ctx context.Context, _ record.Record, q *owner.Want) (*owner.Told, error) {
+	s.mu.Lock()
+	s.wants = append(s.wants, q)
+	f := s.follow
+	s.mu.Unlock()
+	if a := f(q); a != nil {
+		return a, nil
+	}
+	return nil, wait(ctx, options.DefaultBounds.Retry())
+}
+
+// Poll answers as the test says, at most once in a while.
+func (s *source) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+	s.mu.Lock()
+	f := s.poll
+	s.mu.Unlock()
+	if f != nil {
+		if a := f(q); a != nil {
+			_ = wait(ctx, time.Millisecond)
+			return a, nil
+		}
+	}
+	return nil, wait(ctx, options.DefaultBounds.Spread)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	_ = clock.Real{}.Sleep(ctx, d)
+	return problem.New(problem.Unreachable, "no answer")
+}
+
+type hall struct {
+	*House
+	src   *source
+	board *gossip.Board
+	seq   uint64
+	mu    sync.Mutex
+	heard []string
+}
+
+func (h *hall) describe(spaces ...description.Space) {
+	h.seq++
+	h.board.Offer(gossip.News{Description: &description.Description{Sequence: h.seq, Base: h.seq - 1, Spaces: spaces}})
+	synctest.Wait()
+}
+
+func (h *hall) hear(a Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := string(a.What)
+	switch a.What {
+	case Message:
+		s += fmt.Sprintf(" %s %s/%d", a.Topic, a.From, a.Call)
+	case Turned:
+		s += fmt.Sprintf(" %s %s %s", a.Re, a.Topic, problem.Of(a.Err).Kind)
+	case Moved:
+		s += " " + a.Address
+	case Joined, Left:
+		s += " " + a.Topic
+	}
+	h.heard = append(h.heard, s)
+}
+
+// said gives what was told since the last call.
+func (h *hall) said() []string {
+	synctest.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.heard
+	h.heard = nil
+	return s
+}
+
+var (
+	kept  = description.Space{Name: "kept", Kind: description.Kept, Topics: []string{"a", "b"}}
+	other = description.Space{Name: "other", Kind: description.Kept, Topics: []string{"a"}}
+	live  = description.Space{Name: "live", Kind: description.Live, Topics: []string{"a"}}
+)
+
+const here = "127.0.0.1:1"
+
+func enter(t *testing.T, script func(t *testing.T, h *hall, v *Visit)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		b := gossip.NewBoard(nil)
+		b.Offer(gossip.News{Roster: &roster.Roster{Sequence: 1, Fleet: "fleet00", Layout: roster.Layout{Routine: 1}}, Records: []record.Record{{Owner: "s1", Epoch: 1, Writes: 1}}})
+		h := &hall{src: &source{follow: func(*owner.Want) *owner.Told { return nil }}, board: b}
+		hub := fan.New(ctx, "a1", "boot", h.src, b, clock.Real{}, options.DefaultBounds)
+		h.House = (&House{
+			Self: "a1", Clock: clock.Real{}, Bounds: options.DefaultBounds, Board: b, Hub: hub, Licensed: func() error { return nil }, Leaving: make(chan struct{}),
+			Members: func() []member.Info { return nil }, Info: func() member.Info { return member.Info{Name: "a1", Visits: here} }, Body: 1 << 10,
+		}).Open(ctx)
+		go h.Run(ctx)
+		go hub.Run(ctx)
+		h.describe(kept, live)
+		v := h.Enter(h.hear)
+		v.Do(Task{Verb: Attach, Visitor: "v"})
+		assert.DeepEqual(t, h.said(), []string{"attached"})
+		script(t, h, v)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+func at(tail uint64, gone map[string]uint64) func(q *owner.Want) *owner.Told {
+	return func(*owner.Want) *owner.Told { return &owner.Told{Epoch: 1, Tail: tail, Upto: tail, Gone: gone} }
+}
+
+func cursor(o uint64) string { return Place{0, o}.Pack("fleet00") }
+
+// A visitor that joins waits for an answer, whatever becomes of the topic meanwhile.
+func TestEveryJoinIsAnswered(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		v.Do(Task{Verb: Join, Topic: "kept/a"})
+		h.describe(other)
+		assert.DeepEqual(t, h.said(), []string{"turned join kept/a unknown_space"})
+	})
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		v.Do(Task{Verb: Join, Topic: "kept/a"})
+		v.Do(Task{Verb: Leave, Topic: "kept/a"})
+		assert.DeepEqual(t, h.said(), []string{"turned join kept/a overloaded", "left kept/a"})
+		v.Do(Task{Verb: Join, Topic: "kept/a"})
+		v.Do(Task{Verb: Join, Topic: "kept/a"})
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, h.said(), []string{"turned join kept/a overloaded", "turned join kept/a no_owner"})
+		v.Do(Task{Verb: Leave, Topic: "kept/a"})
+		assert.DeepEqual(t, h.said(), []string{"left kept/a"})
+		v.Do(Task{Verb: Join, Topic: "kept/b"})
+		v.End()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(h.said()), 0)
+	})
+}
+
+// Only the cursors that lack something are too old, however old another's is.
+func TestCursorsOfOneTopicExpireApart(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		h.src.follow = func(q *owner.Want) *owner.Told {
+			time.Sleep(options.DefaultBounds.Retry() / 4)
+			return at(40, map[string]uint64{"kept/a": 15})(q)
+		}
+		w := h.Enter(h.hear)
+		w.Do(Task{Verb: Attach, Visitor: "w"})
+		x := h.Enter(h.hear)
+		x.Do(Task{Verb: Attach, Visitor: "x"})
+		x.Do(Task{Verb: Join, Topic: "kept/b"})
+		h.said()
+		v.Do(Task{Verb: Join, Topic: "kept/a", Cursor: cursor(10)})
+		w.Do(Task{Verb: Join, Topic: "kept/a", Cursor: cursor(20)})
+		time.Sleep(300 * time.Millisecond)
+		s := h.said()
+		slices.Sort(s)
+		assert.DeepEqual(t, s, []string{"joined kept/a", "joined kept/b", "turned join kept/a cursor_expired"})
+	})
+}
+
+// A subscription that was opened at its cursor before the owner was heard, and that lacks what is no longer held, is not taken up with a gap:
+// the visitor is sent away to come back with its cursors.
+func TestOpenedSubscriptionWithAGapIsBroken(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		v.Do(Task{Verb: Join, Topic: "kept/a", Cursor: cursor(10)})
+		v.Do(Task{Verb: Join, Topic: "kept/b", Cursor: cursor(10)})
+		time.Sleep(900 * time.Millisecond)
+		s := h.said()
+		slices.Sort(s)
+		assert.DeepEqual(t, s, []string{"joined kept/a", "joined kept/b"})
+		h.src.mu.Lock()
+		h.src.follow = at(40, map[string]uint64{"kept/a": 15, "kept/b": 12})
+		h.src.mu.Unlock()
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, h.said(), []string{"moved " + here})
+	})
+}
+
+// A node that was away from an owner for longer than messages are held does not pass over those that are gone. Live messages may be passed over.
+func TestGapInWhatANodeFollowsBreaksItsSubscriptions(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		h.src.follow = at(20, nil)
+		w := h.Enter(h.hear)
+		w.Do(Task{Verb: Attach, Visitor: "w"})
+		v.Do(Task{Verb: Join, Topic: "kept/a"})
+		v.Do(Task{Verb: Join, Topic: "live/a"})
+		w.Do(Task{Verb: Join, Topic: "kept/b"})
+		w.Do(Task{Verb: Join, Topic: "live/a"})
+		time.Sleep(100 * time.Millisecond)
+		h.said()
+		given := false
+		entry := func(topic string, o uint64) line.Entry {
+			return line.Entry{What: line.Message, Topic: topic, Visitor: "x", Call: o, Offset: o}
+		}
+		h.src.mu.Lock()
+		h.src.poll = func(q *owner.PollTask) *owner.Polled {
+			if given {
+				return nil
+			}
+			given = true
+			return &owner.Polled{Epoch: 1, Base: 40, To: 44, Gone: map[string]uint64{"kept/a": 30, "live/a": 35}, Entries: []line.Entry{entry("kept/a", 41), entry("kept/b", 42), entry("live/a", 43)}}
+		}
+		h.src.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		s := h.said()
+		slices.Sort(s)
+		assert.DeepEqual(t, s, []string{"message kept/b x/42", "message live/a x/43", "message live/a x/43", "moved " + here})
+		v.Do(Task{Verb: Leave, Topic: "kept/a"})
+		assert.DeepEqual(t, h.said(), []string{"left kept/a"})
+	})
+}
+
+// Topics are left while the description changes under them.
+func TestLeavingWhileSpacesChange(t *testing.T) {
+	enter(t, func(_ *testing.T, h *hall, v *Visit) {
+		h.src.follow = at(1, nil)
+		for i := range 400 {
+			v.Do(Task{Verb: Join, Topic: "kept/a"})
+			v.Do(Task{Verb: Join, Topic: "kept/b"})
+			h.seq++
+			sp := []description.Space{kept, other}[i%2]
+			go h.board.Offer(gossip.News{Description: &description.Description{Sequence: h.seq, Base: h.seq - 1, Spaces: []description.Space{sp, kept}[i%2 : 2]}})
+			v.Do(Task{Verb: Leave, Topic: "kept/a"})
+			v.Do(Task{Verb: Leave, Topic: "kept/b"})
+		}
+		synctest.Wait()
+	})
+}
+
+// What a returning visitor missed comes in several parts, while newer messages come already: all are given, in order.
+func TestMissedMessagesComeInPartsBeforeNewerOnes(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		entry := func(o uint64) line.Entry {
+			return line.Entry{What: line.Message, Topic: "kept/a", Visitor: "x", Call: o, Offset: o}
+		}
+		polled := uint64(40)
+		h.src.follow = func(q *owner.Want) *owner.Told {
+			a := &owner.Told{Epoch: 1, Tail: 40, Upto: 40}
+			if from, ok := q.After["kept/a"]; ok {
+				_ = clock.Real{}.Sleep(t.Context(), 10*time.Millisecond)
+				a.Upto = min(from+10, 40)
+				for o := from + 1; o <= a.Upto; o++ {
+					a.Back = append(a.Back, entry(o))
+				}
+			}
+			return a
+		}
+		h.src.poll = func(*owner.PollTask) *owner.Polled {
+			if polled >= 60 {
+				return nil
+			}
+			polled++
+			return &owner.Polled{Epoch: 1, To: polled, Entries: []line.Entry{entry(polled)}}
+		}
+		w := h.Enter(func(Answer) {})
+		w.Do(Task{Verb: Attach, Visitor: "w"})
+		w.Do(Task{Verb: Join, Topic: "kept/b"})
+		v.Do(Task{Verb: Join, Topic: "kept/a", Cursor: cursor(5)})
+		time.Sleep(time.Second)
+		want := []string{"joined kept/a"}
+		for o := 6; o <= 60; o++ {
+			want = append(want, fmt.Sprintf("message kept/a x/%d", o))
+		}
+		assert.DeepEqual(t, h.said(), want)
+	})
+}
--- /dev/null
+++ b/internal/visitor/visit/spread_test.go
@@ -0,0 +1,119 @@
+package visit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/member"
+)
+
+func zone(big, small int) []member.Info {
+	var all []member.Info
+	for i := range big + small {
+		x := member.Info{Name: fmt.Sprintf("a%d", i), Zone: "z", Visits: fmt.Sprintf("10.0.0.%d:1", i), Stage: member.Serving, Processor: 32}
+		if i < big {
+			x.Processor = 352
+		}
+		all = append(all, x)
+	}
+	return append(all, member.Info{Name: "far", Zone: "y", Visits: "10.1.0.1:1", Stage: member.Serving, Processor: 4000},
+		member.Info{Name: "store", Zone: "z", Stage: member.Serving, Processor: 480})
+}
+
+// Visitors come to all nodes of a zone alike; after those with next to no processor sent on what is not theirs, each node has visits by its processor.
+func TestVisitorsGoWhereProcessorsAre(t *testing.T) {
+	all := zone(2, 17)
+	got, sum := map[string]float64{}, 0
+	for _, me := range all[:19] {
+		sum += me.Processor
+		keep, to := plan(me, all)
+		got[me.Visits] += keep
+		was := 0.0
+		for _, r := range to {
+			got[r.address] += (1 - keep) * (r.upto - was)
+			was = r.upto
+		}
+		if len(to) > 0 {
+			assert.Equal(t, was, 1.0)
+		}
+	}
+	for _, i := range all[:19] {
+		share, want := got[i.Visits]/19, float64(i.Processor)/float64(sum)
+		assert.Assert(t, share > 0.99*want && share < 1.01*want, "%s has %.3f of the visitors and %.3f of the processor", i.Name, share, want)
+	}
+}
+
+func TestWhoKeepsAllVisitors(t *testing.T) {
+	all := zone(2, 17)
+	for name, f := range map[string]func(me *member.Info, all []member.Info){
+		"plenty":                  func(me *member.Info, _ []member.Info) { me.Processor = scarce },
+		"not known":               func(me *member.Info, _ []member.Info) { me.Processor = 0 },
+		"nobody in the zone":      func(me *member.Info, _ []member.Info) { me.Zone = "x" },
+		"the others leave":        func(_ *member.Info, all []member.Info) { all[0].Stage, all[1].Stage = "leaving", "leaving" },
+		"the others are cut off":  func(_ *member.Info, all []member.Info) { all[0].Deaf, all[1].Deaf = true, true },
+		"the others have as much": func(_ *member.Info, all []member.Info) { all[0].Processor, all[1].Processor = 32, 32 },
+	} {
+		is := append([]member.Info(nil), all...)
+		me := is[5]
+		f(&me, is)
+		keep, to := plan(me, is)
+		assert.Assert(t, keep == 1 && len(to) == 0, "%s: keeps %f, %v", name, keep, to)
+	}
+}
+
+// A newcomer that is sent on hears so in the place of its attachment, and nothing is taken up for it here.
+func TestANewcomerIsSentOnBeforeItAttaches(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		all := zone(1, 9)
+		me := all[3]
+		h.Info, h.Members = func() member.Info { return me }, func() []member.Info { return all }
+		time.Sleep(h.Bounds.Pulse())
+		v.Do(Task{Verb: Leave, Topic: "a"})
+		assert.DeepEqual(t, h.said(), []string{"left a"})
+		kept, sent := 0, 0
+		for range 1000 {
+			x := h.Enter(h.hear)
+			x.Do(Task{Verb: Attach, Visitor: "w"})
+			switch s := h.said()[0]; s {
+			case "attached":
+				kept++
+				continue
+			case "moved " + all[0].Visits:
+				sent++
+			default:
+				t.Fatal(s)
+			}
+			x.Do(Task{Verb: Join, Topic: "a"})
+			assert.Equal(t, len(h.said()), 1)
+			assert.Equal(t, len(x.topics()), 0)
+		}
+		t.Logf("%d kept, %d sent on", kept, sent)
+		assert.Assert(t, kept > 400 && kept < 600, "%d kept of 1000; the mean is 64, and there are 32", kept)
+	})
+}
+
+// Visits of a node that leaves are dealt to its fellows by what they have, and evenly where nobody says.
+func TestVisitsOfALeavingNodeAreDealtByProcessor(t *testing.T) {
+	count := func(is []member.Info, n int) map[string]int {
+		got, next := map[string]int{}, deal(is)
+		for range n {
+			got[next().Visits]++
+		}
+		return got
+	}
+	is := zone(2, 3)[:5]
+	got := count(is, 800)
+	for _, i := range is {
+		want := 800 * i.Processor / (2*352 + 3*32)
+		assert.Assert(t, got[i.Visits] >= want-1 && got[i.Visits] <= want+1, "%s got %d, not %d", i.Name, got[i.Visits], want)
+	}
+	for i := range is {
+		is[i].Processor = 0
+	}
+	for a, n := range count(is, 100) {
+		assert.Assert(t, n >= 19 && n <= 21, "%s got %d of 100 among five", a, n)
+	}
+}
--- /dev/null
+++ b/internal/visitor/visit/withdraw.go
@@ -0,0 +1,84 @@
+package visit
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"postjunction/internal/description"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/problem"
+)
+
+const keyMost = 128
+
+// keyed tells why a key can't be taken.
+func (h *House) keyed(key string) error {
+	if !plainName(key, keyMost) {
+		return problem.New(problem.Malformed, "a key must be 1 to %d printable bytes without spaces", keyMost)
+	}
+	return h.Ledger.Keys()
+}
+
+func (v *Visit) withdraw(t Task) error {
+	sp, p, err := v.find(t.Topic)
+	if err != nil {
+		return err
+	}
+	if t.Call == 0 {
+		return problem.New(problem.Malformed, "call_seq must be above 0")
+	}
+	if (t.Of != "") != (t.Upto > 0) || t.Of != "" && !plainName(t.Of, nameMost) {
+		return problem.New(problem.Malformed, "a sender (of) and its highest number (upto, above 0) go together")
+	}
+	if err := v.h.keyed(t.Key); err != nil {
+		return err
+	}
+	until := v.h.Clock.Now().Add(v.h.patience(sp))
+	v.h.Ledger.Offer(v.h.ctx, p, &owner.Task{
+		Visitor: v.name, Topic: t.Topic, Call: t.Call, Key: t.Key, Withdraw: true, Of: t.Of, Upto: t.Upto,
+		Live: sp.Kind == description.Live, Description: v.h.Board.Index().Sequence,
+	}, until, func(d *owner.Decision, err error) {
+		if err != nil {
+			v.turn(t, err)
+			return
+		}
+		go v.forgotten(t, p, d, until)
+	})
+	return nil
+}
+
+// forgotten answers a withdrawal that stands once all who read messages with keys have read behind its mark, or says who has not when its time is over.
+func (v *Visit) forgotten(t Task, p int, d *owner.Decision, until time.Time) {
+	a := Answer{What: Forgotten, Topic: t.Topic, Call: t.Call, Key: t.Key, Already: d.Already}
+	for tries := 0; ; tries++ {
+		u, err := v.h.unheard(p, d.Offset, until)
+		if err == nil {
+			a.GivenUp = u.GivenUp
+			if len(u.Nodes) == 0 {
+				v.out(a)
+				return
+			}
+		}
+		left := until.Sub(v.h.Clock.Now())
+		if left > 0 && v.h.Clock.Sleep(v.h.ctx, min(left, v.h.Bounds.Grown(tries))) == nil {
+			continue
+		}
+		a.What, a.Re, a.Already = Turned, t.Verb, false
+		if err != nil {
+			a.Err = problem.Because(problem.WithdrawalOpen, err, "what stood under %s was withdrawn; who has forgotten it could not be learnt", t.Key)
+		} else {
+			a.Err = problem.New(problem.WithdrawalOpen, "what stood under %s was withdrawn; %s did not say that it is forgotten", t.Key, strings.Join(u.Nodes, ", "))
+		}
+		v.out(a)
+		return
+	}
+}
+
+// unheard asks once who has not read behind a mark, for as long as there is time, and a retry longer for the answer.
+func (h *House) unheard(p int, offset uint64, until time.Time) (*owner.Unheard, error) {
+	left := max(until.Sub(h.Clock.Now()), 0)
+	cx, stop := context.WithTimeout(h.ctx, left+h.Bounds.Retry())
+	defer stop()
+	return h.Ledger.Forgotten(cx, p, offset, min(left, h.Bounds.Hold()))
+}
--- /dev/null
+++ b/internal/visitor/visit/withdraw_test.go
@@ -0,0 +1,274 @@
+package visit
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/carrier/fan"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+)
+
+// clerk stands in for the ledger.
+type clerk struct {
+	keys   error
+	decide func(q *owner.Task) (*owner.Decision, error)
+	ask    func(n int) (*owner.Unheard, error)
+	mu     sync.Mutex
+	asked  int
+	offers []*owner.Task
+}
+
+func (c *clerk) Offer(_ context.Context, _ int, q *owner.Task, _ time.Time, done func(*owner.Decision, error)) {
+	c.mu.Lock()
+	c.offers = append(c.offers, q)
+	c.mu.Unlock()
+	done(c.decide(q))
+}
+
+func (*clerk) Listeners(context.Context, int, string) (int, error) { return 0, nil }
+
+func (c *clerk) Keys() error { return c.keys }
+
+func (c *clerk) Forgotten(ctx context.Context, _ int, _ uint64, hold time.Duration) (*owner.Unheard, error) {
+	c.mu.Lock()
+	c.asked++
+	n := c.asked
+	c.mu.Unlock()
+	u, err := c.ask(n)
+	if err != nil || len(u.Nodes) > 0 {
+		_ = wait(ctx, hold)
+	}
+	return u, err
+}
+
+func taken(q *owner.Task) (*owner.Decision, error) {
+	return &owner.Decision{Offset: q.Call, Already: q.Call == 8}, nil
+}
+
+func none(int) (*owner.Unheard, error) { return &owner.Unheard{}, nil }
+
+// told gives what a visitor was told, with the time it took.
+func (h *hall) told(v *Visit) func() []string {
+	begun := time.Now()
+	var mu sync.Mutex
+	var l []string
+	v.out = func(a Answer) {
+		mu.Lock()
+		defer mu.Unlock()
+		s := fmt.Sprintf("%d: %s %s", time.Since(begun).Milliseconds(), a.What, a.Topic)
+		if a.Call > 0 {
+			s += fmt.Sprintf(" %d", a.Call)
+		}
+		if a.Key != "" {
+			s += " " + a.Key
+		}
+		if a.Already {
+			s += " already"
+		}
+		if len(a.GivenUp) > 0 {
+			s += " without " + strings.Join(a.GivenUp, ",")
+		}
+		if a.Err != nil {
+			p := problem.Of(a.Err)
+			s += fmt.Sprintf(" %s %s (%s)", a.Re, p.Kind, p.Say)
+		}
+		l = append(l, s)
+	}
+	return func() []string {
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		return l
+	}
+}
+
+func TestWithdrawalsAreAnswered(t *testing.T) {
+	ask := Task{Verb: Withdraw, Topic: "kept/a", Key: "k", Call: 7}
+	cases := map[string]struct {
+		c    *clerk
+		do   Task
+		want []string
+	}{
+		"nobody reads": {&clerk{decide: taken, ask: none}, ask, []string{"0: forgotten kept/a 7 k"}},
+		"again":        {&clerk{decide: taken, ask: none}, Task{Verb: Withdraw, Topic: "kept/a", Key: "k", Call: 8}, []string{"0: forgotten kept/a 8 k already"}},
+		"later": {&clerk{decide: taken, ask: func(n int) (*owner.Unheard, error) {
+			if n == 1 {
+				return &owner.Unheard{Nodes: []string{"a2"}}, nil
+			}
+			return &owner.Unheard{GivenUp: []string{"a3"}}, nil
+		}}, ask, []string{"1025: forgotten kept/a 7 k without a3"}},
+		"never": {
+			&clerk{decide: taken, ask: func(int) (*owner.Unheard, error) {
+				return &owner.Unheard{Nodes: []string{"a2", "a4"}, GivenUp: []string{"a3"}}, nil
+			}}, ask,
+			[]string{"1200: turned kept/a 7 k without a3 withdraw withdrawal_open (what stood under k was withdrawn; a2, a4 did not say that it is forgotten)"},
+		},
+		"no answer": {
+			&clerk{decide: taken, ask: func(int) (*owner.Unheard, error) { return nil, problem.New(problem.NoOwner, "gone") }}, ask,
+			[]string{"1200: turned kept/a 7 k withdraw withdrawal_open (what stood under k was withdrawn; who has forgotten it could not be learnt)"},
+		},
+		"not taken": {
+			&clerk{decide: func(*owner.Task) (*owner.Decision, error) {
+				return nil, problem.New(problem.KeyUnknown, "nothing there")
+			}}, ask,
+			[]string{"0: turned kept/a 7 withdraw key_unknown (nothing there)"},
+		},
+		"an older build": {
+			&clerk{keys: problem.New(problem.NotReady, "a2 knows no keys")}, ask,
+			[]string{"0: turned kept/a 7 withdraw not_ready (a2 knows no keys)"},
+		},
+		"a send to an older build": {
+			&clerk{keys: problem.New(problem.NotReady, "a2 knows no keys")}, Task{Verb: Send, Topic: "kept/a", Call: 7, Key: "k"},
+			[]string{"0: turned kept/a 7 send not_ready (a2 knows no keys)"},
+		},
+		"a send without a key to an older build": {
+			&clerk{keys: problem.New(problem.NotReady, "a2 knows no keys"), decide: taken}, Task{Verb: Send, Topic: "kept/a", Call: 7}, []string{"0: taken kept/a 7"},
+		},
+		"a key with a space": {
+			&clerk{}, Task{Verb: Send, Topic: "kept/a", Call: 7, Key: "k k"},
+			[]string{"0: turned kept/a 7 send malformed (a key must be 1 to 128 printable bytes without spaces)"},
+		},
+		"a long key": {
+			&clerk{}, Task{Verb: Withdraw, Topic: "kept/a", Call: 7, Key: strings.Repeat("k", 129)},
+			[]string{"0: turned kept/a 7 withdraw malformed (a key must be 1 to 128 printable bytes without spaces)"},
+		},
+		"no key": {
+			&clerk{}, Task{Verb: Withdraw, Topic: "kept/a", Call: 7},
+			[]string{"0: turned kept/a 7 withdraw malformed (a key must be 1 to 128 printable bytes without spaces)"},
+		},
+		"no number": {
+			&clerk{}, Task{Verb: Withdraw, Topic: "kept/a", Key: "k"}, []string{"0: turned kept/a withdraw malformed (call_seq must be above 0)"},
+		},
+		"a sender without a number": {
+			&clerk{}, Task{Verb: Withdraw, Topic: "kept/a", Key: "k", Call: 7, Of: "w"},
+			[]string{"0: turned kept/a 7 withdraw malformed (a sender (of) and its highest number (upto, above 0) go together)"},
+		},
+		"a number without a sender": {
+			&clerk{}, Task{Verb: Withdraw, Topic: "kept/a", Key: "k", Call: 7, Upto: 3},
+			[]string{"0: turned kept/a 7 withdraw malformed (a sender (of) and its highest number (upto, above 0) go together)"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			enter(t, func(t *testing.T, h *hall, v *Visit) {
+				h.Ledger = c.c
+				told := h.told(v)
+				v.Do(c.do)
+				time.Sleep(2 * options.DefaultBounds.Call())
+				assert.DeepEqual(t, told(), c.want)
+			})
+		})
+	}
+}
+
+// What is offered names the key, the sender and its number; nothing that follows waits for a withdrawal.
+func TestWithdrawalsHoldNothingBack(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		c := &clerk{decide: taken, ask: func(n int) (*owner.Unheard, error) {
+			if n < 2 {
+				return &owner.Unheard{Nodes: []string{"a2"}}, nil
+			}
+			return none(n)
+		}}
+		h.Ledger = c
+		told := h.told(v)
+		v.Do(Task{Verb: Withdraw, Topic: "live/a", Key: "k", Call: 7, Of: "w", Upto: 3})
+		v.Do(Task{Verb: Send, Topic: "live/a", Key: "k", Call: 8, Body: []byte("x")})
+		v.Do(Task{Verb: Pulse})
+		assert.DeepEqual(t, told(), []string{"0: taken live/a 8", "0: alive "})
+		time.Sleep(options.DefaultBounds.Call())
+		assert.DeepEqual(t, told()[2:], []string{"1025: forgotten live/a 7 k"})
+		seq := h.Board.Index().Sequence
+		assert.DeepEqual(t, c.offers, []*owner.Task{
+			{Visitor: "v", Topic: "live/a", Call: 7, Live: true, Description: seq, Key: "k", Withdraw: true, Of: "w", Upto: 3},
+			{Visitor: "v", Topic: "live/a", Call: 8, Live: true, Description: seq, Key: "k", Body: []byte("x")},
+		})
+	})
+}
+
+// shelf is where a visit's answers wait.
+type shelf struct {
+	mu  sync.Mutex
+	log []string
+}
+
+func (s *shelf) note(say string, a ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, fmt.Sprintf(say, a...))
+}
+
+func (s *shelf) said() []string {
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.log
+	s.log = nil
+	return l
+}
+
+func (s *shelf) Withdraw(p int, covered fan.Covered) {
+	s.note("withdraw %d %t %t", p, covered("kept/a", "k", 20), covered("kept/a", "k", 21))
+}
+
+func (s *shelf) Drop(topic string) { s.note("drop %s", topic) }
+
+func (s *shelf) Release(p int, cut bool) bool {
+	s.note("release %d cut=%t", p, cut)
+	return true
+}
+
+// Followers learn of a withdrawal, and so does whatever keeps answers, also of those who left the topic or ended their visits.
+func TestWithdrawalsReachAllThatWaits(t *testing.T) {
+	enter(t, func(t *testing.T, h *hall, v *Visit) {
+		h.src.follow = at(20, nil)
+		told := h.told(v)
+		v.Do(Task{Verb: Join, Topic: "kept/a"})
+		left, over := &shelf{}, &shelf{}
+		w, x := h.Enter(func(Answer) {}), h.Enter(func(Answer) {})
+		w.Hold(left)
+		free := x.Hold(over)
+		for _, v := range []*Visit{w, x} {
+			v.Do(Task{Verb: Attach, Visitor: "w"})
+			v.Do(Task{Verb: Join, Topic: "kept/a"})
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.Do(Task{Verb: Leave, Topic: "kept/a"})
+		w.Do(Task{Verb: Leave, Topic: "kept/b"})
+		x.End()
+		assert.DeepEqual(t, left.said(), []string{"drop kept/a"})
+		assert.DeepEqual(t, over.said(), []string{"drop kept/a"})
+		next := uint64(20)
+		h.src.mu.Lock()
+		h.src.poll = func(*owner.PollTask) *owner.Polled {
+			if next++; next > 22 {
+				return nil
+			}
+			return &owner.Polled{Epoch: 1, To: next, Entries: []line.Entry{{What: line.Withdraw, Topic: "kept/a", Key: "k", Visitor: "c", Call: next, Offset: next}}}
+		}
+		h.src.mu.Unlock()
+		time.Sleep(options.DefaultBounds.Spread)
+		assert.DeepEqual(t, left.said(), []string{"withdraw 0 true false", "withdraw 0 true true"})
+		assert.DeepEqual(t, over.said(), []string{"withdraw 0 true false", "withdraw 0 true true"})
+		free()
+		v.Do(Task{Verb: Leave, Topic: "kept/a"})
+		time.Sleep(2 * options.DefaultBounds.Spread)
+		assert.DeepEqual(t, left.said(), []string{"release 0 cut=false"})
+		assert.Equal(t, len(over.said()), 0)
+		l := told()
+		for i, s := range l {
+			_, l[i], _ = strings.Cut(s, ": ")
+		}
+		assert.DeepEqual(t, l, []string{"joined kept/a", "withdrawn kept/a 21 k", "withdrawn kept/a 22 k", "left kept/a"})
+	})
+}
--- /dev/null
+++ b/internal/visitor/withdraw.go
@@ -0,0 +1,74 @@
+package visitor
+
+import (
+	"context"
+	"strings"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/policy"
+	"postjunction/internal/problem"
+)
+
+func (s *Service) withdraw(ctx context.Context, t *Task) error {
+	if (t.Of == "") != (t.Upto == 0) {
+		return problem.New(problem.Malformed, "of, a sender's name, and upto, its number from 1, go together")
+	}
+	if t.Of != "" {
+		if err := line.Plain("of", t.Of); err != nil {
+			return err
+		}
+	}
+	d, err := s.submit(ctx, t, &owner.Task{Withdraw: true, Of: t.Of, Upto: t.Upto})
+	if err != nil {
+		return err
+	}
+	t.mark = *d
+	return nil
+}
+
+// forget waits for every reader of the partition, apart from the places of calls under way, and for a call's time at most.
+func (s *Service) forget(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+	if err := next(ctx, t); err != nil {
+		return err
+	}
+	m := t.mark
+	given, err := s.awaited(ctx, m, func(ctx context.Context) (*owner.Unheard, error) {
+		return s.Desk.Forgotten(ctx, m.Partition, m.Offset, s.Bounds.Hold())
+	})
+	if err != nil {
+		return err
+	}
+	t.out = Withdrawal{Topic: t.Topics[0], Key: *t.Key, Call: t.Call, Partition: m.Partition, Offset: m.Offset, Repeat: m.Repeat, Already: m.Already, Forgotten: true, GivenUp: given}
+	return nil
+}
+
+// awaited asks who has not forgotten until nobody is left, and names them once the time is over.
+func (s *Service) awaited(ctx context.Context, m owner.Decision, ask func(context.Context) (*owner.Unheard, error)) ([]string, error) {
+	ctx, stop := context.WithTimeout(ctx, s.Bounds.Call())
+	defer stop()
+	var left []string
+	for {
+		u, err := ask(ctx)
+		if err == nil && len(u.Nodes) == 0 {
+			return append([]string{}, u.GivenUp...), nil
+		}
+		if err == nil {
+			left = u.Nodes
+		}
+		if err != nil || s.Clock.Sleep(ctx, s.Bounds.Soon()) != nil {
+			return nil, unheard(m, left, err)
+		}
+	}
+}
+
+func unheard(m owner.Decision, left []string, err error) error {
+	if len(left) == 0 {
+		return problem.New(problem.WithdrawalOpen, "the mark stands at offset %d of partition %d; who has to forget could not be asked: %v", m.Offset, m.Partition, err)
+	}
+	var fs []problem.Fault
+	for _, n := range left {
+		fs = append(fs, problem.Fault{Place: n, Say: "has not read behind the mark"})
+	}
+	return problem.New(problem.WithdrawalOpen, "the mark stands at offset %d of partition %d; not heard: %s", m.Offset, m.Partition, strings.Join(left, ", ")).With(fs)
+}
--- /dev/null
+++ b/internal/visitor/withdraw_test.go
@@ -0,0 +1,166 @@
+package visitor
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/carrier/cursor"
+	"postjunction/internal/carrier/feed"
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/desk"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+)
+
+// pages are what the reads of a partition give, one after the other.
+type pages chan *owner.Reading
+
+func (p pages) ReadAs(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+	if q.Done || q.From == ^uint64(0) {
+		return &owner.Reading{}, nil
+	}
+	select {
+	case r := <-p:
+		return r, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p pages) tell(es ...line.Entry) {
+	p <- &owner.Reading{Entries: es, To: es[len(es)-1].Offset}
+	synctest.Wait()
+}
+
+func keyed(o uint64, what, key, body string) line.Entry {
+	return line.Entry{Offset: o, What: what, Topic: "s/a", Key: key, Body: []byte(body), Hollow: what == line.Message && body == ""}
+}
+
+// A stream's window is older than a mark: what it covers is never given, the rest is, and the withdrawal is told.
+func TestStreamGivesNothingThatWasWithdrawnMeanwhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		held, then []line.Entry
+		want       []string
+	}{
+		"withdrawn while it waits in the window": {
+			[]line.Entry{keyed(1, line.Message, "k", `1`), keyed(2, line.Message, "l", `2`), keyed(3, line.Message, "", `3`)},
+			[]line.Entry{keyed(4, line.Withdraw, "k", ""), keyed(5, line.Message, "k", `5`)},
+			[]string{"2 l", "3 ", "-k", "5 k"},
+		},
+		"left out by the owner": {
+			[]line.Entry{keyed(1, line.Message, "k", ""), keyed(2, line.Message, "l", `2`)},
+			[]line.Entry{keyed(3, line.Message, "l", `3`)},
+			[]string{"2 l", "3 l"},
+		},
+		"a window that is stale is filled anew": {
+			[]line.Entry{keyed(1, line.Message, "k", `1`), keyed(2, line.Message, "l", `2`)},
+			append(many(3, 1100), keyed(1103, line.Withdraw, "k", "")),
+			[]string{"2 l", "-k"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				p := make(pages)
+				wake := make(chan struct{}, 1)
+				f, leave, err := feed.New(ctx, "a1", "b", p, clock.Real{}, options.DefaultBounds).Follow(ctx, 0, wake)
+				assert.NilError(t, err)
+				defer leave()
+				var got []string
+				st := &stream{s: &Service{Board: gossip.NewBoard(nil)}, t: &Task{Emit: func(b []byte) error {
+					var l Line
+					assert.NilError(t, json.Unmarshal(b, &l))
+					switch {
+					case l.Withdrawn == "":
+						got = append(got, string(l.Body)+" "+l.Key)
+					case !strings.HasPrefix(l.Withdrawn, "other"):
+						got = append(got, "-"+l.Withdrawn)
+					}
+					return nil
+				}}, want: map[string]bool{"s/a": true}, urgent: map[string]bool{}, pos: cursor.Cursor{}, fence: f, seen: ^uint64(0)}
+				st.lanes = []lane{{feed: f, got: make(chan pulled, 1)}}
+				p.tell(c.held...)
+				_, err = st.pull(ctx, &st.lanes[0])
+				assert.NilError(t, err)
+				p.tell(c.then...)
+				for more := true; more; {
+					more, err = st.round(ctx)
+					assert.NilError(t, err)
+				}
+				assert.DeepEqual(t, got, c.want)
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// many gives withdrawals of other keys, each with the number that no stream was given.
+func many(from uint64, n int) []line.Entry {
+	var es []line.Entry
+	for i := range uint64(n) {
+		es = append(es, keyed(from+i, line.Withdraw, "other"+string(rune('a'+i%26))+string(rune('a'+i/26%26))+string(rune('a'+i/676)), ""))
+	}
+	return es
+}
+
+func TestNoKeysUntilEveryBuildKnowsThem(t *testing.T) {
+	v := member.NewView()
+	s := &Service{Desk: &desk.Desk{View: v}}
+	k := "k"
+	v.Set([]member.Info{{Name: "a1", Keys: true}, {Name: "a2"}})
+	_, err := s.submit(t.Context(), &Task{Key: &k}, &owner.Task{})
+	assert.Assert(t, problem.Has(err, problem.NotReady), "%v", err)
+	assert.ErrorContains(t, err, "a2")
+}
+
+// Who has not forgotten is named, with what was heard last, however the asking goes on.
+func TestOpenWithdrawalsNameWhoWasNotHeard(t *testing.T) {
+	late := problem.New(problem.Unreachable, "no answer")
+	for name, c := range map[string]struct {
+		answers []any
+		say     string
+		given   []string
+	}{
+		"all at once":              {[]any{&owner.Unheard{}}, "", []string{}},
+		"one later, one given up":  {[]any{&owner.Unheard{Nodes: []string{"a1"}}, &owner.Unheard{GivenUp: []string{"a2"}}}, "", []string{"a2"}},
+		"never":                    {[]any{&owner.Unheard{Nodes: []string{"a1", "a2/streams"}}}, "a1, a2/streams", nil},
+		"not to be asked":          {[]any{late}, "could not be asked: unreachable", nil},
+		"not to be asked any more": {[]any{&owner.Unheard{Nodes: []string{"a1"}}, late}, "a1", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Service{Clock: clock.Real{}, Bounds: options.DefaultBounds}
+				n := 0
+				begun := time.Now()
+				given, err := s.awaited(t.Context(), owner.Decision{Partition: 3, Offset: 7}, func(context.Context) (*owner.Unheard, error) {
+					a := c.answers[min(n, len(c.answers)-1)]
+					n++
+					if e, ok := a.(error); ok {
+						return nil, e
+					}
+					return a.(*owner.Unheard), nil
+				})
+				assert.Assert(t, time.Since(begun) <= s.Bounds.Call())
+				assert.DeepEqual(t, given, c.given)
+				if c.say == "" {
+					assert.NilError(t, err)
+					return
+				}
+				assert.Assert(t, problem.Has(err, problem.WithdrawalOpen), "%v", err)
+				assert.ErrorContains(t, err, "offset 7 of partition 3")
+				assert.ErrorContains(t, err, c.say)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/export_test.go
@@ -0,0 +1,4 @@
+package wire
+
+// Codec is the codec between nodes.
+type Codec = codec
--- a/internal/wire/real.go
+++ b/internal/wire/real.go
@@ -1,24 +1,38 @@
 package wire
 
 import (
-	"net"
 	"net/http"
 	"time"
+
+	"postjunction/internal/options"
+	"postjunction/internal/wire/lane"
 )
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 const (
-	idlePerFellow = 128
-	idleFor       = 30 * time.Second
+	dialShare    = 3
+	silenceShare = 2
+	quietShare   = 16
 )
 
-// Real reaches fellows over TCP.
-func Real(dial time.Duration) Network {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
-		MaxIdleConnsPerHost: idlePerFellow,
-		IdleConnTimeout:     idleFor,
-		DisableCompression:  true,
-	}}
+func lanes(b options.Bounds) lane.Options {
+	return lane.Options{
+		Times: lane.Times{
+			Dial:    b.Call() / dialShare,
+			Quiet:   b.Session() / quietShare,
+			Silence: max(b.Session()/silenceShare, b.Hold()),
+			Unheard: b.Session() / silenceShare,
+			Idle:    b.Keeping,
+			Begin:   b.Recovery,
+		},
+		Headers: []string{"Content-Type", "Content-Encoding", "Connect-Protocol-Version", sequenceHeader, fromHeader},
+		From:    fromHeader,
+	}
 }
+
+// Real reaches fellows over TCP, with one connection to each.
+func Real(b options.Bounds) *lane.Network { return lane.New(lanes(b)) }
+
+// Server answers the fellows that come to the listener that it is given.
+func Server(h http.Handler, b options.Bounds) *lane.Server { return lane.NewServer(h, lanes(b)) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,12 +1,11 @@
-// Package wire carries calls between nodes: connect-go with plain structs.
+// Package wire carries calls between nodes: connect-go with plain structs as CBOR.
 package wire
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
+	"reflect"
 	"strconv"
 	"sync"
 
@@ -16,7 +15,7 @@
 )
 
 // Sequence is the number of the wire format; a node turns away what is newer.
-const Sequence = 1
+const Sequence = 2
 
 const (
 	sequenceHeader = "Postjunction-Wire"
@@ -34,14 +33,6 @@
 	Problem *problem.Problem `json:"p,omitempty"`
 }
 
-type codec struct{}
-
-func (codec) Name() string { return "json" }
-
-func (codec) Marshal(v any) ([]byte, error) { return json.Marshal(v) }
-
-func (codec) Unmarshal(b []byte, v any) error { return json.NewDecoder(bytes.NewReader(b)).Decode(v) }
-
 // Procedure names a call and its types.
 type Procedure[Q, A any] struct {
 	Path   string
@@ -50,9 +41,22 @@
 
 // Name makes a procedure.
 func Name[Q, A any](part, verb string) *Procedure[Q, A] {
-	return &Procedure[Q, A]{Path: "/postjunction." + part + "/" + verb}
+	p := &Procedure[Q, A]{Path: "/postjunction." + part + "/" + verb}
+	shapes = append(shapes, Shape{Path: p.Path, Task: reflect.TypeFor[Q](), Answer: reflect.TypeFor[A]()})
+	return p
 }
 
+// Shape is a procedure's path and types.
+type Shape struct {
+	Path         string
+	Task, Answer reflect.Type
+}
+
+var shapes []Shape
+
+// Shapes gives all procedures that this program names; procedures are named while packages start.
+func Shapes() []Shape { return shapes }
+
 type key struct {
 	net  Network
 	addr string
