Withdrawals: only the turn given last makes a reader, so no run of long ago does

What came late from a boot of a node before the one before its last took the place of the living run as a reader; that one was then answered as lost for good, and asked again without a pause (42,429 times in 20 s), so its visitors got nothing more. Nobody waited for it either when a withdrawal's yes was given. Ruled out: the checker and the visitors' stand-in (a dump of the feed showed the loop), take-over. Change: Follow and Poll carry the turn that streams have; an owner's turns are of its epoch; a run that is done is over for good; a full question that was answered as lost is paced.

--- a/internal/carrier/fan/feed.go
+++ b/internal/carrier/fan/feed.go
@@ -40,6 +40,8 @@
 	// boot names what this feed holds; one that was told to begin anew, or that said it was done, goes on under another.
 	boot  string
 	boots int
+	// number is the turn that an owner gave this boot to tell.
+	number uint64
 	// seen is the highest epoch that answered, gen is that of polls whose answers count.
 	seen uint64
 	gen  uint64
@@ -152,7 +154,7 @@
 		clear(f.dirty)
 		f.due, f.lost, f.parted = false, false, true
 		f.seq++
-		return &owner.Want{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.seq, Full: true, Marks: true, Done: true}, nil, nil
+		return &owner.Want{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.seq, Full: true, Marks: true, Done: true, Turn: f.number}, nil, nil
 	}
 	due := f.due && len(f.dirty) > 0
 	f.due = false
@@ -169,7 +171,7 @@
 	}
 	f.seq++
 	f.asking = true
-	q := &owner.Want{Partition: f.p, Node: f.h.self, Boot: f.boot, Before: f.acked, Sequence: f.seq, Full: f.lost || !f.known, Topics: map[string]int{}, Marks: true}
+	q := &owner.Want{Partition: f.p, Node: f.h.self, Boot: f.boot, Before: f.acked, Sequence: f.seq, Full: f.lost || !f.known, Topics: map[string]int{}, Marks: true, Turn: f.number}
 	if q.Full {
 		for t, m := range f.topics {
 			q.Topics[t] = len(m)
@@ -227,6 +229,9 @@
 		if err == nil && a.Epoch < f.seen {
 			err = problem.New(problem.StaleEpoch, "epoch %d of partition %d has answered, this is %d", f.seen, f.p, a.Epoch)
 		}
+		if err == nil && q.Boot == f.boot && a.Turn > 0 {
+			f.number = a.Turn
+		}
 		if err == nil && a.Clean && q.Boot == f.boot {
 			f.waiting = append(w, f.waiting...)
 			f.clean()
@@ -243,8 +248,9 @@
 			}
 			f.waiting = append(w, f.waiting...)
 			f.bear(f.waiting)
+			again := err == nil && q.Boot == f.boot && (!q.Full || f.number != q.Turn)
 			f.mu.Unlock()
-			if err != nil {
+			if !again {
 				f.pause(ctx, tries)
 			}
 			continue
@@ -311,6 +317,7 @@
 func (f *feed) anew() {
 	f.boots++
 	f.boot = f.h.boot + "+" + strconv.Itoa(f.boots)
+	f.number = 0
 	f.parted = false
 }
 
@@ -517,7 +524,7 @@
 		f.cut = cut
 		r := f.h.board.Record(f.p)
 		f.epoch = r.Epoch
-		q := &owner.PollTask{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.acked, From: f.to, Hold: f.h.bounds.Spread, Marks: true}
+		q := &owner.PollTask{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.acked, From: f.to, Hold: f.h.bounds.Spread, Marks: true, Turn: f.number}
 		ready, gen := f.ready, f.gen
 		f.mu.Unlock()
 		a, err := f.h.src.Poll(cx, r, q)
@@ -584,6 +591,9 @@
 	}
 	f.base = a.Base
 	f.seen = max(f.seen, a.Epoch)
+	if a.Turn > 0 {
+		f.number = a.Turn
+	}
 	f.reader = f.reader || a.Reader
 	for t, g := range a.Gone {
 		for s := range f.topics[t] {
--- /dev/null
+++ b/internal/carrier/fan/turn_test.go
@@ -0,0 +1,94 @@
+package fan
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+)
+
+// usher is an owner that answers only those who tell the turn it gave last.
+type usher struct {
+	mu     sync.Mutex
+	turn   uint64
+	asked  int
+	polled []uint64
+	deaf   bool
+}
+
+func (u *usher) Follow(_ context.Context, _ record.Record, q *owner.Want) (*owner.Told, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.asked++
+	return &owner.Told{Epoch: 1, Lost: u.deaf || q.Turn != u.turn, Turn: u.turn}, nil
+}
+
+func (u *usher) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+	u.mu.Lock()
+	u.polled = append(u.polled, q.Turn)
+	t, late := u.turn, q.Turn != u.turn
+	u.mu.Unlock()
+	if !late {
+		_ = clock.Real{}.Sleep(ctx, q.Hold)
+	}
+	return &owner.Polled{Epoch: 1, To: q.From, Turn: t}, nil
+}
+
+func (u *usher) set(turn uint64, deaf bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.turn, u.deaf = turn, deaf
+}
+
+func (u *usher) saw() (int, []uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	a, p := u.asked, u.polled
+	u.asked, u.polled = 0, nil
+	return a, p
+}
+
+// An owner's turn is told with what is asked next, at once; an owner that goes on answering as if nothing was told is not asked without a pause.
+func TestTheTurnIsToldWithWhatIsAskedNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := options.DefaultBounds
+		ctx, stop := context.WithCancel(t.Context())
+		u := &usher{turn: 7}
+		h := New(ctx, "a1", "boot", u, gossip.NewBoard(nil), clock.Real{}, b)
+		x := h.Sub(0, "a")
+		x.Opened = func(uint64, error) {}
+		h.Join(x)
+		synctest.Wait()
+		asked, polled := u.saw()
+		assert.Equal(t, asked, 2, "once to hear the turn, once to tell it")
+		assert.DeepEqual(t, polled, []uint64{7})
+
+		u.set(9, false)
+		time.Sleep(b.Spread)
+		synctest.Wait()
+		_, polled = u.saw()
+		assert.DeepEqual(t, polled, []uint64{7, 9})
+
+		u.set(9, true)
+		y := h.Sub(0, "b")
+		y.Opened = func(uint64, error) {}
+		h.Join(y)
+		time.Sleep(b.Call())
+		synctest.Wait()
+		asked, _ = u.saw()
+		assert.Assert(t, asked > 2 && asked < 20, "asked %d times in %s", asked, b.Call())
+		h.Leave(x)
+		h.Leave(y)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/internal/ledger/owner/fan.go
+++ b/internal/ledger/owner/fan.go
@@ -11,6 +11,7 @@
 // Want is what a node follows of a partition: how many listen to each topic, 0 for a topic that it drops. It builds on the sequence
 // Before unless it is Full; After asks for what a topic's line holds behind an offset. Brief asks for one message of that at most, as someone waits for the answer.
 // Packs asks for bodies in one packed piece. Marks says that the node minds withdrawals; Done that it follows nothing here any more and has let go of all it held.
+// Turn is what an earlier answer to this boot gave: nobody becomes a reader without it, or takes another run's place, as a task may come late from a run that is over.
 type Want struct {
 	Partition int               `json:"p"`
 	Node      string            `json:"n"`
@@ -24,12 +25,13 @@
 	Packs     bool              `json:"z,omitempty"`
 	Marks     bool              `json:"m,omitempty"`
 	Done      bool              `json:"d,omitempty"`
+	Turn      uint64            `json:"v,omitempty"`
 }
 
 // Told answers a Want: where the committed ledger ends, from when on all messages of the topics come by Poll, and what was asked for
 // up to Upto. Lost says that the owner does not know what the Want builds on. Gone names topics of which something asked for is no longer held, with
 // the offset of the last such message. Clean says that the node was given up as a reader: it must let go of all it holds of the partition and begin under another boot.
-// Reader says that the node was noted as a reader, though it may have been given nothing with a key.
+// Reader says that the node was noted as a reader, though it may have been given nothing with a key. Turn is to be told with what the node asks next.
 type Told struct {
 	Epoch  uint64            `json:"e"`
 	Base   uint64            `json:"b"`
@@ -38,6 +40,7 @@
 	Lost   bool              `json:"l,omitempty"`
 	Clean  bool              `json:"c,omitempty"`
 	Reader bool              `json:"r,omitempty"`
+	Turn   uint64            `json:"v,omitempty"`
 	Back   []line.Entry      `json:"n,omitempty"`
 	Gone   map[string]uint64 `json:"g,omitempty"`
 	// Packed holds the bodies where the asker packs.
@@ -54,10 +57,11 @@
 	Hold      time.Duration `json:"h"`
 	Packs     bool          `json:"z,omitempty"`
 	Marks     bool          `json:"m,omitempty"`
+	Turn      uint64        `json:"v,omitempty"`
 }
 
 // Polled gives them, up to an offset, among them all withdrawals of the partition where the node minds them. Gone names followed topics of which
-// something after the offset asked for is no longer held. Clean and Reader are those of Told.
+// something after the offset asked for is no longer held. Clean, Reader and Turn are those of Told.
 type Polled struct {
 	Epoch   uint64            `json:"e"`
 	Base    uint64            `json:"b"`
@@ -65,6 +69,7 @@
 	Lost    bool              `json:"l,omitempty"`
 	Clean   bool              `json:"c,omitempty"`
 	Reader  bool              `json:"r,omitempty"`
+	Turn    uint64            `json:"v,omitempty"`
 	Entries []line.Entry      `json:"n,omitempty"`
 	Gone    map[string]uint64 `json:"g,omitempty"`
 	// Packed holds the bodies where the asker packs.
@@ -132,12 +137,16 @@
 	o.hear(q.Node, q.Boot, 0)
 	f := o.known(q.Node, q.Boot)
 	reads, givenUp := o.reads(q.Node, q.Boot)
-	if givenUp && !q.Done || o.past(q.Node, q.Boot) || f != nil && q.Sequence <= f.seq || !q.Full && !q.Done && (f == nil || f.seq != q.Before) {
-		return &Told{Epoch: o.Rec.Epoch, Lost: true, Clean: givenUp}, nil, nil
+	turn, turned := o.turned(q.Node, q.Boot, q.Turn)
+	late := !turned && !q.Done && o.displaces(q.Node, q.Boot)
+	if givenUp && !q.Done || late || o.past(q.Node, q.Boot) || f != nil && q.Sequence <= f.seq || !q.Full && !q.Done && (f == nil || f.seq != q.Before) {
+		return &Told{Epoch: o.Rec.Epoch, Lost: true, Clean: givenUp, Turn: turn}, nil, nil
+	}
+	if !q.Done {
+		o.meet(q.Node, q.Boot)
 	}
-	o.meet(q.Node, q.Boot)
 	t := o.tracks[line.Ledger]
-	a := &Told{Epoch: o.Rec.Epoch, Base: t.line.Base().Offset, Tail: t.commit, Upto: t.commit, Reader: o.noted(q.Node, q.Boot)}
+	a := &Told{Epoch: o.Rec.Epoch, Base: t.line.Base().Offset, Tail: t.commit, Upto: t.commit, Reader: o.noted(q.Node, q.Boot), Turn: turn}
 	if q.Done {
 		o.dismiss(q.Node, q.Boot)
 	} else if len(q.After) > 0 {
@@ -154,6 +163,9 @@
 			at, ok := q.After[e.Topic]
 			return ok && e.Offset > at
 		}})
+		if short && !turned {
+			return &Told{Epoch: o.Rec.Epoch, Lost: true, Turn: turn}, nil, nil
+		}
 		if short {
 			o.enlist(q.Node, q.Boot)
 			a.Reader = true
@@ -267,12 +279,18 @@
 			o.mu.Unlock()
 			return &Polled{Epoch: o.Rec.Epoch, Lost: true, Clean: givenUp}, nil
 		}
+		turn, turned := o.turned(q.Node, q.Boot, q.Turn)
+		if !turned && o.displaces(q.Node, q.Boot) {
+			base := o.tracks[line.Ledger].line.Base().Offset
+			o.mu.Unlock()
+			return &Polled{Epoch: o.Rec.Epoch, Base: base, To: q.From, Turn: turn}, nil
+		}
 		o.meet(q.Node, q.Boot)
 		t := o.tracks[line.Ledger]
-		a := &Polled{Epoch: o.Rec.Epoch, Base: t.line.Base().Offset, Reader: o.noted(q.Node, q.Boot)}
+		a := &Polled{Epoch: o.Rec.Epoch, Base: t.line.Base().Offset, Reader: o.noted(q.Node, q.Boot), Turn: turn}
 		short := false
 		a.Entries, at, short = o.gather(max(at, a.Base), pollBytes, asked{marks: q.Marks, all: true, reads: reads, want: func(e line.Entry) bool { return f.topics[e.Topic] > 0 }})
-		if short {
+		if short && turned {
 			o.enlist(q.Node, q.Boot)
 			a.Reader = true
 		}
@@ -284,7 +302,7 @@
 		moved := t.moved
 		o.mu.Unlock()
 		a.To = at
-		if len(a.Entries) > 0 || len(a.Gone) > 0 || at > q.From+fanLag {
+		if len(a.Entries) > 0 || len(a.Gone) > 0 || at > q.From+fanLag || short && !turned {
 			return a, nil
 		}
 		if due == nil {
--- a/internal/ledger/owner/marks.go
+++ b/internal/ledger/owner/marks.go
@@ -227,19 +227,28 @@
 
 // meet has the run of a node that is heard take the place of its last one, of which nothing is left.
 func (o *Owner) meet(node, boot string) {
-	if r, ok := o.st.Readers[node]; ok && r.Boot != boot {
+	if o.displaces(node, boot) {
 		o.enlist(node, boot)
 	}
 }
 
+// displaces tells whether a run that reads here would take the place of another one.
+func (o *Owner) displaces(node, boot string) bool {
+	r, ok := o.st.Readers[node]
+	return ok && r.Boot != boot
+}
+
 // past tells whether another run of a node took the place of the one that asks, which then comes late.
 func (o *Owner) past(node, boot string) bool {
 	r, ok := o.st.Readers[node]
 	return ok && r.Before == boot && boot != ""
 }
 
-// dismiss writes that a reader is gone.
+// dismiss writes that a reader is gone; its run does not read here again.
 func (o *Owner) dismiss(node, boot string) {
+	if t := o.turns[node]; t.boot == boot || t.boot == "" {
+		o.turns[node] = turn{boot: boot, over: true}
+	}
 	r, ok := o.st.Readers[node]
 	if p, under := o.entered[node]; under && p.boot == boot || ok && r.Boot == boot {
 		o.enter(node, state.Reads{Boot: boot, Gone: true})
--- a/internal/ledger/owner/marks_test.go
+++ b/internal/ledger/owner/marks_test.go
@@ -136,9 +136,22 @@
 	}
 	a, err := r.Follow(r.t.Context(), q)
 	assert.NilError(r.t, err)
+	if a.Lost {
+		q.Turn = a.Turn
+		a, err = r.Follow(r.t.Context(), q)
+		assert.NilError(r.t, err)
+	}
 	assert.Assert(r.t, !a.Lost)
 }
 
+// told gives the turn that an owner gave a run, as that run would tell it.
+func (r *rig) told(node, boot string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, _ := r.turned(node, boot, 0)
+	return n
+}
+
 type polled struct {
 	a   *Polled
 	err error
@@ -146,8 +159,9 @@
 
 func (r *rig) polls(node, boot string, from uint64) chan polled {
 	c := make(chan polled, 1)
+	turn := r.told(node, boot)
 	go func() {
-		a, err := r.Poll(r.t.Context(), &PollTask{Node: node, Boot: boot, Sequence: 1, From: from, Hold: r.d.Bounds.Spread, Marks: true})
+		a, err := r.Poll(r.t.Context(), &PollTask{Node: node, Boot: boot, Sequence: 1, From: from, Hold: r.d.Bounds.Spread, Marks: true, Turn: turn})
 		c <- polled{a, err}
 	}()
 	synctest.Wait()
@@ -251,7 +265,7 @@
 
 		answers := make(chan *Told, 1)
 		go func() {
-			a, _ := r.Follow(t.Context(), &Want{Node: "a1", Boot: "c", Sequence: 1, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 1}})
+			a, _ := r.Follow(t.Context(), &Want{Node: "a1", Boot: "c", Sequence: 1, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 1}, Turn: r.told("a1", "c")})
 			answers <- a
 		}()
 		synctest.Wait()
@@ -306,6 +320,53 @@
 	})
 }
 
+// What comes late from a run that was over before the last one takes no place back either, and the run that lives is not answered as lost for it. Nor does what
+// comes late to an owner that knows none of them, or after the last run was done.
+func TestARunOfLongAgoTakesNoPlaceBack(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		r.takes(says("v", 1, "t", "k"))
+		for _, b := range []string{"b", "c", "d"} {
+			r.follows("a1", b, "t")
+			r.lands()
+			r.becomes("a1", b, 0)
+		}
+		late := func(boot string, turn uint64) {
+			t.Helper()
+			for _, sent := range []uint64{0, turn} {
+				a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: boot, Sequence: 90 + sent, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}, Turn: sent})
+				assert.NilError(t, err)
+				assert.Assert(t, a.Lost && len(a.Back) == 0)
+				p, err := r.Poll(t.Context(), &PollTask{Node: "a1", Boot: boot, Sequence: 1, Marks: true, Turn: sent})
+				assert.NilError(t, err)
+				assert.Equal(t, len(p.Entries), 0)
+				r.lands()
+			}
+		}
+		late("b", 1)
+		assert.Equal(t, r.st.Readers["a1"].Boot, "d")
+		assert.DeepEqual(t, r.got(r.polls("a1", "d", 0)), []uint64{1})
+
+		given := r.told("a1", "d")
+		r.locked(func() { r.fans, r.Owner.turns, r.turn, r.Rec.Epoch = nil, map[string]turn{}, 0, r.Rec.Epoch+1 })
+		late("b", given)
+		late("c", given)
+		assert.Equal(t, r.st.Readers["a1"].Boot, "d")
+		r.follows("a1", "d", "t")
+		assert.DeepEqual(t, r.got(r.polls("a1", "d", 0)), []uint64{1})
+
+		given = r.told("a1", "d")
+		a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: "d", Sequence: 99, Full: true, Marks: true, Done: true})
+		assert.NilError(t, err)
+		assert.Assert(t, !a.Lost)
+		r.lands()
+		r.locked(func() { r.fans = nil })
+		late("d", given)
+		late("b", given)
+		late("d", given)
+		assert.Equal(t, len(r.st.Readers), 0)
+	})
+}
+
 // An owner whose entries come on no majority any more can make nobody a reader.
 func TestSupersededOwnerAddsNoReader(t *testing.T) {
 	owning(t, 3, func(t *testing.T, r *rig) {
@@ -316,7 +377,7 @@
 		assert.DeepEqual(t, r.got(c), []uint64{})
 		ctx, stop := context.WithTimeout(t.Context(), time.Second)
 		defer stop()
-		_, err := r.Follow(ctx, &Want{Node: "a2", Boot: "b", Sequence: 1, Full: true, Marks: true, After: map[string]uint64{"t": 0}})
+		_, err := r.Follow(ctx, &Want{Node: "a2", Boot: "b", Sequence: 1, Full: true, Marks: true, After: map[string]uint64{"t": 0}, Turn: r.told("a2", "b")})
 		assert.Assert(t, problem.Has(err, problem.Unreachable), "%v", err)
 		assert.Equal(t, len(r.st.Readers), 0)
 	})
@@ -593,9 +654,13 @@
 		assert.NilError(t, err)
 		assert.Assert(t, !a.Lost)
 		assert.Equal(t, len(r.st.Readers), 1, "not on a majority yet")
+		again := &Want{Node: "a1", Boot: "b", Before: 2, Sequence: 3, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}, Turn: r.told("a1", "b")}
+		a, err = r.Follow(t.Context(), again)
+		assert.NilError(t, err)
+		assert.Assert(t, a.Lost, "a run that is done goes on under another boot")
 		c := make(chan *Told, 1)
 		go func() {
-			a, _ := r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Before: 2, Sequence: 3, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}})
+			a, _ := r.Follow(t.Context(), &Want{Node: "a1", Boot: "c", Sequence: 1, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}, Turn: r.told("a1", "c")})
 			c <- a
 		}()
 		synctest.Wait()
@@ -607,11 +672,11 @@
 		assert.Equal(t, r.st.Readers["a1"].Offset, uint64(5))
 		p := <-late
 		assert.Assert(t, p.a.Lost, "a poll of before its end is none")
-		a, err = r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 4, Full: true, Done: true})
+		a, err = r.Follow(t.Context(), &Want{Node: "a1", Boot: "c", Sequence: 4, Full: true, Done: true})
 		assert.NilError(t, err)
 		r.lands()
 		assert.Equal(t, len(r.st.Readers), 0)
-		a, err = r.Follow(t.Context(), &Want{Node: "a1", Boot: "b", Sequence: 2, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}})
+		a, err = r.Follow(t.Context(), &Want{Node: "a1", Boot: "c", Sequence: 2, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}, Turn: r.told("a1", "c")})
 		assert.NilError(t, err)
 		assert.Assert(t, a.Lost, "a question of before its end is none")
 	})
@@ -704,3 +769,15 @@
 		assert.DeepEqual(t, r.got(r.polls("a1", "b", 0)), []uint64{at})
 	})
 }
+
+// A turn that an owner of another epoch gave is none.
+func TestTurnsOfEpochs(t *testing.T) {
+	owning(t, 1, func(t *testing.T, r *rig) {
+		one := r.told("a1", "b")
+		r.locked(func() { r.Owner.turns, r.turn, r.Rec.Epoch = map[string]turn{}, 0, r.Rec.Epoch+1 })
+		r.locked(func() {
+			_, ok := r.turned("a1", "b", one)
+			assert.Assert(t, !ok)
+		})
+	})
+}
--- a/internal/ledger/owner/read.go
+++ b/internal/ledger/owner/read.go
@@ -48,15 +48,18 @@
 	over bool
 }
 
+// turnsOf keeps numbers of one epoch apart from those of others, as a task may come late from a run that another owner gave a number.
+const turnsOf = 1 << 20
+
 // turned gives the number that a run has to tell and whether it did: then it was there after all other runs of the node that were heard here.
-func (o *Owner) turned(q *ReadTask) (uint64, bool) {
-	t := o.turns[q.Node]
-	if t.boot != q.Boot {
-		o.turn++
-		t = turn{boot: q.Boot, n: o.turn}
-		o.turns[q.Node] = t
+func (o *Owner) turned(node, boot string, told uint64) (uint64, bool) {
+	t := o.turns[node]
+	if t.boot != boot {
+		o.turn = max(o.turn, o.Rec.Epoch*turnsOf) + 1
+		t = turn{boot: boot, n: o.turn}
+		o.turns[node] = t
 	}
-	return t.n, t.n == q.Turn && !t.over
+	return t.n, t.n == told && !t.over
 }
 
 // Read answers a ReadTask.
@@ -101,7 +104,7 @@
 	reads, turned := false, true
 	if q.Marks {
 		reads, r.Clean = o.reads(q.Node, q.Boot)
-		r.Turn, turned = o.turned(q)
+		r.Turn, turned = o.turned(q.Node, q.Boot, q.Turn)
 	}
 	if q.From == ^uint64(0) || r.Clean {
 		return r, false
@@ -144,9 +147,6 @@
 		o.mu.Unlock()
 		return nil, err
 	}
-	if t := o.turns[q.Node]; t.boot == q.Boot || t.boot == "" {
-		o.turns[q.Node] = turn{boot: q.Boot, over: true}
-	}
 	o.dismiss(q.Node, q.Boot)
 	if r := o.st.Readers[q.Node]; r.GivenUp && r.Boot == q.Boot && o.entered[q.Node].at == 0 {
 		o.enter(q.Node, state.Reads{Boot: q.Boot, Gone: true})
