--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -195,9 +195,9 @@
 guard run-before internal/ledger/owner/marks.go 's/return ok && r\.Before == boot && boot != ""/return false && ok && r.Before == boot/' ./internal/ledger/owner TestARunThatIsOver
 guard reader-told internal/ledger/owner/fan.go 's/, Reader: o\.noted\(q\.Node, q\.Boot\)\}/}/g' ./internal/ledger/owner TestReaderIsToldThatItIsOne
 guard reader-heeded internal/carrier/fan/feed.go 's/a\.Reader/false/g' ./internal/carrier/fan TestAReaderOfNothing
-guard turn-told internal/ledger/owner/fan.go 's/!turned && !q\.Done && o\.displaces/false \&\& !turned \&\& o.displaces/; s/short && !turned \{/false {/; s/short && turned \{/short {/; s/!turned && o\.displaces/false \&\& o.displaces/' ./internal/ledger/owner TestARunOfLongAgo
+guard turn-told internal/ledger/owner/read.go 's/return t\.n, t\.n == told && !t\.over/return t.n, true || told > 0/' ./internal/ledger/owner TestARunOfLongAgo
 guard turn-of-epoch internal/ledger/owner/read.go 's/max\(o\.turn, o\.Rec\.Epoch\*turnsOf\)/o.turn/' ./internal/ledger/owner TestTurnsOfEpochs
 guard turn-over internal/ledger/owner/marks.go 's/over: true/over: false/' ./internal/ledger/owner 'ReaderThatIsDone'
 guard turn-heeded internal/carrier/fan/feed.go 's/f\.number = a\.Turn/_ = a/' ./internal/carrier/fan TestTheTurnIsTold
-guard lost-paced internal/carrier/fan/feed.go 's/if !again \{/if err != nil {/' ./internal/carrier/fan TestTheTurnIsTold
+guard lost-paced internal/carrier/fan/feed.go 's/if !again \{/if _ = again; err != nil {/' ./internal/carrier/fan TestTheTurnIsTold
 exit $missed
