--- a/internal/carrier/fan/turn_test.go
+++ b/internal/carrier/fan/turn_test.go
@@ -26,6 +26,7 @@
 }
 
 func (u *usher) Follow(_ context.Context, _ record.Record, q *owner.Want) (*owner.Told, error) {
+	time.Sleep(time.Millisecond)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.asked++
@@ -67,6 +68,7 @@
 		x := h.Sub(0, "a")
 		x.Opened = func(uint64, error) {}
 		h.Join(x)
+		time.Sleep(b.Retry())
 		synctest.Wait()
 		asked, polled := u.saw()
 		assert.Equal(t, asked, 2, "once to hear the turn, once to tell it")
