--- a/internal/proof/sim/streams_forget_test.go
+++ b/internal/proof/sim/streams_forget_test.go
@@ -70,24 +70,31 @@
 	return a
 }
 
-// listen opens a stream through a1 behind all that was shown so far; it goes on until it ends.
+// listen opens a stream through a1 behind all that was shown so far; it goes on until it ends. A node that has just come back may have no licence yet,
+// and says so: its visitor asks again.
 func (x *forgetting) listen() {
 	x.mu.Lock()
 	from := x.last
 	x.mu.Unlock()
 	x.wg.Go(func() {
-		_ = x.Port("a1").Follow(x.ctx, x.reader, []string{"kept/t0"}, from, func(l visitor.Line) error {
-			x.mu.Lock()
-			defer x.mu.Unlock()
-			x.last = l.Cursor
-			switch {
-			case l.Withdrawn != "":
-				x.shown = append(x.shown, "-"+l.Withdrawn)
-			case l.Topic != "":
-				x.shown = append(x.shown, l.Key+":"+strings.Trim(string(l.Body), `"`))
+		for {
+			err := x.Port("a1").Follow(x.ctx, x.reader, []string{"kept/t0"}, from, func(l visitor.Line) error {
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				x.last = l.Cursor
+				switch {
+				case l.Withdrawn != "":
+					x.shown = append(x.shown, "-"+l.Withdrawn)
+				case l.Topic != "":
+					x.shown = append(x.shown, l.Key+":"+strings.Trim(string(l.Body), `"`))
+				}
+				return nil
+			})
+			if !problem.Has(err, problem.Unlicensed) {
+				return
 			}
-			return nil
-		})
+			time.Sleep(x.Site.Bounds.Retry() / 4)
+		}
 	})
 	time.Sleep(time.Second)
 }
