--- a/internal/proof/sim/withdraw_test.go
+++ b/internal/proof/sim/withdraw_test.go
@@ -376,10 +376,17 @@
 		passed, taken := 0, 0
 		for i := range 30 {
 			m, d := s.next(), s.next()
-			twin.Post(ground, "race", m)
-			time.Sleep(time.Duration(i%5) * s.w.Site.Latency / 2)
+			ahead := time.Duration(i%5-2) * s.w.Site.Latency / 2
+			sent := make(chan struct{})
+			go func() {
+				time.Sleep(-ahead)
+				twin.Post(ground, "race", m)
+				close(sent)
+			}()
+			time.Sleep(ahead)
 			_, ok := s.lead.Withdraw(stays.Withdrawal{Topic: ground, Key: "race", Call: d, Of: "lead", Upto: m})
 			assert.Assert(s.t, ok)
+			<-sent
 			a, ok := twin.Wait(0, handLimit, func(a visit.Answer) bool {
 				return a.Call == m && (a.What == visit.Taken || a.Re == visit.Send && guest.Promises[problem.Of(a.Err).Kind])
 			})
