Ledger: silent lines are confirmed in one call for each pair of machines

Cause: an owner told each copy of each silent line an empty append each session: 0.67 calls a second and shard on each of three stores, the largest part of what a shard costs a store. Change: lines with nothing new wait together for each disk; one call names their partitions and one sum of where they end and under which epoch. Where sums differ, those of halves tell which, and these get the plain append as before. No promise rests on it: it writes nothing and counts for no majority. Ruled out: longer pauses between appends (a lost copy would be seen later), sums by group of shards (there are no groups yet).

--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -9,6 +9,7 @@
 	"postjunction/internal/clock"
 	"postjunction/internal/ledger/line"
 	"postjunction/internal/ledger/replica"
+	"postjunction/internal/ledger/still"
 	"postjunction/internal/options"
 	"postjunction/internal/placement/record"
 	"postjunction/internal/problem"
@@ -35,7 +36,9 @@
 	Batch   func() time.Duration
 	Backlog func() int
 	Replica *replica.Replica
-	Addr    func(node string) (string, bool)
+	// Still confirms lines that have nothing new; without it, each is confirmed by an append without entries.
+	Still *still.Lines
+	Addr  func(node string) (string, bool)
 	// Longest is how long spaces ask to keep for, as far as this node knows.
 	Longest  func() time.Duration
 	Licensed func() error
--- a/internal/ledger/owner/track.go
+++ b/internal/ledger/owner/track.go
@@ -7,6 +7,7 @@
 	"postjunction/internal/clock"
 	"postjunction/internal/ledger/line"
 	"postjunction/internal/ledger/replica"
+	"postjunction/internal/ledger/still"
 	"postjunction/internal/placement/record"
 	"postjunction/internal/problem"
 )
@@ -151,6 +152,7 @@
 		o.back(t, &c, tail)
 	}
 	told, said, sent, tries := false, uint64(0), o.d.Clock.Now(), 0
+	var cut line.Point
 	for ctx.Err() == nil {
 		o.mu.Lock()
 		es := t.after(c.at.Offset)
@@ -159,17 +161,30 @@
 		if c.full && !c.reset {
 			es = nil
 		}
+		addr, ok := o.d.Addr(p.Node)
 		if len(es) == 0 && told && !c.full {
-			d := o.d.Bounds.Session()
+			d, quiet := o.d.Bounds.Session(), ok && o.d.Still != nil && commit == said && base == cut
 			if commit > said && t.kind == line.Ledger {
 				d, moved = o.d.Bounds.Pulse(), nil
 			}
-			if left := sent.Add(d).Sub(o.d.Clock.Now()); left > 0 {
+			if base != cut {
+				d = o.d.Bounds.Pulse()
+			}
+			due := sent.Add(d)
+			if quiet {
+				s := replica.Silent{Partition: o.Rec.Partition, Kind: t.kind, Epoch: o.Rec.Epoch, Last: c.at}
+				v := o.d.Still.Wait(ctx, still.Disk{Addr: addr, Incarnation: p.Incarnation}, s, due, grown, moved)
+				if v == still.Alike {
+					sent = o.d.Clock.Now()
+				}
+				if v != still.Doubt {
+					continue
+				}
+			} else if left := due.Sub(o.d.Clock.Now()); left > 0 {
 				clock.Wait(ctx, o.d.Clock, left, grown, moved)
 				continue
 			}
 		}
-		addr, ok := o.d.Addr(p.Node)
 		if !ok {
 			_ = o.d.Clock.Sleep(ctx, o.d.Bounds.Grown(tries))
 			tries++
@@ -196,6 +211,9 @@
 			o.back(t, &c, a.Tail)
 			continue
 		}
+		if base.Offset <= c.at.Offset {
+			cut = base
+		}
 		c.reset, c.step, c.full, told, said, tries = false, 0, false, true, commit, 0
 		if n := len(es); n > 0 {
 			c.at = es[n-1].At()
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -49,6 +49,26 @@
 	Tail Tail `json:"tail"`
 }
 
+// Silent is a line that its owner has nothing new for: the epoch that it was told under, and where it ends.
+type Silent struct {
+	Partition int
+	Kind      line.Kind
+	Epoch     uint64
+	Last      line.Point
+}
+
+// StillTask asks whether lines of one disk stand as their owners have told them: the partitions by the kind of line, each in rising order, and the sum of all.
+type StillTask struct {
+	Incarnation string              `json:"i"`
+	Lines       map[line.Kind][]int `json:"l"`
+	Sum         uint64              `json:"s"`
+}
+
+// StillAnswer tells whether all do.
+type StillAnswer struct {
+	Alike bool `json:"a,omitempty"`
+}
+
 // FetchTask reads entries of a line, committed or not.
 type FetchTask struct {
 	Partition   int       `json:"p"`
@@ -77,6 +97,7 @@
 var (
 	Seal   = wire.Name[SealTask, SealAnswer]("Ledger", "Seal")
 	Append = wire.Name[AppendTask, AppendAnswer]("Ledger", "Append")
+	Still  = wire.Name[StillTask, StillAnswer]("Ledger", "Still")
 	Fetch  = wire.Name[FetchTask, FetchAnswer]("Ledger", "Fetch")
 	Drop   = wire.Name[DropTask, Done]("Ledger", "Drop")
 )
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -478,6 +478,7 @@
 func (r *Replica) Serve(m *http.ServeMux) {
 	Seal.Handle(m, r.Seal)
 	Append.Handle(m, r.Append)
+	Still.Handle(m, r.Still)
 	Fetch.Handle(m, r.Fetch)
 	Drop.Handle(m, r.Drop)
 }
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -175,3 +175,32 @@
 		put(t, r, line.Ledger, 2, es[len(es)-2].At(), "c")
 	}
 }
+
+// A copy tells that a line stands as it was told only while it ends there and nobody has sealed its partition under a higher epoch since.
+func TestStillStands(t *testing.T) {
+	still := func(r *Replica, inc string, ss ...Silent) (bool, error) {
+		q := &StillTask{Incarnation: inc, Lines: map[line.Kind][]int{}, Sum: Sum(ss)}
+		for _, s := range ss {
+			q.Lines[s.Kind] = append(q.Lines[s.Kind], s.Partition)
+		}
+		a, err := r.Still(t.Context(), q)
+		return err == nil && a.Alike, err
+	}
+	r := boot(t, memlog.New(), "i")
+	e := put(t, r, line.Ledger, 3, line.Point{}, "a")
+	one, none := Silent{Partition: 1, Kind: line.Ledger, Epoch: 3, Last: e}, Silent{Partition: 1, Kind: line.Changelog, Epoch: 3}
+	lines := len(r.lines)
+	ok, err := still(r, "i", none, one)
+	assert.Assert(t, ok && err == nil)
+	for _, bad := range []Silent{{1, line.Ledger, 3, line.Point{}}, {1, line.Ledger, 2, e}, {2, line.Ledger, 3, e}} {
+		ok, err = still(r, "i", none, bad)
+		assert.Assert(t, !ok && err == nil, "%+v", bad)
+	}
+	assert.Equal(t, len(r.lines), lines, "asking makes no lines")
+	_, err = still(r, "another", one)
+	assert.Assert(t, problem.Has(err, problem.WrongDisk))
+	_, err = r.Seal(t.Context(), &SealTask{Target: to(4)})
+	assert.NilError(t, err)
+	ok, err = still(r, "i", none, one)
+	assert.Assert(t, !ok && err == nil)
+}
--- /dev/null
+++ b/internal/ledger/replica/still.go
@@ -0,0 +1,50 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"maps"
+	"slices"
+
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/problem"
+)
+
+// Sum is the sum of lines in the order of their kinds and partitions. It only tells what to look at: no promise rests on it.
+func Sum(ss []Silent) uint64 {
+	h := fnv.New64a()
+	var b []byte
+	for _, s := range ss {
+		b = binary.AppendUvarint(append(b[:0], s.Kind...), uint64(s.Partition))
+		for _, n := range []uint64{s.Epoch, s.Last.Epoch, s.Last.Offset, s.Last.Chain} {
+			b = binary.LittleEndian.AppendUint64(b, n)
+		}
+		_, _ = h.Write(b)
+	}
+	return h.Sum64()
+}
+
+// Still tells whether lines end here as their owners have told them, and nobody else has sealed their partitions since. It writes nothing and waits for nobody.
+func (r *Replica) Still(_ context.Context, q *StillTask) (*StillAnswer, error) {
+	if q.Incarnation != r.incarnation {
+		return nil, problem.New(problem.WrongDisk, "this disk is %s, not %s", r.incarnation, q.Incarnation)
+	}
+	var ss []Silent
+	for _, k := range slices.Sorted(maps.Keys(q.Lines)) {
+		for _, p := range q.Lines[k] {
+			ss = append(ss, r.silent(p, k))
+		}
+	}
+	return &StillAnswer{Alike: Sum(ss) == q.Sum}, nil
+}
+
+func (r *Replica) silent(p int, k line.Kind) Silent {
+	r.mu.Lock()
+	s, l := Silent{Partition: p, Kind: k, Epoch: r.seals[p]}, r.lines[line.ID{Partition: p, Kind: k}]
+	r.mu.Unlock()
+	if l != nil {
+		s.Last = l.Last()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/ledger/still/still_test.go
@@ -0,0 +1,138 @@
+package still
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/replica"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+)
+
+// copies is a machine that holds lines as they were told, but for some.
+type copies struct {
+	mu    sync.Mutex
+	asked []int
+	off   map[int]bool
+	deaf  bool
+	takes time.Duration
+}
+
+func at(p int) replica.Silent {
+	return replica.Silent{Partition: p, Kind: line.Ledger, Epoch: 2, Last: line.Point{Offset: uint64(p), Epoch: 1}}
+}
+
+func (c *copies) still(_ context.Context, q *replica.StillTask) (*replica.StillAnswer, error) {
+	time.Sleep(c.takes)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, len(q.Lines[line.Ledger]))
+	if c.deaf {
+		return nil, problem.New(problem.WrongDisk, "another disk")
+	}
+	var ss []replica.Silent
+	for _, p := range q.Lines[line.Ledger] {
+		s := at(p)
+		if c.off[p] {
+			s.Epoch++
+		}
+		ss = append(ss, s)
+	}
+	return &replica.StillAnswer{Alike: replica.Sum(ss) == q.Sum}, nil
+}
+
+func (c *copies) Do(q *http.Request) (*http.Response, error) {
+	m := http.NewServeMux()
+	replica.Still.Handle(m, c.still)
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, q)
+	return w.Result(), nil
+}
+
+// keep has lines of a disk be silent from now on, each due a little later than the one before.
+func (c *copies) keep(t *testing.T, n int, script func(l *Lines, said []chan Said, news chan struct{})) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		l := New(ctx, "s1", c, clock.Real{}, options.DefaultBounds)
+		said, news := make([]chan Said, n), make(chan struct{})
+		begun := time.Now()
+		for p := range n {
+			said[p] = make(chan Said, 1)
+			mine := news
+			if p > 0 {
+				mine = nil
+			}
+			go func() {
+				said[p] <- l.Wait(ctx, Disk{"at-s2", "disk"}, at(p), begun.Add(time.Second+time.Duration(p)*time.Millisecond), mine, nil)
+			}()
+		}
+		synctest.Wait()
+		script(l, said, news)
+		stop()
+		synctest.Wait()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		assert.Equal(t, len(l.m), 0)
+	})
+}
+
+func count(said []chan Said) map[Said]int {
+	n := map[Said]int{}
+	for _, c := range said {
+		n[<-c]++
+	}
+	return n
+}
+
+// All silent lines of a disk are confirmed in one call, once the first is due.
+func TestSilentLinesGoTogether(t *testing.T) {
+	c := &copies{}
+	c.keep(t, 100, func(_ *Lines, said []chan Said, _ chan struct{}) {
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, c.asked, []int{100})
+		assert.DeepEqual(t, count(said), map[Said]int{Alike: 100})
+	})
+}
+
+// Where a copy differs its owner is told so, and of others no more than stand beside it; the sums of halves find it.
+func TestWhatDiffersIsFound(t *testing.T) {
+	c := &copies{off: map[int]bool{37: true}}
+	c.keep(t, 100, func(_ *Lines, said []chan Said, _ chan struct{}) {
+		n := map[Said]int{}
+		for p, s := range said {
+			v := <-s
+			n[v]++
+			assert.Assert(t, v == Doubt || p != 37)
+		}
+		assert.Assert(t, n[Doubt] <= fewLines && n[Alike] == 100-n[Doubt], "%v", n)
+		assert.Assert(t, len(c.asked) <= 12, "%v", c.asked)
+	})
+}
+
+// A line with news leaves at once, also while the others are asked about; a disk that is another one, or gives no answer, leaves all in doubt.
+func TestNewsAndSilence(t *testing.T) {
+	c := &copies{takes: 500 * time.Millisecond}
+	c.keep(t, 10, func(_ *Lines, said []chan Said, news chan struct{}) {
+		time.Sleep(1200 * time.Millisecond)
+		close(news)
+		synctest.Wait()
+		assert.Equal(t, len(said[0]), 1)
+		assert.DeepEqual(t, count(said), map[Said]int{News: 1, Alike: 9})
+	})
+	c = &copies{deaf: true}
+	c.keep(t, 10, func(_ *Lines, said []chan Said, _ chan struct{}) {
+		assert.DeepEqual(t, count(said), map[Said]int{Doubt: 10})
+		assert.DeepEqual(t, c.asked, []int{10})
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"postjunction/internal/ledger/desk"
 	"postjunction/internal/ledger/owner"
 	"postjunction/internal/ledger/replica"
+	"postjunction/internal/ledger/still"
 	"postjunction/internal/member"
 	"postjunction/internal/member/touch"
 	"postjunction/internal/member/watch"
@@ -315,7 +316,7 @@
 	n.owners = &owners.Keeper{Self: self, Clock: clk, Bounds: b, Board: n.Board, Client: n.client, Replica: n.replica, Log: n.log, Able: n.able, Tell: n.gossip.Tell}
 	n.watch = &watch.Watch{Self: self, Boot: n.boot, Clock: clk, Bounds: b, Net: net, Board: n.Board, Addr: n.reach, Gone: n.owners.Inherit}
 	n.owners.Deps = owner.Deps{
-		Self: self, Net: net, Clock: clk, Bounds: b, Replica: n.replica, Addr: n.addr, Licensed: n.keeper.Licensed,
+		Self: self, Net: net, Clock: clk, Bounds: b, Replica: n.replica, Still: still.New(ctx, self, net, clk, b), Addr: n.addr, Licensed: n.keeper.Licensed,
 		Batch:   func() time.Duration { return n.options().Batch() },
 		Backlog: func() int { return n.options().Backlog },
 		Marks:   func() int { return n.options().Marks },
--- /dev/null
+++ b/internal/proof/sim/still_test.go
@@ -0,0 +1,58 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	keys "postjunction/internal/control/holder"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/ledger/replica"
+)
+
+// What it costs to keep the copies of silent partitions in step grows with pairs of machines, not with partitions; a copy whose disk is gone is noticed all the same.
+func TestSilentLinesAreConfirmedTogether(t *testing.T) {
+	t.Parallel()
+	s := Armor
+	s.Routine, s.Urgent = 20, 4
+	stand(t, s, 460, func(t *testing.T, w *World) {
+		described(t, w)
+		time.Sleep(s.Bounds.Recovery)
+		const sessions = 10
+		was := w.Flows()
+		time.Sleep(sessions * s.Bounds.Session())
+		is := w.Flows()
+		pairs := s.Stores * (s.Stores - 1)
+		stills, appends := is[replica.Still.Path], is[replica.Append.Path].Calls-was[replica.Append.Path].Calls
+		stills.Calls -= was[replica.Still.Path].Calls
+		stills.Bytes -= was[replica.Still.Path].Bytes
+		t.Logf("%d partitions, %d sessions: %d calls and %d bytes for silent lines, %d appends", s.Routine+s.Urgent, sessions, stills.Calls, stills.Bytes, appends)
+		assert.Assert(t, stills.Calls >= pairs*(sessions-1) && stills.Calls <= pairs*(sessions+1), "%d calls for %d pairs", stills.Calls, pairs)
+		assert.Equal(t, appends, 0)
+
+		w.Wipe("s2")
+		assert.NilError(t, w.Start("s2"))
+		assert.NilError(t, w.Until(s.Bounds.Keeping, "the wiped disk is repaired", w.whole))
+	})
+}
+
+// A fleet at rest does not ask the control nodes for each partition's record over and over.
+func TestRecordsAreNotReadAtRest(t *testing.T) {
+	t.Parallel()
+	s := Armor
+	s.Routine, s.Urgent = 20, 4
+	stand(t, s, 461, func(t *testing.T, w *World) {
+		described(t, w)
+		time.Sleep(s.Bounds.Recovery)
+		was := w.Flows()
+		const sweeps = 4
+		time.Sleep(sweeps * s.Bounds.Sweep())
+		is := w.Flows()
+		for _, p := range []string{keys.Read.Path, voter.Peek.Path} {
+			t.Logf("%s: %d calls, %d bytes in %d sweeps of %d partitions", p, is[p].Calls-was[p].Calls, is[p].Bytes-was[p].Bytes, sweeps, s.Routine+s.Urgent)
+		}
+		n := is[keys.Read.Path].Calls - was[keys.Read.Path].Calls
+		assert.Assert(t, n < s.Routine+s.Urgent, "%d reads", n)
+	})
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -200,4 +200,9 @@
 guard turn-over internal/ledger/owner/marks.go 's/over: true/over: false/' ./internal/ledger/owner 'ReaderThatIsDone'
 guard turn-heeded internal/carrier/fan/feed.go 's/f\.number = a\.Turn/_ = a/' ./internal/carrier/fan TestTheTurnIsTold
 guard lost-paced internal/carrier/fan/feed.go 's/if !again \{/if _ = again; err != nil {/' ./internal/carrier/fan TestTheTurnIsTold
+guard still-sealed internal/ledger/replica/still.go 's/Epoch: r\.seals\[p\]\}, r\.lines/Epoch: 3}, r.lines/' ./internal/ledger/replica TestStillStands
+guard still-this-disk internal/ledger/replica/still.go 's/q\.Incarnation != r\.incarnation/q.Incarnation == "?"/' ./internal/ledger/replica TestStillStands
+guard still-halves internal/ledger/still/still.go 's/case !a\.Alike:\n\t\tsaid = Doubt\n//' ./internal/ledger/still TestWhatDiffers
+guard still-asked internal/ledger/owner/track.go 's/ok \&\& o\.d\.Still != nil \&\& /false \&\& ok \&\& /' $S TestSilentLinesAre
+guard records-unread internal/node/owners/owners.go 's/if k\.Board\.Record\(p\)\.Holds\(k\.Self\) \{/if false {/' $S TestRecordsAreNotReadAtRest
 exit $missed
