--- a/internal/node/owners/owners.go
+++ b/internal/node/owners/owners.go
@@ -303,9 +303,13 @@
 	return n
 }
 
-// Orphans drops partitions that a settled record at a higher epoch places elsewhere.
+// Orphans drops partitions that a settled record at a higher epoch places elsewhere. The records that name this node, as far as it has heard, are not read
+// for that: news of one that no longer does come by themselves, and gaps are mended.
 func (k *Keeper) Orphans(ctx context.Context) {
 	for _, p := range k.Replica.Partitions() {
+		if k.Board.Record(p).Holds(k.Self) {
+			continue
+		}
 		r, err := k.read(ctx, p)
 		if err != nil || !r.Settled || r.Holds(k.Self) {
 			continue
