--- a/internal/carrier/fan/marks_test.go
+++ b/internal/carrier/fan/marks_test.go
@@ -437,3 +437,23 @@
 		})
 	}
 }
+
+// A node whose question to follow got no answer may have been noted as a reader by it.
+func TestAReaderByALostFollow(t *testing.T) {
+	scripted(t, func(t *testing.T, s *scribe) {
+		lost := 1
+		s.set(func(q *owner.Want) (*owner.Told, time.Duration) {
+			if lost--; lost >= 0 {
+				return nil, time.Hour
+			}
+			return &owner.Told{Epoch: 1, Tail: 4, Upto: 4}, 0
+		})
+		var x heard
+		a := x.sub(s.h, "a", nil)
+		pass(tick)
+		s.h.Leave(a)
+		pass(2 * options.DefaultBounds.Spread)
+		l := s.said()
+		assert.Assert(t, slices.Contains(l, "done boot full=true topics=0 marks=true"), "%v", l)
+	})
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -125,7 +125,7 @@
 guard sender-passed-until-it-lands internal/ledger/owner/submit.go 's/len\(f\.flight\) == 0 && f\.at <= e\.Offset \{/len(f.flight) == 0 {/' ./internal/ledger/owner 'NamedSender'
 guard key-is-part-of-a-call internal/ledger/owner/submit.go 's/state\.Named\(e\.What, e\.Key, e\.Digest\)/e.Digest/; s/case ok && t\.Digest != name:/case ok \&\& false:/' ./internal/ledger/owner 'AnswersToWithdrawals'
 guard key-unknown-assured internal/ledger/owner/submit.go 's/, problem\.KeyUnknown: true\}/}/' ./internal/ledger/owner 'AnswersToWithdrawals|AlreadyRests'
-guard given-up-starts-clean internal/ledger/owner/fan.go 's/if givenUp \|\| f == nil/if f == nil/; s/if givenUp && !q\.Done \|\| f != nil/if f != nil/' ./internal/ledger/owner 'GivenUp'
+guard given-up-starts-clean internal/ledger/owner/fan.go 's/if givenUp \|\| o\.past/if o.past/; s/if givenUp && !q\.Done \|\| late/if late/' ./internal/ledger/owner 'GivenUp'
 guard given-up-only-when-gone internal/ledger/owner/marks.go 's/ && now\.Sub\(h\.member\) > o\.patience\(\)//' ./internal/ledger/owner 'GivenUp'
 guard done-is-done internal/ledger/owner/fan.go 's/ \|\| f\.done \|\| / || /' ./internal/ledger/owner 'IsDoneIsGone'
 guard run-is-over internal/ledger/owner/marks.go 's/ \|\| strings\.HasPrefix\(boot, a\.Info\.Boot\)/ || strings.Contains(boot, \"?\")/' ./internal/ledger/owner 'OfARunThatIsOver'
@@ -166,8 +166,8 @@
 guard read-without-marks internal/ledger/owner/read.go 's/!q\.Marks \|\| o\.st\.Covers\(e\)/o.st.Covers(e)/' ./internal/ledger/owner 'WholePartition'
 guard read-noted internal/ledger/owner/read.go 's/\} else if !reads \{/} else if false \&\& !reads {/' ./internal/ledger/owner 'WholePartition|GivesStreams'
 guard read-beside internal/ledger/owner/read.go 's/if !q\.Beside \{/if true {/' ./internal/ledger/owner 'WholePartition'
-guard read-turn internal/ledger/owner/read.go 's/t\.n == q\.Turn && !t\.over/!t.over/' ./internal/ledger/owner 'WholePartition'
-guard read-over internal/ledger/owner/read.go 's/t\.n == q\.Turn && !t\.over/t.n == q.Turn/' ./internal/ledger/owner 'WholePartition'
+guard read-turn internal/ledger/owner/read.go 's/t\.n == told && !t\.over/told < ^uint64(0) \&\& !t.over/' ./internal/ledger/owner 'WholePartition'
+guard read-over internal/ledger/owner/read.go 's/t\.n == told && !t\.over/t.n == told/' ./internal/ledger/owner 'WholePartition|ThatIsDoneIsGone'
 guard read-clean internal/ledger/owner/read.go 's/reads, r\.Clean = o\.reads/reads, _ = o.reads/' ./internal/ledger/owner 'WholePartition'
 guard read-done internal/ledger/owner/read.go 's/o\.await\(ctx, line\.Ledger, at\)/o.await(ctx, line.Ledger, min(at, 0))/' ./internal/ledger/owner 'WholePartition'
 guard yes-awaited internal/visitor/withdraw.go 's/err == nil && len\(u\.Nodes\) == 0/err == nil/' ./internal/visitor 'NotHeard'
@@ -175,10 +175,11 @@
 guard yes-in-time internal/visitor/withdraw.go 's/WithTimeout\(ctx, s\.Bounds\.Call\(\)\)/WithTimeout(ctx, 9*s.Bounds.Call())/' ./internal/visitor 'NotHeard'
 guard keys-everywhere internal/visitor/service.go 's/if err := s\.Desk\.Keys\(\); err != nil/if err := s.Desk.Keys(); false/' ./internal/visitor 'EveryBuild'
 guard streams-let-go internal/node/node.go 's/n\.Visitors\.Feeds\.Rest\(cx\)/_ = cx/' $S 'StreamsForget'
-guard lost-answer-reads internal/carrier/fan/feed.go 's/\t\t\tf\.reader = true\n\t\t\tf\.mu\.Unlock/\t\t\tf.mu.Unlock/; s/f\.reader = f\.reader \|\| err != nil/_ = err/' ./internal/carrier/fan 'AfterTheYes'
+guard lost-answer-reads internal/carrier/fan/feed.go 's/\t\t\tf\.reader = true\n\t\t\tf\.mu\.Unlock/\t\t\tf.mu.Unlock/' ./internal/carrier/fan 'LateAnswer'
+guard lost-follow-reads internal/carrier/fan/feed.go 's/f\.reader = f\.reader \|\| err != nil/_ = err/' ./internal/carrier/fan 'LostFollow'
 guard shut-while-letting-go internal/carrier/fan/feed.go 's/if f\.shut > 0 \{/if false {/' ./internal/carrier/fan 'WhileAllIsLetGo'
 guard done-after-let-go internal/carrier/fan/feed.go 's/if ok \{\n\t\tf\.parting/if ok = true; ok {\n\t\tf.parting/' ./internal/carrier/fan 'AfterTheYes'
-guard void-poll-reads internal/carrier/fan/feed.go 's/f\.reader = f\.reader \|\| keyed\(a\.Entries\)/_ = keyed/' ./internal/carrier/fan 'LateAnswer'
+guard void-poll-reads internal/carrier/fan/feed.go 's/f\.reader = f\.reader \|\| a\.Reader \|\| keyed\(a\.Entries\)/_ = keyed/' ./internal/carrier/fan 'LateAnswer'
 # Withdrawals in whole fleets: each is removed where the product does it, and a router that drops out must show it.
 guard fleet-waiting-purge internal/door/lines/hold.go 's/if len\(c\.kept\) > 0 \{/if false {/' $S 'RouterDropsOut'
 guard fleet-flying-cut internal/door/lines/hold.go 's/if cut \{/if false {/' $S 'RouterDropsOut'
@@ -193,7 +194,7 @@
 guard fleet-given-up internal/ledger/owner/marks.go 's/o\.enter\(n, state\.Reads\{Boot: r\.Boot, GivenUp: true\}\)/_ = n/' $S 'RouterAway'
 guard fleet-number-outlives internal/ledger/owner/submit.go 's/case already && q\.Call <= a\.Floor:/case false:/; s/\.By\(q\.Visitor, q\.Call\)/.By("?", 0)/' $S 'RouterAway'
 guard run-before internal/ledger/owner/marks.go 's/return ok && r\.Before == boot && boot != ""/return false && ok && r.Before == boot/' ./internal/ledger/owner TestARunThatIsOver
-guard reader-told internal/ledger/owner/fan.go 's/, Reader: o\.noted\(q\.Node, q\.Boot\)\}/}/g' ./internal/ledger/owner TestReaderIsToldThatItIsOne
+guard reader-told internal/ledger/owner/fan.go 's/, Reader: o\.noted\(q\.Node, q\.Boot\), Turn: turn\}/, Turn: turn}/g' ./internal/ledger/owner TestReaderIsToldThatItIsOne
 guard reader-heeded internal/carrier/fan/feed.go 's/a\.Reader/false/g' ./internal/carrier/fan TestAReaderOfNothing
 guard turn-told internal/ledger/owner/read.go 's/return t\.n, t\.n == told && !t\.over/return t.n, true || told > 0/' ./internal/ledger/owner TestARunOfLongAgo
 guard turn-of-epoch internal/ledger/owner/read.go 's/max\(o\.turn, o\.Rec\.Epoch\*turnsOf\)/o.turn/' ./internal/ledger/owner TestTurnsOfEpochs
