--- a/internal/proof/sim/replace_test.go
+++ b/internal/proof/sim/replace_test.go
@@ -70,7 +70,7 @@
 func TestRestartMovesNoCopiesToOneThatStandsBy(t *testing.T) {
 	t.Parallel()
 	long(t)
-	for seed := range uint64(seeds(4)) {
+	for seed := range uint64(seeds(8)) {
 		away := time.Second + time.Duration(seed%2)*1600*time.Millisecond
 		play(t, spared(Armor, "s2"), 715+seed, Armor.Bounds.Recovery, func(t *testing.T, w *World) {
 			assert.NilError(t, w.Add("s2b"))
--- a/internal/proof/sim/restart_test.go
+++ b/internal/proof/sim/restart_test.go
@@ -75,7 +75,7 @@
 func TestPlacementDutyStaysWhereItIs(t *testing.T) {
 	t.Parallel()
 	long(t)
-	for seed := range uint64(seeds(6)) {
+	for seed := range uint64(seeds(16)) {
 		synctest.Test(t, func(t *testing.T) {
 			w := New(Traductores, 140+seed, Logger())
 			defer w.Close()
--- a/internal/proof/sim/storm_test.go
+++ b/internal/proof/sim/storm_test.go
@@ -41,6 +41,7 @@
 		claims := is[voter.Promise.Path].Calls - was[voter.Promise.Path].Calls
 		t.Logf("%d reads, %d bytes of copies, %d promises asked", reads, bytes, claims)
 		assert.Assert(t, reads <= 6, "%d reads", reads)
+		assert.Assert(t, bytes < 44<<10, "%d bytes of copies", bytes)
 		time.Sleep(s.Bounds.Recovery)
 		for _, n := range w.Names {
 			assert.Equal(t, w.Machines[n].Node().Board.Description().Sequence, uint64(2), n)
