--- a/test.sh
+++ b/test.sh
@@ -7,11 +7,11 @@
 # Tests of KNOWN-RED.txt, if it is there (a line each: test, package, cause, issue), run by themselves; their verdict is printed and passed over.
 skip=()
 if [ -s KNOWN-RED.txt ]; then skip=(-skip "^($(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|'))\$"); fi
-go test -race -count=1 -timeout 10m "${skip[@]}" $(go list ./... | grep -v "/internal/proof/fleet\$")
+go test -race -count=1 -timeout 15m "${skip[@]}" $(go list ./... | grep -v "/internal/proof/fleet\$")
 # A day of real processes goes by the real clock, and by itself.
-go test -race -count=1 -timeout 3m "${skip[@]}" ./internal/proof/fleet
+go test -race -count=1 -timeout 5m "${skip[@]}" ./internal/proof/fleet
 # Simulated fleets run again in full without the race detector, which slows them tenfold.
-go test -count=1 -timeout 8m "${skip[@]}" ./internal/proof/sim ./internal/proof/crash
+go test -count=1 -timeout 12m "${skip[@]}" ./internal/proof/sim ./internal/proof/crash
 if [ -s KNOWN-RED.txt ]; then
   while read -r name pkg why; do
     if go test -race -count=1 -timeout 3m -run "^$name\$" "${pkg%:}" >/dev/null 2>&1; then v=green; else v=red; fi
