Test: a scripted visitor is never drawn to rest, from its first moment on

The stand-in for visitors draws one each half second that does not read for up to 4 s. A scripted visitor was marked as such only after it was in the list, at the very moment of a draw, so it could be drawn. Ruled out: the node (the session was open, the answer lay in the socket). Conclusion: a fault of the stand-in; the check stands as it was.

--- a/internal/proof/sim/hand.go
+++ b/internal/proof/sim/hand.go
@@ -17,7 +17,7 @@
 	Name, At string
 
 	g     *Guests
-	line  guest.Line
+	line  *session
 	mu    sync.Mutex
 	seen  []Seen
 	stays map[string]*stays.Stay
@@ -38,13 +38,10 @@
 // Hand lets a scripted visitor in, nil where nobody answers.
 func (g *Guests) Hand(at, name string) *Hand {
 	h := &Hand{Name: name, At: at, g: g, stays: map[string]*stays.Stay{}, cursor: map[string]string{}, bell: make(chan struct{}, 1)}
-	h.line = g.door(g.w.Machines[at]).Enter(h.hear, h.lose)
+	h.line = g.connect(g.w.Machines[at], true, h.hear, h.lose)
 	if h.line == nil {
 		return nil
 	}
-	g.mu.Lock()
-	h.line.(*session).scripted = true
-	g.mu.Unlock()
 	h.line.Do(visit.Task{Verb: visit.Attach, Visitor: name})
 	if a, ok := h.Wait(0, handLimit, func(a visit.Answer) bool { return a.What == visit.Attached || a.Re == visit.Attach }); !ok || a.What != visit.Attached {
 		h.line.End()
@@ -100,7 +97,7 @@
 }
 
 // Still has the hand not read for a while.
-func (h *Hand) Still(d time.Duration) { h.line.(*session).Still(d) }
+func (h *Hand) Still(d time.Duration) { h.line.Still(d) }
 
 func (h *Hand) hear(a visit.Answer, shown time.Time) {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/proof/sim/hand_test.go
@@ -0,0 +1,31 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAScriptedVisitorIsNeverDrawnToRest draws who is to rest again and again while scripted visitors come in.
+func TestAScriptedVisitorIsNeverDrawnToRest(t *testing.T) {
+	entertain(t, hall, 950, few, 10, func(t *testing.T, w *World, _ *Guests) {
+		const hands = 64
+		g := w.Guests(0, few)
+		var wg sync.WaitGroup
+		for range hands {
+			wg.Go(func() {
+				h := g.Hand("a1", "scripted")
+				if assert.Check(t, h != nil, "not let in") {
+					h.End()
+				}
+			})
+		}
+		r := rand.New(rand.NewPCG(950, 0))
+		for in := func() int { g.mu.Lock(); defer g.mu.Unlock(); return g.entered }; in() < hands; {
+			g.draw(r)
+		}
+		wg.Wait()
+	})
+}
--- a/internal/proof/sim/visits.go
+++ b/internal/proof/sim/visits.go
@@ -184,35 +184,43 @@
 
 func (g *Guests) door(m *Machine) guest.Door {
 	return guest.Door{Address: m.Opts.Visits, Enter: func(hear func(visit.Answer, time.Time), broken func()) guest.Line {
-		sv := m.services()
-		p, run := m.visits()
-		if p == nil || sv == nil {
-			return nil
+		if s := g.connect(m, false, hear, broken); s != nil {
+			return s
 		}
-		c := p.l.dial(newSocket(m, run))
-		if c == nil {
-			return nil
-		}
-		s := &session{g: g, m: m, run: run, c: c, hear: hear, over: broken, dead: make(chan struct{}), more: make(chan struct{}, 1)}
-		g.mu.Lock()
-		g.entered++
-		s.n = g.entered
-		g.lines[s] = true
-		g.mu.Unlock()
-		go s.ask()
-		go s.listen()
-		go func() {
-			select {
-			case <-sv.Gone:
-				broken()
-				s.cut()
-			case <-s.dead:
-			}
-		}()
-		return s
+		return nil
 	}}
 }
 
+// connect opens a connection to a machine, nil where nobody takes it. A scripted one is never drawn to rest, from its first moment on.
+func (g *Guests) connect(m *Machine, scripted bool, hear func(visit.Answer, time.Time), broken func()) *session {
+	sv := m.services()
+	p, run := m.visits()
+	if p == nil || sv == nil {
+		return nil
+	}
+	c := p.l.dial(newSocket(m, run))
+	if c == nil {
+		return nil
+	}
+	s := &session{g: g, m: m, run: run, c: c, hear: hear, over: broken, dead: make(chan struct{}), more: make(chan struct{}, 1), scripted: scripted}
+	g.mu.Lock()
+	g.entered++
+	s.n = g.entered
+	g.lines[s] = true
+	g.mu.Unlock()
+	go s.ask()
+	go s.listen()
+	go func() {
+		select {
+		case <-sv.Gone:
+			broken()
+			s.cut()
+		case <-s.dead:
+		}
+	}()
+	return s
+}
+
 // Doors gives the access machines that the platform passes visitors to: those that are ready, all when none is.
 func (g *Guests) Doors() []guest.Door {
 	var ready, all []guest.Door
@@ -299,24 +307,30 @@
 // rest has one visitor after the other not read for a while, so that bytes wait for them.
 func (g *Guests) rest() {
 	r := rand.New(rand.NewPCG(g.w.Seed, 31))
-	for (clock.Real{}).Sleep(g.sending, restEvery) == nil {
-		g.mu.Lock()
-		if g.Rested {
-			g.mu.Unlock()
-			return
-		}
-		var ss []*session
-		for s := range g.lines {
-			if !s.scripted {
-				ss = append(ss, s)
-			}
-		}
-		g.mu.Unlock()
-		slices.SortFunc(ss, func(a, b *session) int { return cmp.Compare(a.n, b.n) })
-		if len(ss) > 0 {
-			ss[r.IntN(len(ss))].Still(time.Duration(r.Int64N(int64(restMost))))
+	for (clock.Real{}).Sleep(g.sending, restEvery) == nil && !g.rested() {
+		g.draw(r)
+	}
+}
+
+func (g *Guests) rested() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Rested
+}
+
+func (g *Guests) draw(r *rand.Rand) {
+	g.mu.Lock()
+	var ss []*session
+	for s := range g.lines {
+		if !s.scripted {
+			ss = append(ss, s)
 		}
 	}
+	g.mu.Unlock()
+	slices.SortFunc(ss, func(a, b *session) int { return cmp.Compare(a.n, b.n) })
+	if len(ss) > 0 {
+		ss[r.IntN(len(ss))].Still(time.Duration(r.Int64N(int64(restMost))))
+	}
 }
 
 func (g *Guests) enter(x *guest.Guest) {
