Ledger: a silent line that is due sooner than all that wait is not held up

Who confirms a disk's silent lines slept until the first of those was due that waited when it fell asleep; one that came later and was due sooner was confirmed late. Ruled out: the sums and the call itself (all 100 lines were asked about, late). Conclusion: a real fault, though small on a fleet, where all lines of a disk have the same pause: a line's check could be late by what the others' pauses differ. TestALineThatIsDueSoonerIsNotHeldUp, seen failing; guard still-sooner.

--- a/internal/ledger/still/still.go
+++ b/internal/ledger/still/still.go
@@ -37,6 +37,13 @@
 	said chan Said
 }
 
+// group is what waits for a disk; wake ends the pause until the first of it is due.
+type group struct {
+	ws   map[*waiting]bool
+	due  time.Time
+	wake context.CancelFunc
+}
+
 // Lines are the silent lines of a machine's owners, by the disks of their copies.
 type Lines struct {
 	self   string
@@ -45,26 +52,29 @@
 	bounds options.Bounds
 	ctx    context.Context
 	mu     sync.Mutex
-	m      map[Disk]map[*waiting]bool
+	m      map[Disk]*group
 }
 
 // New makes an empty set that lives as long as ctx.
 func New(ctx context.Context, self string, n wire.Network, c clock.Clock, b options.Bounds) *Lines {
-	return &Lines{self: self, net: n, clk: c, bounds: b, ctx: ctx, m: map[Disk]map[*waiting]bool{}}
+	return &Lines{self: self, net: n, clk: c, bounds: b, ctx: ctx, m: map[Disk]*group{}}
 }
 
 // Wait has a line confirmed to a disk once it is due, or before with another one of that disk, and waits for that or for news of it.
 func (l *Lines) Wait(ctx context.Context, d Disk, s replica.Silent, due time.Time, grown, moved <-chan struct{}) Said {
 	w := &waiting{line: s, due: due, said: make(chan Said, 1)}
 	l.mu.Lock()
-	ws, runs := l.m[d]
+	g, runs := l.m[d]
 	if !runs {
-		ws = map[*waiting]bool{}
-		l.m[d] = ws
+		g = &group{ws: map[*waiting]bool{}}
+		l.m[d] = g
 	}
-	ws[w] = true
-	if !runs {
-		go l.run(d, ws)
+	g.ws[w] = true
+	switch {
+	case !runs:
+		go l.run(d, g)
+	case g.wake != nil && due.Before(g.due):
+		g.wake()
 	}
 	l.mu.Unlock()
 	select {
@@ -75,17 +85,18 @@
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
-	delete(ws, w)
+	delete(g.ws, w)
 	l.mu.Unlock()
 	return News
 }
 
 // run confirms what waits for a disk, until nothing does.
-func (l *Lines) run(d Disk, ws map[*waiting]bool) {
+func (l *Lines) run(d Disk, g *group) {
 	for {
 		l.mu.Lock()
-		if len(ws) == 0 || l.ctx.Err() != nil {
-			for w := range ws {
+		g.wake = nil
+		if len(g.ws) == 0 || l.ctx.Err() != nil {
+			for w := range g.ws {
 				w.said <- Doubt
 			}
 			delete(l.m, d)
@@ -93,21 +104,24 @@
 			return
 		}
 		due := time.Time{}
-		for w := range ws {
+		for w := range g.ws {
 			if due.IsZero() || w.due.Before(due) {
 				due = w.due
 			}
 		}
 		if left := due.Sub(l.clk.Now()); left > 0 {
+			cx, wake := context.WithCancel(l.ctx)
+			g.due, g.wake = due, wake
 			l.mu.Unlock()
-			_ = l.clk.Sleep(l.ctx, left)
+			_ = l.clk.Sleep(cx, left)
+			wake()
 			continue
 		}
-		all := make([]*waiting, 0, len(ws))
-		for w := range ws {
+		all := make([]*waiting, 0, len(g.ws))
+		for w := range g.ws {
 			all = append(all, w)
 		}
-		clear(ws)
+		clear(g.ws)
 		l.mu.Unlock()
 		slices.SortFunc(all, func(a, b *waiting) int {
 			return cmp.Or(cmp.Compare(a.line.Kind, b.line.Kind), cmp.Compare(a.line.Partition, b.line.Partition))
--- a/internal/ledger/still/still_test.go
+++ b/internal/ledger/still/still_test.go
@@ -105,6 +105,26 @@
 	})
 }
 
+// A line that is due before all that wait is confirmed when it is due, and they with it.
+func TestALineThatIsDueSoonerIsNotHeldUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		c := &copies{}
+		l := New(ctx, "s1", c, clock.Real{}, options.DefaultBounds)
+		begun, said := time.Now(), make(chan Said, 2)
+		for p, due := range []time.Duration{2 * time.Second, time.Second} {
+			go func() { said <- l.Wait(ctx, Disk{"at-s2", "disk"}, at(p), begun.Add(due), nil, nil) }()
+			synctest.Wait()
+		}
+		for range 2 {
+			assert.Equal(t, <-said, Alike)
+		}
+		assert.Equal(t, time.Since(begun), time.Second)
+		assert.DeepEqual(t, c.asked, []int{2})
+	})
+}
+
 // Where a copy differs its owner is told so, and of others no more than stand beside it; the sums of halves find it.
 func TestWhatDiffersIsFound(t *testing.T) {
 	c := &copies{off: map[int]bool{37: true}}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -204,6 +204,7 @@
 guard still-sealed internal/ledger/replica/still.go 's/Epoch: r\.seals\[p\]\}, r\.lines/Epoch: 3}, r.lines/' ./internal/ledger/replica TestStillStands
 guard still-this-disk internal/ledger/replica/still.go 's/q\.Incarnation != r\.incarnation/q.Incarnation == "?"/' ./internal/ledger/replica TestStillStands
 guard still-halves internal/ledger/still/still.go 's/case !a\.Alike:\n\t\tsaid = Doubt\n//' ./internal/ledger/still TestWhatDiffers
+guard still-sooner internal/ledger/still/still.go 's/case g\.wake != nil && due\.Before\(g\.due\):\n\t\tg\.wake\(\)\n//' ./internal/ledger/still TestALineThatIsDueSooner
 guard still-asked internal/ledger/owner/track.go 's/ok \&\& o\.d\.Still != nil \&\& /false \&\& ok \&\& /' $S TestSilentLinesAre
 guard records-unread internal/node/owners/owners.go 's/if k\.Board\.Record\(p\)\.Holds\(k\.Self\) \{/if false {/' $S TestRecordsAreNotReadAtRest
 exit $missed
