Test: who claims a key asks first, each answer by itself; guard claim-asks holds again

TestClaimAsksWhoIsTakenForTheHolder gives each answer by itself: without the guard a chain that ends at the asker or nowhere is never claimed.

--- a/internal/control/holder/holder_test.go
+++ b/internal/control/holder/holder_test.go
@@ -1,14 +1,22 @@
 package holder
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
+	"postjunction/internal/clock"
 	"postjunction/internal/control/epoch"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/control/voter"
 	"postjunction/internal/gather"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
 )
 
 // Only copies alike to the highest one count: a higher copy on one disk may or may not be decided, and what lies below it says nothing.
@@ -32,3 +40,65 @@
 		assert.Equal(t, len(alike(x.as, "k")), x.want, x.name)
 	}
 }
+
+// core is three control nodes, of which c2 says who holds a key, and all promise it to anybody.
+type core struct {
+	who      *WhoAnswer
+	promised atomic.Int32
+}
+
+func (*core) Roster() roster.Roster {
+	return roster.Found([]roster.Seat{{Node: "c1", Addr: "c1"}, {Node: "c2", Addr: "c2"}, {Node: "c3", Addr: "c3"}}, roster.Layout{})
+}
+
+func (*core) Live(n string) (string, bool) { return n, n != "" && n != "c4" }
+
+func (c *core) Do(q *http.Request) (*http.Response, error) {
+	m := http.NewServeMux()
+	Who.Handle(m, func(context.Context, *WhoTask) (*WhoAnswer, error) {
+		if c.who == nil {
+			return nil, problem.New(problem.Unreachable, "c2 does not answer")
+		}
+		return c.who, nil
+	})
+	voter.Promise.Handle(m, func(_ context.Context, q *voter.PromiseTask) (*voter.SlotAnswer, error) {
+		c.promised.Add(1)
+		return &voter.SlotAnswer{OK: true, Slot: voter.Slot{Promised: q.Epoch}}, nil
+	})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, q)
+	return w.Result(), nil
+}
+
+// Who would claim a key asks the one that it takes for the holder: it leaves the key to one that holds it or doesn't answer, follows a live one that is
+// named, and claims where the chain ends at itself or nowhere.
+func TestClaimAsksWhoIsTakenForTheHolder(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		who   *WhoAnswer
+		hint  string
+		claim bool
+	}{
+		{"it holds the key", &WhoAnswer{Holds: true}, "c2", false},
+		{"it does not answer", nil, "c2", false},
+		{"it names another one", &WhoAnswer{Hint: "c3"}, "c3", false},
+		{"it names one that is gone", &WhoAnswer{Hint: "c4"}, "c1", true},
+		{"it names the asker", &WhoAnswer{Hint: "c1"}, "c1", true},
+		{"it names itself", &WhoAnswer{Hint: "c2"}, "c1", true},
+		{"it names nobody", &WhoAnswer{}, "c1", true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &core{who: x.who}
+				h := New("c1", c, clock.Real{}, options.DefaultBounds, c, func(string, voter.Value) {})
+				h.Hint("k", epoch.Epoch{N: 3, Node: "c2"}, "")
+				err := h.Claim(t.Context(), "k")
+				synctest.Wait()
+				assert.Equal(t, h.Holds("k"), x.claim, "%v", err)
+				assert.Equal(t, c.promised.Load() > 0, x.claim, "promises that were asked for")
+				assert.Equal(t, problem.Has(err, problem.NotHolder), !x.claim, "%v", err)
+				assert.Equal(t, h.Holder("k"), x.hint)
+			})
+		})
+	}
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -67,7 +67,7 @@
 guard voter-roster internal/control/voter/voter.go 's/if v.roster.Sequence != b.Roster \|\| b.Roster == 0 \{/if b.Roster == 0 {/' ./internal/control/voter 'Roster'
 guard voter-seal internal/control/voter/voter.go 's/if v.sealed\(\) && b.Key != RosterKey \{/if false \&\& v.sealed() \&\& b.Key != RosterKey {/' ./internal/control/voter 'Sealed'
 guard promise internal/control/voter/voter.go 's/if q.Epoch.Less\(s.Promised\) \|\| s.Above\(n\) \{/if s.Above(n) {/' ./internal/control/voter 'Promise'
-guard claim-asks internal/control/holder/holder.go 's/err != nil \|\| w\.Holds/err != nil || w.Holds || true/' $S 'PlacementDutyStays'
+guard claim-asks internal/control/holder/holder.go 's/err != nil \|\| w\.Holds/err != nil || w.Holds || true/' ./internal/control/holder 'ClaimAsks'
 guard compare-and-set internal/control/holder/holder.go 's/if v.value.Writes != q.Base \{/if false \&\& v.value.Writes != q.Base {/' $S 'TwoOperators|Outcome'
 guard base internal/operator/operator.go 's/if cur.Sequence != d.Base \{/if false \&\& cur.Sequence != d.Base {/' $S 'TwoOperators|Invalid'
 guard retired-urgency internal/description/retired.go 's/if p\.urgent != urgent \{/if false \&\& p.urgent != urgent {/' $S 'ComesBack'
