Test: who loses a partition, and how long a copy is waited for, case by case

Each is now judged by itself: the verdict on an owner and the patience for a copy in a table of 17 and 6 cases, and a round of a stream whose routine partition is past its window while the owner gives no answer. Conclusion: the runs of whole fleets stay beside them.

--- /dev/null
+++ b/internal/placement/duty/duty_test.go
@@ -0,0 +1,149 @@
+package duty
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/placement/record"
+)
+
+// table is a duty that began long ago, at whose site three stores in three zones hold a partition, s1 as its owner, and s4 may hold nothing.
+func table(names ...string) (*Duty, *scene, record.Record) {
+	now := time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+	long := now.Add(-time.Hour)
+	b := options.DefaultBounds
+	d := &Duty{
+		Bounds: b, since: long, moved: long, recs: map[int]record.Record{}, gone: map[string]time.Time{}, deaf: map[string]time.Time{}, slow: map[string]time.Time{},
+		fresh: map[string]time.Time{}, opened: map[int]time.Time{}, epochs: map[int]uint64{},
+	}
+	s := &scene{now: now, m: map[string]*machine{}, copies: 3, drains: drain.Book{}}
+	r := record.Record{Partition: 1, Epoch: 4, Owner: "s1", Settled: true}
+	for _, n := range []string{"s1", "s2", "s3"} {
+		r.Replicas = append(r.Replicas, record.Place{Node: n, Incarnation: "disk-" + n})
+	}
+	for _, n := range names {
+		s.m[n] = &machine{Info: member.Info{Name: n, Zone: "z" + n[1:], Disk: options.DiskStorage, Incarnation: "disk-" + n, Stage: member.Serving}}
+		s.stores++
+		if r.Holds(n) {
+			s.m[n].holds = 1
+		}
+	}
+	d.recs[1] = r
+	return d, s, r
+}
+
+// Each reason for which a partition is given to another machine, and what comes right before it and is none yet.
+func TestWhoLosesAPartition(t *testing.T) {
+	b := options.DefaultBounds
+	half := b.Session() / 2
+	for _, x := range []struct {
+		name string
+		set  func(d *Duty, s *scene, r *record.Record)
+		say  string
+		// waits tells that nothing else is done about the partition meanwhile.
+		waits bool
+	}{
+		{"all is well", func(*Duty, *scene, *record.Record) {}, "", false},
+		{"another disk", func(_ *Duty, s *scene, _ *record.Record) { s.m["s1"].Incarnation = "new" }, "the owner's disk is another one", false},
+		{"gone for a moment", func(d *Duty, s *scene, _ *record.Record) {
+			delete(s.m, "s1")
+			d.gone["s1"] = s.now.Add(time.Millisecond - b.Previous())
+		}, "", true},
+		{"gone", func(d *Duty, s *scene, _ *record.Record) {
+			delete(s.m, "s1")
+			d.gone["s1"] = s.now.Add(-b.Previous())
+		}, "the owner is gone", false},
+		{"gone, to a duty that has just begun", func(d *Duty, s *scene, _ *record.Record) {
+			delete(s.m, "s1")
+			d.since, d.gone["s1"] = s.now.Add(-b.Previous()), s.now.Add(-b.Previous())
+		}, "", true},
+		{"a failing disk", func(_ *Duty, s *scene, _ *record.Record) { s.m["s1"].Fitness = "disk_full" }, "the owner's disk fails: disk_full", false},
+		{"stopping", func(_ *Duty, s *scene, _ *record.Record) { s.m["s1"].Stage = member.Leaving }, "the owner is stopping", false},
+		{"deaf for a moment", func(d *Duty, s *scene, _ *record.Record) {
+			s.m["s1"].Deaf, d.deaf["s1"] = true, s.now.Add(time.Millisecond-half)
+		}, "", false},
+		{"deaf", func(d *Duty, s *scene, _ *record.Record) { s.m["s1"].Deaf, d.deaf["s1"] = true, s.now.Add(-half) }, "the owner has no licence", false},
+		{"slow for a moment", func(_ *Duty, s *scene, _ *record.Record) {
+			s.m["s1"].slow, s.m["s1"].slowFor = true, half-time.Millisecond
+		}, "", false},
+		{"slow", func(_ *Duty, s *scene, _ *record.Record) { s.m["s1"].slow, s.m["s1"].slowFor = true, half }, "the owner is slow", false},
+		{"slow as all others", func(_ *Duty, s *scene, _ *record.Record) {
+			for _, m := range s.m {
+				m.slow, m.slowFor = true, half
+			}
+		}, "", false},
+		{"to be emptied", func(_ *Duty, s *scene, _ *record.Record) { s.m["s1"].out = true }, "the owner is being emptied", false},
+		{"to be emptied as all others", func(_ *Duty, s *scene, _ *record.Record) {
+			for _, m := range s.m {
+				m.out = true
+			}
+		}, "", false},
+		{"a take-over under way", func(d *Duty, s *scene, r *record.Record) {
+			r.Settled, d.opened[1] = false, s.now.Add(-2*b.Settle())
+		}, "", false},
+		{"a take-over without an end", func(d *Duty, s *scene, r *record.Record) {
+			r.Settled, d.opened[1] = false, s.now.Add(-2*b.Settle()-1)
+		}, "the take-over did not finish", false},
+		{"gone with another copy", func(d *Duty, s *scene, _ *record.Record) {
+			delete(s.m, "s1")
+			delete(s.m, "s2")
+			d.gone["s1"] = s.now.Add(-b.Previous())
+		}, "", true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			d, s, r := table("s1", "s2", "s3")
+			x.set(d, s, &r)
+			done := d.owner(s, r)
+			assert.Equal(t, done, x.say != "" || x.waits)
+			if x.say == "" {
+				assert.Equal(t, len(d.wants), 0)
+				return
+			}
+			assert.Equal(t, len(d.wants), 1)
+			n := d.wants[0].n
+			h := n.History[len(n.History)-1]
+			assert.Assert(t, strings.HasPrefix(h.Reason, x.say), h.Reason)
+			assert.Assert(t, n.Epoch == r.Epoch+1 && n.Owner != "s1" && r.Holds(n.Owner) && !n.Settled, "%+v", n)
+		})
+	}
+}
+
+// How long a copy on a machine that is gone is waited for, by who could take its place.
+func TestHowLongACopyIsWaitedFor(t *testing.T) {
+	b := options.DefaultBounds
+	for _, x := range []struct {
+		name  string
+		there []string
+		set   func(d *Duty, s *scene)
+		want  time.Duration
+	}{
+		{"small disks only", []string{"s1", "s2"}, func(*Duty, *scene) {}, b.Repair()},
+		{"another store, which holds other copies", []string{"s1", "s2", "s4"}, func(_ *Duty, s *scene) { s.m["s4"].holds = 1 }, b.Recovery},
+		{"a store that came after it", []string{"s1", "s2", "s4"}, func(d *Duty, s *scene) { d.fresh["s4"] = s.now }, b.Previous()},
+		{"a store that held nothing long before", []string{"s1", "s2", "s4"}, func(d *Duty, s *scene) { d.fresh["s4"] = s.now.Add(-time.Minute) }, b.Session() / 2},
+		{"one of each", []string{"s1", "s2", "s4", "s5"}, func(d *Duty, s *scene) {
+			s.m["s5"].holds, d.fresh["s4"] = 1, s.now
+		}, b.Previous()},
+		{"a store that came after it, to a duty that has just begun", []string{"s1", "s2", "s4"}, func(d *Duty, s *scene) {
+			d.fresh["s4"], d.since = s.now, s.now
+		}, b.Session() / 2},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			d, s, r := table(x.there...)
+			d.gone["s3"] = s.now
+			x.set(d, s)
+			p, _ := r.Place("s3")
+			assert.Equal(t, d.patience(s, r, p), x.want)
+			d.gone["s3"] = s.now.Add(-x.want)
+			assert.Equal(t, d.faulty(s, r, p), "")
+			d.gone["s3"] = s.now.Add(-x.want - 1)
+			assert.Equal(t, d.faulty(s, r, p), "gone for longer than "+x.want.String())
+		})
+	}
+}
--- a/internal/visitor/follow_test.go
+++ b/internal/visitor/follow_test.go
@@ -1,16 +1,23 @@
 package visitor
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"postjunction/internal/carrier/cursor"
+	"postjunction/internal/carrier/feed"
+	"postjunction/internal/clock"
 	"postjunction/internal/description"
 	"postjunction/internal/gossip"
 	"postjunction/internal/ledger/line"
+	"postjunction/internal/ledger/owner"
+	"postjunction/internal/options"
 )
 
 func TestStreamSkipsWhatItGaveAndWhatNobodyAskedFor(t *testing.T) {
@@ -44,3 +51,53 @@
 	describe(3, description.Space{Name: "s", Kind: "kept", Urgent: true, Topics: []string{"a"}})
 	assert.ErrorContains(t, st.refresh(), "unknown_topic")
 }
+
+// owners answer for an urgent partition, which gets one entry when asked for more; a routine one's owner says where it ends and nothing else.
+type owners struct{ urgent int }
+
+func (o owners) ReadAs(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+	first := q.From == ^uint64(0)
+	if q.Partition == o.urgent && !first && q.From < 8 {
+		return &owner.Reading{To: 8, Epoch: 1, Entries: []line.Entry{{Offset: 8, What: line.Message, Topic: "s/stop", Body: []byte("1")}}}, nil
+	}
+	if first {
+		return &owner.Reading{To: 7, Epoch: 1}, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// A stream whose routine partition no longer stands in its node's window fetches that beside: its round does not wait for the owner, and urgent entries are given.
+func TestARoundOfAStreamWaitsForNoOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		const routine, urgent = 0, 5
+		fs := feed.New(ctx, "a1", "1", owners{urgent}, clock.Real{}, options.DefaultBounds)
+		b := gossip.NewBoard(nil)
+		var got []string
+		st := &stream{s: &Service{Board: b, Clock: clock.Real{}, Bounds: options.DefaultBounds}, t: &Task{Emit: func(l []byte) error {
+			var x Line
+			assert.NilError(t, json.Unmarshal(l, &x))
+			got = append(got, x.Topic)
+			return nil
+		}}, want: map[string]bool{"s/stop": true, "s/kept": true}, urgent: map[string]bool{}, pos: cursor.Cursor{}, checked: make(chan error, 1), wake: make(chan struct{}, 1)}
+		for _, o := range []opened{{lane: lane{p: routine}, at: 3}, {lane: lane{p: urgent, urgent: true}, at: 7}} {
+			f, leave, err := fs.Follow(ctx, o.p, st.wake)
+			assert.NilError(t, err)
+			o.feed, o.leave, o.got = f, leave, make(chan pulled, 1)
+			st.join(o)
+		}
+		st.fence = st.lanes[0].feed
+		st.seen = 8
+		begun := time.Now()
+		for range 4 {
+			_, err := st.round(ctx)
+			assert.NilError(t, err)
+			synctest.Wait()
+		}
+		assert.Equal(t, time.Since(begun), time.Duration(0), "rounds waited")
+		assert.DeepEqual(t, got, []string{"s/stop"})
+		stop()
+		synctest.Wait()
+	})
+}
