Sessions: nodes leave a control node that no majority answers before it misleads them

Now a control node tells, a third of a licence after a majority answered it last, that it is apart: members that it leaves out are not taken for gone, and two pulses later the session is with another one.

--- a/internal/control/confirm/confirm.go
+++ b/internal/control/confirm/confirm.go
@@ -37,6 +37,8 @@
 	mu     sync.Mutex
 	c      session.Confirmed
 	at     uint64
+	// reached is when the last question began that a majority answered.
+	reached time.Time
 }
 
 // Latest gives the last confirmation; it is OK only while young.
@@ -46,6 +48,7 @@
 	defer f.mu.Unlock()
 	c := f.c
 	c.OK = c.OK && now.Sub(c.At) < f.Bounds.Licence()
+	c.Apart = f.reached != none && now.Sub(f.reached) > f.Bounds.Apart()
 	return c
 }
 
@@ -99,6 +102,9 @@
 	if len(g) < r.Majority() {
 		return
 	}
+	f.mu.Lock()
+	f.reached = at
+	f.mu.Unlock()
 	top := g[0].A.Slots[Key]
 	same := true
 	for _, a := range g[1:] {
--- a/internal/proof/sim/astray_test.go
+++ b/internal/proof/sim/astray_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"postjunction/internal/visitor/visit"
 )
 
 // pairs has two access nodes in each zone.
@@ -92,3 +94,38 @@
 		})
 	}
 }
+
+// A control node that is cut off from all who decide loses the sessions of stores that others keep. Nodes whose session is with it don't take them for gone.
+func TestACutControlNodeTakesNobodysOwnersAway(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 2; seed++ {
+		entertain(t, pairs, seed, awake, 12, func(t *testing.T, w *World, g *Guests) {
+			by, core := map[string][]string{}, ""
+			for _, n := range w.Names {
+				if c := w.Machines[n].Node().Operators.With(); n[0] == 'a' {
+					if by[c] = append(by[c], n); len(by[c]) > len(by[core]) {
+						core = c
+					}
+				}
+			}
+			under := by[core]
+			h := g.Hand(under[0], "lead")
+			assert.Assert(t, h != nil)
+			w.apart(core)
+			cut, call := time.Now(), uint64(0)
+			for time.Since(cut) < w.Site.Bounds.Recovery/2 {
+				for _, n := range under {
+					for _, s := range []string{"s1", "s2", "s3"} {
+						_, ok := w.Machines[n].Node().View.Get(s)
+						assert.Assert(t, ok, "after %s %s takes %s for gone", time.Since(cut), n, s)
+					}
+				}
+				call++
+				a, ok := h.Send(ground, "", call)
+				assert.Assert(t, ok && a.What == visit.Taken, "after %s: %s %v", time.Since(cut), a.What, a.Err)
+				time.Sleep(50 * time.Millisecond)
+			}
+			h.End()
+		})
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -48,7 +48,9 @@
 	// Said is the number of the node's last whole saying, 0 when one is asked for.
 	Said uint64 `json:"s,omitempty"`
 	// Young tells that the control node began so lately that it can't know all members yet.
-	Young       bool                     `json:"young,omitempty"`
+	Young bool `json:"young,omitempty"`
+	// Apart tells that no majority has answered the control node for so long that its sessions may have gone to others.
+	Apart       bool                     `json:"a,omitempty"`
 	Confirmed   bool                     `json:"confirmed"`
 	Sequence    uint64                   `json:"sequence"`
 	Age         time.Duration            `json:"age"`
@@ -60,11 +62,12 @@
 // Pulse is the session call.
 var Pulse = wire.Name[PulseTask, PulseAnswer]("Member", "Pulse")
 
-// Confirmed is what a control node knows of the current description, and when it asked.
+// Confirmed is what a control node knows of the current description, and when it asked. Apart tells that no majority has answered it for a while.
 type Confirmed struct {
 	OK       bool
 	Sequence uint64
 	At       time.Time
+	Apart    bool
 }
 
 // Host is a control node's side of sessions.
@@ -133,7 +136,8 @@
 	} else {
 		a.Members = h.Table.Live()
 	}
-	if c := h.Latest(); c.OK {
+	c := h.Latest()
+	if a.Apart = c.Apart; c.OK {
 		a.Confirmed, a.Sequence, a.Age = true, c.Sequence, h.Clock.Now().Sub(c.At)
 	}
 	if r := h.Board.Roster(); r.Sequence > is.info.Roster {
@@ -341,8 +345,9 @@
 	copy member.Copy
 	last member.Info
 	said uint64
-	// young is what that control node last said of its table.
+	// young is what that control node last said of its table; wary tells that members it left out may be there.
 	young bool
+	wary  bool
 }
 
 const (
@@ -571,15 +576,20 @@
 	}
 }
 
-// see takes in the members that a control node told, if they are other ones than before.
+// see takes in the members that a control node told, if they are other ones than before. Whom one leaves out that began lately, or that no majority answers,
+// may be there all the same: one that is cut off loses sessions which the others keep.
 func (k *Keeper) see(a *PulseAnswer) {
+	wary := a.Young || a.Apart || !a.Confirmed
 	if a.Change != nil {
-		if a.Change.Empty() && a.Young == k.young {
+		if a.Change.Empty() && wary == k.wary && a.Young == k.young {
 			return
 		}
 		a.Members = k.copy.All()
 	}
-	if k.young = a.Young; a.Young {
+	k.mu.Lock()
+	k.young, k.wary = a.Young, wary
+	k.mu.Unlock()
+	if wary {
 		k.View.Add(a.Members)
 	} else {
 		k.View.Set(a.Members)
@@ -630,10 +640,13 @@
 		return problem.New(problem.Unlicensed, "description %d did not arrive yet", a.Sequence)
 	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	if t := sent.Add(b.Licence() - a.Age); t.After(k.until) {
 		k.until = t
 	}
+	k.mu.Unlock()
+	if a.Apart {
+		return problem.New(problem.Unlicensed, "no majority answers %s", with.Name)
+	}
 	return nil
 }
 
