--- a/internal/control/confirm/confirm.go
+++ b/internal/control/confirm/confirm.go
@@ -16,6 +16,7 @@
 	"postjunction/internal/gather"
 	"postjunction/internal/gossip"
 	"postjunction/internal/options"
+	"postjunction/internal/problem"
 	"postjunction/internal/session"
 	"postjunction/internal/wire"
 
@@ -37,8 +38,9 @@
 	mu     sync.Mutex
 	c      session.Confirmed
 	at     uint64
-	// reached is when the last question began that a majority answered.
+	// reached is when a majority had last answered, in whatever way; there tells that it has answered the question that is open.
 	reached time.Time
+	there   bool
 }
 
 // Latest gives the last confirmation; it is OK only while young.
@@ -48,7 +50,7 @@
 	defer f.mu.Unlock()
 	c := f.c
 	c.OK = c.OK && now.Sub(c.At) < f.Bounds.Licence()
-	c.Apart = f.reached != none && now.Sub(f.reached) > f.Bounds.Apart()
+	c.Apart = f.reached != none && !f.there && now.Sub(f.reached) > f.Bounds.Apart()
 	return c
 }
 
@@ -97,14 +99,15 @@
 	defer stop()
 	as := gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
 		return voter.Peek.Call(ctx, f.Net, f.Self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{Key}, Brief: true})
-	}, func(as peeks) bool { return len(gather.Good(as)) >= r.Majority() })
+	}, func(as peeks) bool {
+		f.reach(as, r.Majority())
+		return len(gather.Good(as)) >= r.Majority()
+	})
+	f.leave()
 	g := gather.Good(as)
 	if len(g) < r.Majority() {
 		return
 	}
-	f.mu.Lock()
-	f.reached = at
-	f.mu.Unlock()
 	top := g[0].A.Slots[Key]
 	same := true
 	for _, a := range g[1:] {
@@ -147,6 +150,30 @@
 	f.set(at, d.Sequence, top)
 }
 
+// reach notes that a majority is there. Voters that turn the question away, as while their roster changes, are.
+func (f *Confirmer) reach(as peeks, majority int) {
+	n := 0
+	for _, a := range as {
+		if !problem.Has(a.Err, problem.Unreachable) {
+			n++
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.there = n >= majority; f.there {
+		f.reached = f.Clock.Now()
+	}
+}
+
+// leave ends the question.
+func (f *Confirmer) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.there {
+		f.there, f.reached = false, f.Clock.Now()
+	}
+}
+
 // settle tells whether the description may be read now. Copies that differ mostly do so while a change is on its way, and to read a key whose copies
 // differ may mean to claim it, which makes them differ for all others. So that is left to later pulses, while the last confirmation is young, and to a few
 // nodes.
--- /dev/null
+++ b/internal/control/confirm/confirm_test.go
@@ -0,0 +1,102 @@
+package confirm
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/control/holder"
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/gossip"
+	"postjunction/internal/options"
+	"postjunction/internal/problem"
+)
+
+// voters are three disks that answer questions as they are told to.
+type voters struct {
+	mu  sync.Mutex
+	say map[string]problem.Kind
+}
+
+func (v *voters) set(addr string, k problem.Kind) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.say[addr] = k
+}
+
+func (v *voters) Do(q *http.Request) (*http.Response, error) {
+	v.mu.Lock()
+	k := v.say[q.URL.Host]
+	v.mu.Unlock()
+	if k == problem.Unreachable {
+		<-q.Context().Done()
+		return nil, q.Context().Err()
+	}
+	m := http.NewServeMux()
+	voter.Peek.Handle(m, func(context.Context, *voter.PeekTask) (*voter.PeekAnswer, error) {
+		if k != "" {
+			return nil, problem.New(k, "so")
+		}
+		return &voter.PeekAnswer{Slots: map[string]voter.Slot{Key: {}}}, nil
+	})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, q)
+	return w.Result(), nil
+}
+
+type fellows struct{ b *gossip.Board }
+
+func (f fellows) Roster() roster.Roster      { return f.b.Roster() }
+func (fellows) Live(n string) (string, bool) { return n, true }
+
+// A control node is apart once no majority has answered for a third of a licence, and no longer when one does. Voters that turn the question away, as while the
+// roster changes, have answered, though they confirm nothing.
+func TestWhoIsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		b, bounds := gossip.NewBoard(nil), options.DefaultBounds
+		r := roster.Found([]roster.Seat{{Node: "c1", Addr: "c1"}, {Node: "c2", Addr: "c2"}, {Node: "c3", Addr: "c3"}}, roster.Layout{Routine: 1})
+		b.Offer(gossip.News{Roster: &r})
+		v := &voters{say: map[string]problem.Kind{}}
+		h := holder.New("c1", v, clock.Real{}, bounds, fellows{b}, func(string, voter.Value) {})
+		f := &Confirmer{Self: "c1", Net: v, Clock: clock.Real{}, Bounds: bounds, Board: b, Holder: h}
+		assert.Assert(t, !f.Latest().Apart)
+		go f.Run(ctx)
+		for _, x := range []struct {
+			name  string
+			say   map[string]problem.Kind
+			apart bool
+		}{
+			{"all answer", nil, false},
+			{"one is silent", map[string]problem.Kind{"c3": problem.Unreachable}, false},
+			{"two are silent", map[string]problem.Kind{"c2": problem.Unreachable, "c3": problem.Unreachable}, true},
+			{"all are back", nil, false},
+			{"the roster changes", map[string]problem.Kind{"c1": problem.StaleRoster, "c2": problem.StaleRoster, "c3": problem.StaleRoster}, false},
+			{"it changes and two are silent", map[string]problem.Kind{"c1": problem.StaleRoster, "c2": problem.Unreachable, "c3": problem.Unreachable}, true},
+		} {
+			for _, n := range []string{"c1", "c2", "c3"} {
+				v.set(n, x.say[n])
+			}
+			time.Sleep(bounds.Apart() + bounds.Call() + 2*bounds.Pulse())
+			assert.Equal(t, f.Latest().Apart, x.apart, x.name)
+		}
+		v.set("c2", "")
+		time.Sleep(bounds.Call() + 2*bounds.Pulse())
+		assert.Assert(t, !f.Latest().Apart)
+		v.set("c2", problem.Unreachable)
+		time.Sleep(bounds.Apart())
+		assert.Assert(t, !f.Latest().Apart, "too soon")
+		time.Sleep(2 * bounds.Pulse())
+		assert.Assert(t, f.Latest().Apart, "too late")
+		stop()
+		synctest.Wait()
+	})
+}
