Members: a description that reaches everybody is no news of anybody

Control nodes alone are told now; others hear of a node that has had an older one than is confirmed for longer than a licence, and when it has it no longer. Also: adding to the list of members looks each up once (it was each by each). Ruled out: a count of those behind, which does not say who. Test: TestOnlyWhoLagsBehindADescriptionIsTold.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -30,7 +30,10 @@
 	Incarnation string `json:"incarnation,omitempty"`
 	Boot        string `json:"boot"`
 	Stage       string `json:"stage"`
-	Description uint64 `json:"description"`
+	// Description is which one the node has. Control nodes alone are told that of others, the others that one is Behind: it has had an older one than is
+	// confirmed for longer than a licence.
+	Description uint64 `json:"description,omitempty"`
+	Behind      bool   `json:"behind,omitempty"`
 	Roster      uint64 `json:"roster"`
 	Partitions  int    `json:"partitions"`
 	// Loads is what each partition owned here takes a second.
@@ -205,9 +208,12 @@
 
 // Add takes members in and keeps those that the list does not name.
 func (v *View) Add(is []Info) {
-	all := slices.Clone(is)
+	all, have := slices.Clone(is), make(map[string]bool, len(is))
+	for _, i := range is {
+		have[i.Name] = true
+	}
 	for _, i := range v.All() {
-		if !slices.ContainsFunc(is, func(x Info) bool { return x.Name == i.Name }) {
+		if !have[i.Name] {
 			all = append(all, i)
 		}
 	}
--- a/internal/member/roll.go
+++ b/internal/member/roll.go
@@ -11,13 +11,13 @@
 
 // Lasting gives what all nodes are told of a node, without what moves all the time: that goes to control nodes only.
 func (i Info) Lasting() Info {
-	i.Roster, i.Partitions, i.Loads, i.Lag = 0, 0, nil, 0
+	i.Description, i.Roster, i.Partitions, i.Loads, i.Lag = 0, 0, 0, nil, 0
 	return i
 }
 
 // same tells whether two sayings of one node are alike in all that Lasting keeps.
 func (i Info) same(k Info) bool {
-	return !i.Differs(k) && i.Name == k.Name && i.Zone == k.Zone && i.Listen == k.Listen && i.Visits == k.Visits && i.Build == k.Build && i.Wire == k.Wire && i.Homes == k.Homes && i.Keys == k.Keys && i.Processor == k.Processor
+	return !i.Differs(k) && i.Behind == k.Behind && i.Name == k.Name && i.Zone == k.Zone && i.Listen == k.Listen && i.Visits == k.Visits && i.Build == k.Build && i.Wire == k.Wire && i.Homes == k.Homes && i.Keys == k.Keys && i.Processor == k.Processor
 }
 
 // Alike tells whether a saying is near enough to an older one that it need not be told.
--- a/internal/proof/sim/measure_test.go
+++ b/internal/proof/sim/measure_test.go
@@ -190,3 +190,36 @@
 		})
 	}
 }
+
+const pulsePath = "/postjunction.Member/Pulse"
+
+// TestMeasureWordOfDescriptions measures what a description that everybody gets adds to the bodies of pulses, for each node, by nodes.
+func TestMeasureWordOfDescriptions(t *testing.T) {
+	measuring(t)
+	for _, access := range []int{7, 20, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			s := Traductores
+			s.Access = access
+			w := New(s, 1, nil)
+			defer w.Close()
+			assert.NilError(t, w.Start(w.Names...))
+			assert.NilError(t, w.Settle(20*time.Second))
+			time.Sleep(time.Minute)
+			const puts = 20
+			during := func(f func(i uint64)) float64 {
+				was := w.Flows()[pulsePath].Bytes
+				for i := range uint64(puts) {
+					f(i)
+					time.Sleep(2 * time.Second)
+				}
+				return float64(w.Flows()[pulsePath].Bytes - was)
+			}
+			calm := during(func(uint64) {})
+			busy := during(func(base uint64) {
+				_, err := w.Put(w.Names[w.Int(len(w.Names))], load.Describe(base))
+				assert.NilError(t, err)
+			})
+			t.Logf("%d nodes: a description adds %.0f bytes to the pulses of each node", len(w.Names), (busy-calm)/puts/float64(len(w.Names)))
+		})
+	}
+}
--- /dev/null
+++ b/internal/session/behind_test.go
@@ -0,0 +1,60 @@
+package session
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/clock"
+	"postjunction/internal/gossip"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+)
+
+// A description that reaches everybody is no news of anybody: nodes are told only who has had an older one for longer than a licence, and that it has no longer.
+func TestOnlyWhoLagsBehindADescriptionIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := options.DefaultBounds
+		seq := uint64(7)
+		h := &Host{Self: "c1", Clock: clock.Real{}, Bounds: b, Table: member.NewTable(clock.Real{}, b), Board: gossip.NewBoard(nil), Latest: func() Confirmed {
+			return Confirmed{OK: true, Sequence: seq, At: time.Now()}
+		}}
+		has := map[string]uint64{"a1": 7, "a2": 7, "a3": 7}
+		var c member.Copy
+		told := func(pulses int) (news []member.Info) {
+			for range pulses {
+				time.Sleep(b.Pulse())
+				for _, n := range []string{"a1", "a2", "a3"} {
+					m := c.Mark()
+					a, err := h.Pulse(context.Background(), &PulseTask{Info: member.Info{Name: n, Boot: "1", Stage: member.Serving, Description: has[n]}, Have: &m})
+					assert.NilError(t, err)
+					assert.Equal(t, len(a.Change.Moved), 0)
+					if n == "a1" {
+						assert.Assert(t, c.Take(*a.Change))
+						news = append(append(news, a.Change.News...), make([]member.Info, len(a.Change.Gone))...)
+					}
+				}
+			}
+			return news
+		}
+		licence := int(b.Licence()/b.Pulse()) + 2
+		assert.Equal(t, len(told(licence)), 3)
+		seq, has["a1"], has["a2"] = 8, 8, 8
+		assert.Equal(t, len(told(licence-3)), 0, "within a licence nobody is behind")
+		late := told(3)
+		assert.Assert(t, len(late) == 1 && late[0].Name == "a3" && late[0].Behind && late[0].Description == 0, "%+v", late)
+		assert.Equal(t, len(told(licence)), 0)
+		has["a3"] = 8
+		late = told(2)
+		assert.Assert(t, len(late) == 1 && late[0].Name == "a3" && !late[0].Behind, "%+v", late)
+		for range 5 {
+			seq++
+			has = map[string]uint64{"a1": seq, "a2": seq, "a3": seq}
+			assert.Equal(t, len(told(1)), 0)
+		}
+		assert.Equal(t, len(c.All()), 3)
+	})
+}
--- a/internal/session/story.go
+++ b/internal/session/story.go
@@ -12,6 +12,9 @@
 	own    member.Roll
 	seen   <-chan struct{}
 	looked time.Time
+	// put is the description confirmed last, from when on, and due the one that all nodes must have.
+	put, due uint64
+	from     time.Time
 	// has says how far the other control nodes, by address, know this one's sessions; heard is what they told, by name; names are theirs by address.
 	has   map[string]member.Mark
 	heard map[string]*member.Copy
@@ -41,14 +44,30 @@
 	h.mu.Unlock()
 	if !fresh {
 		is := h.Table.Live()
-		for k := range is {
-			is[k] = is[k].Lasting()
+		due := h.due()
+		for k, i := range is {
+			is[k] = i.Lasting()
+			is[k].Behind = i.Description < due
 		}
 		h.told.live.Set(is)
 	}
 	return &h.told.live
 }
 
+// due gives the description that every node must have by now: the one confirmed here, once it has been for a licence, or the one that was due before.
+func (h *Host) due() uint64 {
+	c := h.Latest()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c.OK && c.Sequence != h.told.put {
+		h.told.put, h.told.from = c.Sequence, c.At
+	}
+	if h.Clock.Now().Sub(h.told.from) >= h.Bounds.Licence() {
+		h.told.due = h.told.put
+	}
+	return h.told.due
+}
+
 // story tells this node's sessions to one who knows them up to a mark.
 func (h *Host) story(have member.Mark) member.Story {
 	var is []member.Info
