--- a/internal/node/owners/owners.go
+++ b/internal/node/owners/owners.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,17 +67,13 @@
 func (k *Keeper) all() []*owner.Owner {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var os []*owner.Owner
-	for p := range partitionsMost {
-		if o, ok := k.m[p]; ok {
-			os = append(os, o)
-		}
+	os := make([]*owner.Owner, 0, len(k.m))
+	for _, p := range slices.Sorted(maps.Keys(k.m)) {
+		os = append(os, k.m[p])
 	}
 	return os
 }
 
-const partitionsMost = 512
-
 // Run follows the records until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	go k.recall(ctx)
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -122,6 +122,8 @@
 const (
 	foundersMost = 7
 	seedsMost    = 7
+	routineMost  = 3072
+	urgentMost   = 1024
 )
 
 // Disks that a machine may have.
@@ -308,8 +310,8 @@
 	span("link_kbits", o.Link, 0, 1<<30)
 	span("descriptors", o.Descriptors, 0, 1<<20)
 	span("disk_mb", o.Room, 0, 1<<30)
-	span("routine_partitions", o.Routine, 1, 256)
-	span("urgent_partitions", o.Urgent, 1, 64)
+	span("routine_partitions", o.Routine, 1, routineMost)
+	span("urgent_partitions", o.Urgent, 1, urgentMost)
 	span("body_limit", o.Body, 1, 1<<20)
 	span("backlog", o.Backlog, 8, 1<<16)
 	span("marks", o.Marks, 1, 1<<20)
