Withdrawals: a router that hears nothing of an owner lets go and says so

Cause: a router that an owner hears but that hears no answer (cut one way) asks on and on: it is neither silent nor without a licence, so it was never given up and withdrawals of that partition stayed open for as long as that lasted. Now, once no owner has answered for the recovery time and a turn was told there, it lets go of all that it holds, sends its visitors away to come back, says Done under the boot that held it (three times at most) and goes on under another one. The same for streams over HTTP. Ruled out: giving it up at the owner, as no clock says that it shows nothing. Without keys no turn is told and nothing changes.

--- a/internal/carrier/fan/feed.go
+++ b/internal/carrier/fan/feed.go
@@ -54,6 +54,8 @@
 	parted  bool
 	shut    int
 	quit    context.CancelFunc
+	// heard is when an owner last answered.
+	heard time.Time
 }
 
 // stand is where messages stand that go together.
@@ -74,6 +76,8 @@
 const (
 	patience = 2
 	despair  = 6
+	// farewells are how often an owner that does not answer is told that nothing is held here any more.
+	farewells = 3
 	// hasty is the part of a retry for which a place is waited for that needs no owner.
 	hasty = 2
 )
@@ -239,6 +243,14 @@
 			f.cleaned()
 			continue
 		}
+		if err == nil {
+			f.heard = f.h.clk.Now()
+		} else if f.deaf() {
+			f.back(w)
+			f.depart()
+			f.mu.Unlock()
+			continue
+		}
 		if err != nil || a.Lost || q.Boot != f.boot {
 			f.marks = nil
 			f.reader = f.reader || err != nil
@@ -346,9 +358,37 @@
 	f.shut++
 }
 
+// deaf tells whether the owner may count on this node as a reader though nothing was heard of any owner for as long as service may rest.
+func (f *feed) deaf() bool {
+	return f.reader && f.number > 0 && f.h.clk.Now().Sub(f.heard) > f.h.bounds.Recovery
+}
+
+// depart lets go of all for want of an answer, says so under the boot that held it, as an owner that isn't heard may hear, and begins under another one.
+func (f *feed) depart() {
+	f.seq++
+	q := &owner.Want{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.seq, Full: true, Marks: true, Done: true, Turn: f.number}
+	f.clean()
+	go func() {
+		f.h.release(f.p, true)
+		for tries := range farewells {
+			ctx, stop := context.WithTimeout(f.h.ctx, patience*f.h.bounds.Retry())
+			_, err := f.h.src.Follow(ctx, f.h.board.Record(f.p), q)
+			stop()
+			if err == nil || f.h.clk.Sleep(f.h.ctx, f.h.bounds.Grown(tries)) != nil {
+				break
+			}
+		}
+		f.reopen()
+	}()
+}
+
 // cleaned ends what clean began, once all that visitors have not got yet is let go.
 func (f *feed) cleaned() {
 	f.h.release(f.p, true)
+	f.reopen()
+}
+
+func (f *feed) reopen() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.shut--
@@ -537,6 +577,9 @@
 		case err != nil:
 			f.mu.Lock()
 			f.reader = true
+			if f.deaf() {
+				f.depart()
+			}
 			f.mu.Unlock()
 			if !broken {
 				f.rest(ctx, ready, tries)
@@ -592,7 +635,7 @@
 		f.clean()
 		return nil, true
 	}
-	f.base = a.Base
+	f.base, f.heard = a.Base, f.h.clk.Now()
 	f.seen = max(f.seen, a.Epoch)
 	if a.Turn > 0 {
 		f.number = a.Turn
--- a/internal/carrier/fan/hub.go
+++ b/internal/carrier/fan/hub.go
@@ -120,6 +120,9 @@
 		return
 	}
 	s.asked = h.clk.Now()
+	if len(f.topics) == 0 {
+		f.heard = s.asked
+	}
 	if f.topics[s.Topic] == nil {
 		f.topics[s.Topic] = map[*Sub]bool{}
 	}
--- a/internal/carrier/feed/feed.go
+++ b/internal/carrier/feed/feed.go
@@ -147,7 +147,7 @@
 
 func (d *Feed) run(ctx context.Context) {
 	f := d.fs
-	opened, first := false, true
+	opened, first, heard := false, true, f.clk.Now()
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		from := d.to
@@ -159,9 +159,13 @@
 		r, err := d.ask(cx, &owner.ReadTask{From: from, Hold: f.bounds.Hold()})
 		stop()
 		if err != nil {
+			if f.clk.Now().Sub(heard) > f.bounds.Recovery && d.depart() {
+				first, heard = true, f.clk.Now()
+			}
 			_ = f.clk.Sleep(ctx, f.bounds.Retry())
 			continue
 		}
+		heard = f.clk.Now()
 		if r.Clean {
 			d.anew(f.another())
 			first = true
@@ -226,6 +230,34 @@
 	await(ws)
 }
 
+// farewells are how often an owner that does not answer is told that nothing is held here any more, patience for how many pauses each waits.
+const (
+	farewells = 3
+	patience  = 2
+)
+
+// depart lets go of all for want of an answer, says so under the boot that held it, as an owner that isn't heard may hear, and goes on as another reader. It tells
+// whether there was anything that an owner may count on.
+func (d *Feed) depart() bool {
+	f := d.fs
+	d.mu.Lock()
+	q := &owner.ReadTask{Partition: d.p, Node: f.node, Boot: d.boot, Turn: d.turn, Marks: true, From: ^uint64(0), Done: true}
+	d.mu.Unlock()
+	if q.Turn == 0 {
+		return false
+	}
+	d.anew(f.another())
+	for tries := range farewells {
+		cx, stop := context.WithTimeout(f.ctx, patience*f.bounds.Retry())
+		_, err := f.src.ReadAs(cx, q)
+		stop()
+		if err == nil || f.clk.Sleep(f.ctx, f.bounds.Grown(tries)) != nil {
+			break
+		}
+	}
+	return true
+}
+
 // drop empties the cache, makes windows of before stale and cuts off the writes that may be withdrawn unknown to the feed.
 func (d *Feed) drop() []*writing {
 	d.es, d.at, d.bytes = nil, nil, 0
--- a/internal/proof/sim/streams_forget_test.go
+++ b/internal/proof/sim/streams_forget_test.go
@@ -225,6 +225,22 @@
 		}))
 		assert.DeepEqual(x.t, x.saw(), []string{"k:first", "-k"})
 	},
+	"a node that hears nothing of the owner, which hears it": func(x *forgetting) {
+		x.Cut(x.owner(), "a1")
+		x.send("k", "after the cut")
+		x.call++
+		_, err := x.withdraw("k", x.call)
+		x.open(err, "a1/streams")
+		assert.Equal(x.t, len(x.forgotten("k", x.call, 2*x.Site.Bounds.Recovery).GivenUp), 0)
+		x.send("k", "anew")
+		x.Heal()
+		assert.NilError(x.t, x.Until(10*time.Second, "told", func() bool {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			return slices.Contains(x.shown, "k:anew")
+		}))
+		assert.DeepEqual(x.t, x.saw(), []string{"k:first", "-k", "k:anew"})
+	},
 	"a line that its visitor does not take": func(x *forgetting) {
 		a := attach(x.t, x.World, "a1", "slow")
 		cut, ended := make(chan struct{}), make(chan struct{})
--- a/internal/proof/sim/withdraw_test.go
+++ b/internal/proof/sim/withdraw_test.go
@@ -205,6 +205,34 @@
 	}
 }
 
+// A router that is heard and hears nothing, of anybody or of the topic's owner alone, holds no withdrawal open for longer than service may rest: it lets go of all and
+// says so, which is heard.
+func TestADeafRouterLetsGo(t *testing.T) {
+	t.Parallel()
+	long(t)
+	for how, cut := range map[string]func(s *scene){
+		"to all":       func(s *scene) { s.w.Cut("*", "a1") },
+		"to the owner": func(s *scene) { s.w.Cut(s.seat(), "a1") },
+	} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			staged(t, 930, 1, func(s *scene) {
+				s.write("turn", 20)
+				last := s.call
+				s.wait(s.far, last)
+				cut(s)
+				s.reader.Still(3 * time.Second)
+				x := s.open("turn", "a1")
+				a := s.yes(x, s.w.Site.Bounds.Recovery+s.w.Site.Bounds.Call())
+				s.flow("turn", time.Second)
+				assert.Assert(s.t, !s.got(s.reader, last, a.Shown), "shown after the yes")
+				s.w.Heal()
+				s.resumed()
+			})
+		})
+	}
+}
+
 // resumed has the reader come back on its router with its cursor, until it is given what is written then; the book judges what it is shown.
 func (s *scene) resumed() {
 	s.t.Helper()
