Operators: accepted orders are remembered in the register that decides them

Cause: an accepted configuration that was sent again after another one had been taken on top of it was refused (description_raced): the register knew only its current value, and a try with an unclear outcome was told apart by guesswork. Ruled out: remembering on the node that answered (an order is sent again to any node), a register of its own beside the description (two writes are not atomic), names drawn for each try (two tries of one order at two nodes have two names). Change: the register's value carries a memory, decided with the body and copied with it to new voters. The change's name follows from the order, so all tries share it. A holder also asks a majority whether it still holds the key before it answers that a base is stale.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -150,7 +150,11 @@
 // Change writes a key on its base. After an unclear answer the same change is asked of the next
 // control node, which knows it by name; a stale base after an unclear answer stays unclear.
 func (c *Client) Change(ctx context.Context, key string, base uint64, by string, body []byte) (voter.Value, error) {
-	q := &holder.ChangeTask{Key: key, Base: base, By: by, Body: body}
+	return c.Write(ctx, &holder.ChangeTask{Key: key, Base: base, By: by, Body: body})
+}
+
+// Write makes a change as Change does.
+func (c *Client) Write(ctx context.Context, q *holder.ChangeTask) (voter.Value, error) {
 	err := error(problem.New(problem.NotFounded, "no control node is known"))
 	doubt := false
 	see := func(e error, open int) bool {
@@ -159,7 +163,7 @@
 		doubt = doubt || open > 0
 		if settled[p.Kind] {
 			if doubt {
-				err = problem.New(problem.NoMajority, "%s changed after an unclear answer", key)
+				err = problem.New(problem.NoMajority, "%s changed after an unclear answer", q.Key)
 			}
 			return true
 		}
@@ -182,7 +186,7 @@
 		return *v, nil
 	}
 	if doubt && !problem.Has(err, problem.NoMajority) {
-		err = problem.Wrap(problem.NoMajority, problem.New(problem.NoMajority, "%v", err), "the outcome of writing %s is not known", key)
+		err = problem.Wrap(problem.NoMajority, problem.New(problem.NoMajority, "%v", err), "the outcome of writing %s is not known", q.Key)
 	}
 	return voter.Value{}, err
 }
--- a/internal/control/holder/calls.go
+++ b/internal/control/holder/calls.go
@@ -7,11 +7,13 @@
 )
 
 // ChangeTask writes a key if its count of writes is still Base. By is the change's own name, so that a repeat is known.
+// Memory is written with Body and read back with it.
 type ChangeTask struct {
 	Key    string `json:"key"`
 	Base   uint64 `json:"base"`
 	By     string `json:"by"`
 	Body   []byte `json:"body"`
+	Memory []byte `json:"memory,omitempty"`
 	Handed int    `json:"handed,omitempty"`
 }
 
--- a/internal/control/holder/holder.go
+++ b/internal/control/holder/holder.go
@@ -167,10 +167,14 @@
 	if q.By != "" && v.value.By == q.By {
 		return &v.value, nil
 	}
+	if v.value.Writes != q.Base && !h.confirm(ctx, q.Key, v) {
+		h.edit(q.Key, func(x *held) { x.sure = false })
+		return nil, problem.New(problem.NotHolder, "%s was claimed elsewhere", q.Key)
+	}
 	if v.value.Writes != q.Base {
 		return nil, h.clear(problem.New(problem.StaleBase, "%s was written %d times, the change builds on %d", q.Key, v.value.Writes, q.Base).At(v.value.Writes), doubt, q)
 	}
-	n := voter.Value{Writes: q.Base + 1, By: q.By, Body: q.Body}
+	n := voter.Value{Writes: q.Base + 1, By: q.By, Body: q.Body, Memory: q.Memory}
 	if err := h.accept(ctx, q.Key, v, n); err != nil {
 		return nil, err
 	}
--- a/internal/control/holder/holder_test.go
+++ b/internal/control/holder/holder_test.go
@@ -102,3 +102,31 @@
 		})
 	}
 }
+
+// elsewhere is three control disks that promised the key to c2, after c1 had written it.
+type elsewhere struct{ core }
+
+func (*elsewhere) Do(q *http.Request) (*http.Response, error) {
+	m := http.NewServeMux()
+	voter.Peek.Handle(m, func(_ context.Context, q *voter.PeekTask) (*voter.PeekAnswer, error) {
+		return &voter.PeekAnswer{Slots: map[string]voter.Slot{q.Keys[0]: {Promised: epoch.Epoch{N: 9, Node: "c2"}}}}, nil
+	})
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, q)
+	return w.Result(), nil
+}
+
+// A control node that lost a key without knowing it doesn't answer from what it holds that a base is stale: it asks a majority first.
+func TestAStaleBaseIsAnsweredOnlyByWhoStillHoldsTheKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &elsewhere{}
+		h := New("c1", net, clock.Real{}, options.Default().Bounds(), net, nil)
+		mine := epoch.Epoch{N: 3, Node: "c1"}
+		h.edit("k", func(v *held) {
+			*v = held{epoch: mine, seen: mine, roster: net.Roster().Sequence, sure: true, hint: "c1", value: voter.Value{Writes: 4}}
+		})
+		_, err := h.change(t.Context(), &ChangeTask{Key: "k", Base: 7}, false, true)
+		assert.Assert(t, problem.Has(err, problem.NotHolder), "%v", err)
+		assert.Assert(t, !h.Holds("k"))
+	})
+}
--- a/internal/control/voter/calls.go
+++ b/internal/control/voter/calls.go
@@ -9,12 +9,15 @@
 	"postjunction/internal/wire"
 )
 
-// Value is what a register holds: a count of writes, who wrote, whom the holder named as successor, and the body.
+// Value is what a register holds: a count of writes, who wrote, whom the holder named as successor, the body, and what
+// the writers of the key remember beside it. Body and Memory are decided together. Memory is absent from values that
+// older builds wrote.
 type Value struct {
 	Writes    uint64 `json:"writes"`
 	By        string `json:"by,omitempty"`
 	Successor string `json:"successor,omitempty"`
 	Body      []byte `json:"body,omitempty"`
+	Memory    []byte `json:"memory,omitempty"`
 }
 
 // Slot is a voter's memory of one key.
@@ -58,7 +61,7 @@
 	Slot Slot `json:"slot"`
 }
 
-// PeekTask reads slots of the named keys, all when none are named. Sealed slots are given only when asked for.
+// PeekTask reads slots of the named keys, all when none are named. Sealed slots are given only when asked for; Brief leaves out body and memory.
 type PeekTask struct {
 	Roster      uint64   `json:"roster"`
 	Incarnation string   `json:"incarnation"`
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -245,7 +245,7 @@
 	a := &PeekAnswer{Slots: map[string]Slot{}}
 	add := func(k string, s Slot) {
 		if q.Brief {
-			s.Value.Body = nil
+			s.Value.Body, s.Value.Memory = nil, nil
 		}
 		a.Slots[k] = s
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"fmt"
 	"slices"
 	"sort"
 	"strconv"
@@ -57,12 +56,6 @@
 	reader atomic.Pointer[Reader]
 }
 
-// Accepted is the answer to an accepted description. KeptLanes names what stands in another lane than its space asks for.
-type Accepted struct {
-	Sequence  uint64             `json:"sequence"`
-	KeptLanes []description.Lane `json:"kept_lanes,omitempty"`
-}
-
 const deadlineShare = 3
 
 func (s *Service) limit(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -106,122 +99,6 @@
 	return d, problem.Wrap(problem.Internal, easyjson.Unmarshal(b, &d), "read the current description")
 }
 
-// Put takes a whole description, built on the sequence last seen.
-func (s *Service) Put(ctx context.Context, b []byte) (any, error) {
-	d, err := description.Parse(b)
-	if err != nil {
-		s.Log.Say(event.DescriptionFault, "problem", err)
-		return nil, err
-	}
-	ctx, stop := s.limit(ctx)
-	defer stop()
-	a, err := s.Replace(ctx, d)
-	if err != nil {
-		return nil, err
-	}
-	return a, nil
-}
-
-// Replace takes a whole description that was read elsewhere, built on the sequence last seen, and says yes once it is the current one.
-// The very same one again is a yes as long as it is current. Where the outcome is not known it is asked for until the context ends.
-func (s *Service) Replace(ctx context.Context, d description.Description) (*Accepted, error) {
-	return s.say(s.replace(ctx, d.Whole(), client.Name(), false))
-}
-
-func (s *Service) say(a *Accepted, err error) (*Accepted, error) {
-	if err != nil {
-		s.Log.Say(event.DescriptionFault, "problem", err)
-		return nil, err
-	}
-	s.Log.Say(event.DescriptionPut, "sequence", a.Sequence)
-	if n := len(a.KeptLanes); n > 0 {
-		s.Log.Say(event.LanesKept, "sequence", a.Sequence, "prefixes", n, "first", a.KeptLanes[0].Prefix, "urgent", a.KeptLanes[0].Urgent)
-	}
-	return a, nil
-}
-
-func (s *Service) replace(ctx context.Context, d description.Description, by string, doubt bool) (*Accepted, error) {
-	if err := s.check(d); err != nil {
-		return nil, err
-	}
-	for {
-		a, err := s.settle(ctx, d, by, &doubt)
-		if err == nil || !doubt && !problem.Has(err, problem.StaleRoster) || settled[problem.Of(err).Kind] {
-			return a, err
-		}
-		if e := s.Clock.Sleep(ctx, s.Bounds.Retry()); e != nil {
-			return nil, outcome(doubt, err)
-		}
-	}
-}
-
-var settled = map[problem.Kind]bool{problem.DescriptionRaced: true, problem.DescriptionBad: true, problem.OutcomeUnknown: true, problem.Oversize: true}
-
-// settle reads the current description and changes it on the count it read. Each description builds on one before it with a lower sequence, so
-// one that stands elsewhere than between this one's base and this one tells that this one was never current, doubt or not.
-func (s *Service) settle(ctx context.Context, d description.Description, by string, doubt *bool) (*Accepted, error) {
-	for {
-		v, err := s.Client.Read(ctx, confirm.Key)
-		if err != nil {
-			return nil, err
-		}
-		cur, err := confirm.Parse(v)
-		if err != nil {
-			return nil, problem.Wrap(problem.Internal, err, "read the current description")
-		}
-		if v.By == by || len(v.Body) > 0 && cur.Same(d) {
-			return s.accepted(cur)
-		}
-		if cur.Sequence != d.Base {
-			if *doubt && cur.Base >= d.Sequence {
-				return nil, outcome(true, problem.New(problem.OutcomeUnknown, "description %d is current", cur.Sequence).At(cur.Sequence))
-			}
-			return nil, problem.New(problem.DescriptionRaced, "the description builds on %d, current is %d", d.Base, cur.Sequence).At(cur.Sequence)
-		}
-		n, err := s.stand(ctx, d, cur)
-		if err != nil {
-			return nil, err
-		}
-		body := n.Pack()
-		if len(body) > description.PackedMost {
-			return nil, problem.New(problem.Oversize, "the description takes %d bytes with its source, the limit is %d", len(body), description.PackedMost)
-		}
-		_, err = s.Client.Change(ctx, confirm.Key, v.Writes, by, body)
-		if err == nil {
-			return s.accepted(n)
-		}
-		*doubt = *doubt || problem.Has(err, problem.NoMajority) || problem.Has(err, problem.Unreachable)
-		if *doubt || ctx.Err() != nil {
-			return nil, err
-		}
-	}
-}
-
-// check finds the faults that need no other description, those against the fleet's bounds among them.
-func (s *Service) check(d description.Description) error {
-	f := d.Faults()
-	for i, x := range d.Spaces {
-		if most := uint64(s.Bounds.KeptMost().Milliseconds()); x.KeepMS > most {
-			f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].keep_ms", i), Say: fmt.Sprintf("must be at most ten times the fleet's keeping (%d), is %d", most, x.KeepMS)})
-		}
-	}
-	return description.Bad(f)
-}
-
-func outcome(doubt bool, err error) error {
-	if !doubt {
-		return err
-	}
-	p := problem.New(problem.OutcomeUnknown, "the description may or may not have been accepted; read it back to learn which: %v", err)
-	p.Current = problem.Of(err).Current
-	return p
-}
-
-func (s *Service) accepted(d description.Description) (*Accepted, error) {
-	s.Board.Offer(gossip.News{Description: &d})
-	return &Accepted{Sequence: d.Sequence, KeptLanes: d.KeptLanes()}, nil
-}
-
 // Status is what a node knows of the fleet.
 type Status struct {
 	Node        member.Info     `json:"node"`
--- /dev/null
+++ b/internal/operator/replace.go
@@ -0,0 +1,160 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+
+	"postjunction/internal/control/confirm"
+	"postjunction/internal/control/holder"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/description"
+	"postjunction/internal/event"
+	"postjunction/internal/gossip"
+	"postjunction/internal/operator/accepted"
+	"postjunction/internal/problem"
+)
+
+// Accepted is the answer to an accepted description. KeptLanes names what stands in another lane than its space asks for.
+type Accepted struct {
+	Sequence  uint64             `json:"sequence"`
+	KeptLanes []description.Lane `json:"kept_lanes,omitempty"`
+}
+
+// Put takes a whole description, built on the sequence last seen.
+func (s *Service) Put(ctx context.Context, b []byte) (any, error) {
+	d, err := description.Parse(b)
+	if err != nil {
+		s.Log.Say(event.DescriptionFault, "problem", err)
+		return nil, err
+	}
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	a, err := s.Replace(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// Replace takes a whole description that was read elsewhere, built on the sequence last seen, and says yes once it was
+// accepted. The very same order again is a yes for good, also when others were accepted on top of it, as far as the
+// register remembers; past that the outcome is unknown and never a refusal. Where the outcome of a try is not known it
+// is asked for until the context ends.
+func (s *Service) Replace(ctx context.Context, d description.Description) (*Accepted, error) {
+	return s.report(s.replace(ctx, d.Whole(), false))
+}
+
+// report logs the outcome of an order.
+func (s *Service) report(a *Accepted, err error) (*Accepted, error) {
+	if err != nil {
+		s.Log.Say(event.DescriptionFault, "problem", err)
+		return nil, err
+	}
+	s.Log.Say(event.DescriptionPut, "sequence", a.Sequence)
+	if n := len(a.KeptLanes); n > 0 {
+		s.Log.Say(event.LanesKept, "sequence", a.Sequence, "prefixes", n, "first", a.KeptLanes[0].Prefix, "urgent", a.KeptLanes[0].Urgent)
+	}
+	return a, nil
+}
+
+// settled problems are final answers to an order; after all others the register is asked again.
+var settled = map[problem.Kind]bool{problem.DescriptionRaced: true, problem.DescriptionBad: true, problem.OutcomeUnknown: true, problem.Oversize: true}
+
+// replace tries an order until its outcome is known. doubt tells that an earlier try may have been accepted.
+func (s *Service) replace(ctx context.Context, d description.Description, doubt bool) (*Accepted, error) {
+	if err := s.check(d); err != nil {
+		return nil, err
+	}
+	o := accepted.Of(d)
+	for {
+		a, err := s.try(ctx, d, o)
+		if err == nil || settled[problem.Of(err).Kind] {
+			return a, err
+		}
+		if problem.Has(err, problem.StaleBase) && ctx.Err() == nil {
+			continue
+		}
+		doubt = doubt || problem.Has(err, problem.NoMajority) || problem.Has(err, problem.Unreachable)
+		if !doubt && !problem.Has(err, problem.StaleRoster) {
+			return nil, err
+		}
+		if e := s.Clock.Sleep(ctx, s.Bounds.Retry()); e != nil {
+			return nil, outcome(doubt, err)
+		}
+	}
+}
+
+// try reads the register by quorum and, where the order builds on what stands there, changes it on the count that was
+// read. All tries of an order share the change's name, so the register takes it once.
+func (s *Service) try(ctx context.Context, d description.Description, o accepted.Order) (*Accepted, error) {
+	v, err := s.Client.Read(ctx, confirm.Key)
+	if err != nil {
+		return nil, err
+	}
+	cur, log, err := current(v)
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case log.Holds(o) && o.Sequence == cur.Sequence:
+		return s.accepted(cur), nil
+	case log.Holds(o):
+		return &Accepted{Sequence: o.Sequence}, nil
+	case !log.Knows(o):
+		return nil, problem.New(problem.OutcomeUnknown, "which orders were accepted up to %d is no longer known; current is %d", log.Forgotten, cur.Sequence).At(cur.Sequence)
+	case cur.Sequence != d.Base:
+		return nil, problem.New(problem.DescriptionRaced, "the description builds on %d, current is %d", d.Base, cur.Sequence).At(cur.Sequence)
+	}
+	n, err := s.stand(ctx, d, cur)
+	if err != nil {
+		return nil, err
+	}
+	body := n.Pack()
+	if len(body) > description.PackedMost {
+		return nil, problem.New(problem.Oversize, "the description takes %d bytes with its source, the limit is %d", len(body), description.PackedMost)
+	}
+	q := &holder.ChangeTask{Key: confirm.Key, Base: v.Writes, By: o.Name(), Body: body, Memory: log.With(o).Pack()}
+	if _, err := s.Client.Write(ctx, q); err != nil {
+		return nil, err
+	}
+	return s.accepted(n), nil
+}
+
+// current reads the description and the log of accepted orders out of their register. Older builds wrote no log.
+func current(v voter.Value) (description.Description, accepted.Log, error) {
+	d, err := confirm.Parse(v)
+	if err != nil {
+		return d, accepted.Log{}, problem.Wrap(problem.Internal, err, "read the current description")
+	}
+	if len(v.Memory) == 0 {
+		return d, accepted.Since(d), nil
+	}
+	log, err := accepted.Parse(v.Memory)
+	return d, log, err
+}
+
+// check finds the faults that need no other description, those against the fleet's bounds among them.
+func (s *Service) check(d description.Description) error {
+	f := d.Faults()
+	for i, x := range d.Spaces {
+		if most := uint64(s.Bounds.KeptMost().Milliseconds()); x.KeepMS > most {
+			f = append(f, problem.Fault{Place: fmt.Sprintf("$.spaces[%d].keep_ms", i), Say: fmt.Sprintf("must be at most ten times the fleet's keeping (%d), is %d", most, x.KeepMS)})
+		}
+	}
+	return description.Bad(f)
+}
+
+func outcome(doubt bool, err error) error {
+	if !doubt {
+		return err
+	}
+	p := problem.New(problem.OutcomeUnknown, "the description may or may not have been accepted; read it back to learn which: %v", err)
+	p.Current = problem.Of(err).Current
+	return p
+}
+
+func (s *Service) accepted(d description.Description) *Accepted {
+	s.Board.Offer(gossip.News{Description: &d})
+	return &Accepted{Sequence: d.Sequence, KeptLanes: d.KeptLanes()}
+}
+
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -16,7 +16,8 @@
 // Reader reads an operator's own document as a description that builds on base.
 type Reader = func(doc []byte, base uint64) (description.Description, error)
 
-// SubmitTask hands an operator's own document over to a control node, deflated, under the name that its change is to have.
+// SubmitTask hands an operator's own document over to a control node, deflated. By is the change's name for older
+// builds, which take a change without one for a repeat; in this build the name follows from the order itself.
 type SubmitTask struct {
 	Base uint64 `json:"b"`
 	By   string `json:"n"`
@@ -34,36 +35,36 @@
 
 // Submit takes an operator's own document, read with the Reader, and goes on for the time of a call when the asker has gone, since a
 // description half taken helps nobody. A node without a control disk has a control node do it, as it takes a hundred times the work of a
-// message and several times the document's bytes; where that doesn't answer it goes on itself, under the same name.
+// message and several times the document's bytes; where that doesn't answer it goes on itself: the change has the same name wherever it is
+// made, so it is made once.
 func (s *Service) Submit(ctx context.Context, doc []byte, base uint64, read Reader) error {
 	ctx, stop := s.limit(context.WithoutCancel(ctx))
 	defer stop()
-	by := client.Name()
-	doubt, err := s.hand(ctx, doc, base, by)
+	doubt, err := s.forward(ctx, doc, base)
 	if err == nil || final[problem.Of(err).Kind] {
 		return err
 	}
-	return s.take(ctx, doc, base, by, doubt, read)
+	return s.take(ctx, doc, base, doubt, read)
 }
 
 // final problems are those after which a control node surely did nothing, nor will, and no other would.
 var final = map[problem.Kind]bool{problem.DescriptionRaced: true, problem.DescriptionBad: true, problem.Malformed: true, problem.Oversize: true}
 
-func (s *Service) hand(ctx context.Context, doc []byte, base uint64, by string) (doubt bool, err error) {
+func (s *Service) forward(ctx context.Context, doc []byte, base uint64) (doubt bool, err error) {
 	b, err := deflate(doc)
 	if err != nil {
 		return false, err
 	}
-	sent, err := client.Once(ctx, s.Client, Submit, &SubmitTask{Base: base, By: by, Doc: b})
+	sent, err := client.Once(ctx, s.Client, Submit, &SubmitTask{Base: base, By: client.Name(), Doc: b})
 	return sent && !problem.Has(err, problem.NotReady), err
 }
 
-func (s *Service) take(ctx context.Context, doc []byte, base uint64, by string, doubt bool, read Reader) error {
+func (s *Service) take(ctx context.Context, doc []byte, base uint64, doubt bool, read Reader) error {
 	d, err := read(doc, base)
 	if err != nil {
 		return err
 	}
-	_, err = s.say(s.replace(ctx, d.Whole(), by, doubt))
+	_, err = s.report(s.replace(ctx, d.Whole(), doubt))
 	return err
 }
 
@@ -80,7 +81,7 @@
 		}
 		ctx, stop := s.limit(context.WithoutCancel(ctx))
 		defer stop()
-		if err := s.take(ctx, doc, q.Base, q.By, false, *read); err != nil {
+		if err := s.take(ctx, doc, q.Base, false, *read); err != nil {
 			return nil, err
 		}
 		return &SubmitAnswer{}, nil
