--- a/internal/operator/replace.go
+++ b/internal/operator/replace.go
@@ -157,4 +157,3 @@
 	s.Board.Offer(gossip.News{Description: &d})
 	return &Accepted{Sequence: d.Sequence, KeptLanes: d.KeptLanes()}
 }
-
--- /dev/null
+++ b/internal/placement/duty/owners.go
@@ -0,0 +1,129 @@
+package duty
+
+import (
+	"fmt"
+	"time"
+
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/record"
+)
+
+func (d *Duty) heir(s *scene, r record.Record, not string) (record.Place, bool) {
+	var best record.Place
+	found := false
+	for _, p := range r.Replicas {
+		if p.Node == not || !s.canOwn(p) {
+			continue
+		}
+		if !found || d.better(s, r, p, best) {
+			best, found = p, true
+		}
+	}
+	return best, found
+}
+
+func (d *Duty) better(s *scene, r record.Record, p, q record.Place) bool {
+	a, b := s.m[p.Node], s.m[q.Node]
+	if a.out != b.out {
+		return b.out
+	}
+	if (a.Disk == options.DiskStorage) != (b.Disk == options.DiskStorage) {
+		return a.Disk == options.DiskStorage
+	}
+	if a.load != b.load {
+		return a.load < b.load
+	}
+	if a.owns != b.owns {
+		return a.owns < b.owns
+	}
+	return p.Node < q.Node
+}
+
+func (d *Duty) owner(s *scene, r record.Record) bool {
+	me, ok := r.Place(r.Owner)
+	reason := ""
+	switch m := s.m[r.Owner]; {
+	case !ok || m != nil && m.Incarnation != me.Incarnation:
+		reason = "the owner's disk is another one"
+	case m == nil:
+		if s.now.Sub(d.gone[r.Owner]) < d.early(s) {
+			return true
+		}
+		reason = "the owner is gone"
+	case m.Fitness != "":
+		reason = "the owner's disk fails: " + m.Fitness
+	case m.Stage != member.Serving:
+		reason = "the owner is stopping"
+	case m.Deaf && s.now.Sub(d.deaf[r.Owner]) >= d.Bounds.Session()/2:
+		reason = "the owner has no licence: it is heard but does not hear"
+	case m.slow && m.slowFor >= d.Bounds.Session()/2:
+		if _, ok := d.heir(s, r, r.Owner); !ok || !r.Settled {
+			return false
+		}
+		reason = fmt.Sprintf("the owner is slow: its pulses take %s, %s are usual", time.Duration(m.Lag)*time.Microsecond, s.usual)
+	case m.out && len(r.Replicas) <= s.copies:
+		if h, ok := d.heir(s, r, r.Owner); !ok || s.m[h.Node].out || !r.Settled {
+			return false
+		}
+		reason = "the owner is being emptied"
+	case !r.Settled && s.now.Sub(d.opened[r.Partition]) > 2*d.Bounds.Settle():
+		reason = "the take-over did not finish in " + (2 * d.Bounds.Settle()).String()
+	default:
+		return false
+	}
+	alive := 0
+	for _, p := range r.Replicas {
+		if s.usable(p) {
+			alive++
+		}
+	}
+	h, ok := d.heir(s, r, r.Owner)
+	if !ok || alive < r.Majority() {
+		return true
+	}
+	w := s.weight(r)
+	d.write(r, r.Next(h.Node, r.Replicas, reason, s.now))
+	s.give(h.Node, w)
+	return true
+}
+
+func (d *Duty) balance(s *scene) {
+	if s.now.Sub(d.moved) < d.Bounds.Repair()/2 {
+		return
+	}
+	var most *machine
+	for _, m := range s.m {
+		if most == nil || m.load > most.load || m.load == most.load && m.Name < most.Name {
+			most = m
+		}
+	}
+	if most == nil {
+		return
+	}
+	best, to, low := record.Record{}, record.Place{}, most.load
+	for p := range len(d.recs) {
+		r := d.recs[p]
+		if r.Owner != most.Name || !r.Settled || r.Learner != nil || len(r.Replicas) != s.copies {
+			continue
+		}
+		for _, q := range r.Replicas {
+			if !s.canOwn(q) {
+				return
+			}
+		}
+		h, ok := d.heir(s, r, r.Owner)
+		if !ok || s.m[h.Node].out || s.m[h.Node].Disk != options.DiskStorage {
+			continue
+		}
+		w := s.weight(r)
+		if after := max(most.load-w, s.m[h.Node].load+w); after < low {
+			best, to, low = r, h, after
+		}
+	}
+	if most.load-low < max(idle, most.load*worthPercent/100) {
+		return
+	}
+	d.moved = s.now
+	d.write(best, best.Next(to.Node, best.Replicas, fmt.Sprintf("load was uneven: %s took %.1f a second, %s %.1f", most.Name, most.load, to.Node, s.m[to.Node].load), s.now))
+}
--- /dev/null
+++ b/internal/placement/duty/scene.go
@@ -0,0 +1,170 @@
+package duty
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/placement/record"
+)
+
+type machine struct {
+	member.Info
+	holds, owns int
+	load        float64
+	out         bool
+	slow        bool
+	slowFor     time.Duration
+}
+
+// idle is the load of a partition that takes nothing, in messages a second: what its pulses cost.
+const idle = 1
+
+func (s *scene) weight(r record.Record) float64 {
+	if m, ok := s.m[r.Owner]; ok {
+		return idle + m.Loads[r.Partition]
+	}
+	return idle
+}
+
+func (s *scene) give(h string, w float64) {
+	s.m[h].owns++
+	s.m[h].load += w
+}
+
+type scene struct {
+	now    time.Time
+	m      map[string]*machine
+	stores int
+	// copies is how many disks are to hold a partition.
+	copies int
+	drains drain.Book
+	usual  time.Duration
+}
+
+func (s *scene) usable(p record.Place) bool {
+	m, ok := s.m[p.Node]
+	return ok && m.Incarnation == p.Incarnation && m.Fitness == ""
+}
+
+// emptied tells whether a machine that is gone was asked to be emptied, so that it is not waited for.
+func (s *scene) emptied(node string) bool {
+	_, ok := s.drains[node]
+	return ok
+}
+
+// fit tells whether a machine may be given a copy.
+func (s *scene) fit(m *machine) bool {
+	return m != nil && !m.out && m.Fitness == "" && !m.Deaf && m.Stage == member.Serving && (m.Disk == options.DiskStorage || s.stores < s.copies)
+}
+
+func (s *scene) canOwn(p record.Place) bool {
+	return s.usable(p) && s.m[p.Node].Stage == member.Serving && !s.m[p.Node].Deaf && !s.m[p.Node].slow
+}
+
+func (d *Duty) scene(ctx context.Context) (*scene, error) {
+	s := &scene{now: d.Clock.Now(), m: map[string]*machine{}, copies: d.Board.Roster().Layout.Copies()}
+	v, err := d.Client.Read(ctx, drain.Key)
+	if err != nil {
+		return nil, err
+	}
+	s.drains = drain.Parse(v.Body)
+	for _, i := range d.Live() {
+		if i.Disk == options.DiskNone {
+			continue
+		}
+		dr, out := s.drains[i.Name]
+		if out && dr.Done && dr.Boot != i.Boot {
+			out = false
+		}
+		s.m[i.Name] = &machine{Info: i, out: out}
+		if i.Disk == options.DiskStorage && !out && i.Fitness == "" {
+			s.stores++
+		}
+	}
+	for _, r := range d.recs {
+		for _, p := range r.Replicas {
+			if m, ok := s.m[p.Node]; ok {
+				m.holds++
+				if r.Owner == p.Node {
+					m.owns++
+					m.load += s.weight(r)
+				}
+			}
+		}
+		if r.Learner != nil {
+			if m, ok := s.m[r.Learner.Node]; ok {
+				m.holds++
+			}
+		}
+	}
+	d.lags(s)
+	defer d.newcomers(s)
+	for n, m := range s.m {
+		delete(d.gone, n)
+		if !m.Deaf {
+			delete(d.deaf, n)
+		} else if d.deaf[n].IsZero() {
+			d.deaf[n] = s.now
+		}
+	}
+	for _, r := range d.recs {
+		for _, p := range r.Replicas {
+			if _, ok := s.m[p.Node]; !ok && d.gone[p.Node].IsZero() {
+				d.gone[p.Node] = s.now
+			}
+		}
+	}
+	return s, nil
+}
+
+// newcomers notes the storage machines that hold nothing: they take the place of one that is gone, all of it.
+func (d *Duty) newcomers(s *scene) {
+	for n := range d.gone {
+		if !slices.ContainsFunc(slices.Collect(maps.Values(d.recs)), func(r record.Record) bool { _, ok := r.Place(n); return ok }) {
+			delete(d.gone, n)
+		}
+	}
+	for n := range d.fresh {
+		if m, ok := s.m[n]; !ok || m.holds > 0 && len(d.gone) == 0 {
+			delete(d.fresh, n)
+		}
+	}
+	for n, m := range s.m {
+		if _, ok := d.fresh[n]; !ok && m.Disk == options.DiskStorage && m.holds == 0 && s.fit(m) {
+			d.fresh[n] = s.now
+		}
+	}
+}
+
+// lags finds machines whose pulses take much longer than is usual among those with a disk, and for how long.
+func (d *Duty) lags(s *scene) {
+	var ls []int64
+	for _, m := range s.m {
+		ls = append(ls, m.Lag)
+	}
+	slices.Sort(ls)
+	if len(ls) == 0 {
+		return
+	}
+	s.usual = time.Duration(ls[len(ls)/2]) * time.Microsecond
+	for n, m := range s.m {
+		lag := time.Duration(m.Lag) * time.Microsecond
+		switch since := d.slow[n]; {
+		case lag > max(options.SlowTimes*s.usual, d.Bounds.Slow()):
+			if since.IsZero() {
+				since = s.now
+				d.slow[n] = s.now
+			}
+			m.slow, m.slowFor = true, s.now.Sub(since)
+		case lag < max(options.SlowTimes*s.usual, d.Bounds.Slow())/2:
+			delete(d.slow, n)
+		default:
+			m.slow = !since.IsZero()
+		}
+	}
+}
