Emptying: orders outlive processes and disks; final answers rest on a majority

Cause: the order to empty a machine was keyed by the machine's process. Once done it was dropped when the process started again: copies moved back to a machine about to be taken away, and its state went from completed to not asked for. Whether a machine is known, and whether too few would be left, was judged by the asked node's own table, which lags or is cut off. A list of drains that could not be read counted as empty. Ruled out: keying by disk alone (a machine wiped on its way out would serve again at once), a clock of the order's age (clocks differ), a quorum read of all records for each question (says nothing of a change that is still under way). Change: an order stands until its machine was away for the keeping time, or stood there as long with another disk; done never goes back. Before an order is done the placement duty writes every record again, so that what a former holder of the duty decided before the order is refused. 404, 409 and already_empty are made only from confirmed values (a type of the operator package; a test reads its source), the machines come from a majority of the control nodes. Lists are bounded (1,024), and one that can't be read is an error (event 608). Tests: TestARestartDoesNotEndAnEmptying, TestAnEmptyingOutlivesItsMachinesProcessAndDisk, TestAnEmptyingFencesWhatWasDecidedBefore: red before (the last with the fence taken out). TestACutNodeGivesNoFinalAnswers held before too: the reads that came first failed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -79,6 +79,7 @@
 	DrainDone     = entry(605, hclog.Info, "machine is empty")
 	DrainReturned = entry(606, hclog.Info, "emptied machine returned")
 	HandedOver    = entry(607, hclog.Info, "duties handed over")
+	DrainTrouble  = entry(608, hclog.Warn, "the drains could not be read or written")
 
 	StreamFenced = entry(700, hclog.Debug, "stream ended: a newer attachment took over")
 	StreamSlow   = entry(701, hclog.Info, "stream ended: its reader was too slow")
--- /dev/null
+++ b/internal/operator/drains.go
@@ -0,0 +1,173 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"postjunction/internal/control/client"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/event"
+	"postjunction/internal/gather"
+	"postjunction/internal/member"
+	"postjunction/internal/options"
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+// drainList is the list of drains with the count of writes that a change of it builds on.
+type drainList struct {
+	writes uint64
+	list   drain.List
+}
+
+func parseDrains(v voter.Value) (drainList, error) {
+	l, err := drain.Parse(v.Body)
+	return drainList{v.Writes, l}, err
+}
+
+// Drains lists the machines that are being or were emptied.
+func (s *Service) Drains(ctx context.Context) (any, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	c, err := readAs(ctx, s, drain.Key, parseDrains)
+	if err != nil {
+		return nil, err
+	}
+	return map[string]any{"drains": c.value.list.Sorted()}, nil
+}
+
+// Emptying tells how far the emptying of a machine is. One that held nothing when it was asked for counts as done.
+func (s *Service) Emptying(ctx context.Context, node string) (drain.Drain, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	c, err := readAs(ctx, s, drain.Key, parseDrains)
+	if err != nil {
+		return drain.Drain{}, err
+	}
+	if x, ok := c.value.list[node]; ok {
+		return x, nil
+	}
+	x, err := s.judge(ctx, node, c)
+	switch {
+	case problem.Has(err, problem.AlreadyEmpty):
+		return x, nil
+	case err != nil && !problem.Has(err, problem.DrainUnsafe):
+		return drain.Drain{}, err
+	}
+	return drain.Drain{}, c.refuse(problem.UnknownNode, "the emptying of %q was not asked for", node)
+}
+
+// Drain asks for a machine to be emptied. The order is recorded and carried out whoever has the placement duty. The same
+// order again is a yes, or already_empty once it is done.
+func (s *Service) Drain(ctx context.Context, node string) (any, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	for {
+		c, err := readAs(ctx, s, drain.Key, parseDrains)
+		if err != nil {
+			return nil, err
+		}
+		if x := c.value.list[node]; c.value.list.Out(node) {
+			if x.Done {
+				return nil, c.refuse(problem.AlreadyEmpty, "%s was emptied before", node)
+			}
+			return x, nil
+		}
+		x, err := s.judge(ctx, node, c)
+		if err != nil {
+			return nil, err
+		}
+		if !c.value.list.Add(x) {
+			return nil, c.refuse(problem.DrainUnsafe, "%d machines are being emptied, which is the most", drain.ListMost)
+		}
+		_, err = s.Client.Change(ctx, drain.Key, c.value.writes, client.Name(), c.value.list.Pack())
+		if err == nil {
+			s.Log.Say(event.DrainAsked, "node", node, "partitions", x.Left)
+			return x, nil
+		}
+		again := problem.Has(err, problem.StaleBase) || problem.Has(err, problem.StaleRoster) && s.Clock.Sleep(ctx, s.Bounds.Retry()) == nil
+		if !again || ctx.Err() != nil {
+			return nil, outcome(true, err)
+		}
+	}
+}
+
+// judge makes the order to empty a machine, or tells why that can't be asked for. It rests on all records, each read by
+// quorum, and on the machines that a majority of the control nodes knows.
+func (s *Service) judge(ctx context.Context, node string, drains confirmed[drainList]) (drain.Drain, error) {
+	left, err := s.holdings(ctx, node)
+	if err != nil {
+		return drain.Drain{}, err
+	}
+	all, err := s.askMajority(ctx)
+	if err != nil {
+		return drain.Drain{}, err
+	}
+	seen := all.value[node]
+	x := drain.Drain{Node: node, Asked: time.Now().UTC(), Left: left.value}
+	storage, withDisk := false, len(seen) == 0 && left.value > 0
+	for _, i := range seen {
+		x.Boot, x.Disk = i.Boot, i.Incarnation
+		storage = storage || i.Disk == options.DiskStorage
+		withDisk = withDisk || i.Disk != options.DiskNone
+	}
+	if !withDisk {
+		return x, all.refuse(problem.UnknownNode, "%q is no machine with a disk of this fleet", node)
+	}
+	if left.value == 0 && !storage {
+		x.Done = true
+		return x, all.refuse(problem.AlreadyEmpty, "%s holds no partition", node)
+	}
+	rest, needed := serving(all.value, drains.value.list, node), s.Board.Roster().Layout.Copies()
+	if rest < needed {
+		return x, all.refuse(problem.DrainUnsafe, "without %s only %d machines with disks serve, %d are needed to bear a loss", node, rest, needed)
+	}
+	return x, nil
+}
+
+// parseRecord reads a partition's record; one that was never written names nobody.
+func parseRecord(p int, v voter.Value) (record.Record, error) {
+	if len(v.Body) == 0 {
+		return record.Record{Partition: p}, nil
+	}
+	r, err := record.Parse(v.Body, v.Writes)
+	return r, problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
+}
+
+// holdings counts the records that name a machine.
+func (s *Service) holdings(ctx context.Context, node string) (c confirmed[int], err error) {
+	var ps []int
+	for p := range s.Board.Roster().Layout.Count() {
+		ps = append(ps, p)
+	}
+	for _, a := range gather.Ask(ctx, ps, func(ctx context.Context, p int) (confirmed[bool], error) {
+		return readAs(ctx, s, record.Key(p), func(v voter.Value) (bool, error) {
+			r, err := parseRecord(p, v)
+			return r.Holds(node), err
+		})
+	}, nil) {
+		if a.Err != nil {
+			return c, a.Err
+		}
+		if a.A.value {
+			c.value++
+		}
+	}
+	return c, nil
+}
+
+// serving counts the other machines that can hold copies: those that some control node of the majority knows as such.
+func serving(all machines, drains drain.List, but string) int {
+	n := 0
+	for name, seen := range all {
+		able := false
+		for _, i := range seen {
+			able = able || i.Disk != options.DiskNone && i.Fitness == "" && i.Stage == member.Serving
+		}
+		if able && name != but && !drains.Out(name) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/operator/final_test.go
@@ -0,0 +1,73 @@
+package operator
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// finalKinds are the refusals that end an operator's call for good.
+var finalKinds = map[string]bool{"DescriptionRaced": true, "DescriptionNone": true, "UnknownNode": true, "DrainUnsafe": true, "AlreadyEmpty": true}
+
+// Final refusals are made from confirmed values only, and confirmed values only where a majority has answered.
+func TestFinalAnswersRestOnAMajority(t *testing.T) {
+	files, err := parser.ParseDir(token.NewFileSet(), ".", nil, 0)
+	assert.NilError(t, err)
+	makers := map[string]bool{"readAs": true, "with": true, "askMajority": true}
+	refusals := 0
+	for path, f := range files["operator"].Files {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		for _, d := range f.Decls {
+			fn, ok := d.(*ast.FuncDecl)
+			if !ok {
+				continue
+			}
+			ast.Inspect(fn, func(n ast.Node) bool {
+				switch x := n.(type) {
+				case *ast.CallExpr:
+					name := called(x)
+					if kind := firstKind(x); finalKinds[kind] && name != "Has" {
+						assert.Equal(t, name, "refuse", "%s: %s makes %s", path, fn.Name.Name, kind)
+						refusals++
+					}
+				case *ast.CompositeLit:
+					if ix, ok := x.Type.(*ast.IndexExpr); ok {
+						if id, ok := ix.X.(*ast.Ident); ok && id.Name == "confirmed" {
+							assert.Assert(t, makers[fn.Name.Name], "%s: %s makes a confirmed value", path, fn.Name.Name)
+						}
+					}
+				}
+				return true
+			})
+		}
+	}
+	assert.Assert(t, refusals >= 6, "%d refusals were seen", refusals)
+}
+
+func called(x *ast.CallExpr) string {
+	switch f := x.Fun.(type) {
+	case *ast.SelectorExpr:
+		return f.Sel.Name
+	case *ast.Ident:
+		return f.Name
+	}
+	return ""
+}
+
+// firstKind gives the kind of problem that a call is given, "" for none.
+func firstKind(x *ast.CallExpr) string {
+	for _, a := range x.Args {
+		if s, ok := a.(*ast.SelectorExpr); ok {
+			if p, ok := s.X.(*ast.Ident); ok && p.Name == "problem" {
+				return s.Sel.Name
+			}
+		}
+	}
+	return ""
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,20 +4,15 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"postjunction/internal/clock"
 	"postjunction/internal/control/client"
-	"postjunction/internal/control/confirm"
 	"postjunction/internal/control/roster"
 	"postjunction/internal/control/voter"
-	"postjunction/internal/description"
 	"postjunction/internal/event"
 	"postjunction/internal/gather"
 	"postjunction/internal/gossip"
@@ -26,19 +21,18 @@
 	"postjunction/internal/member"
 	"postjunction/internal/options"
 	"postjunction/internal/partition"
-	"postjunction/internal/placement/drain"
 	"postjunction/internal/placement/record"
 	"postjunction/internal/problem"
 	"postjunction/internal/usage"
 	"postjunction/internal/visitor/turned"
-
-	"github.com/mailru/easyjson"
+	"postjunction/internal/wire"
 )
 
 // Service serves operators on one node.
 type Service struct {
 	Clock    clock.Clock
 	Bounds   options.Bounds
+	Net      wire.Network
 	Client   *client.Client
 	Board    *gossip.Board
 	View     *member.View
@@ -62,43 +56,6 @@
 	return context.WithTimeout(ctx, deadlineShare*s.Bounds.Call())
 }
 
-// Description reads the current description back, confirmed by a majority.
-func (s *Service) Description(ctx context.Context) (any, error) {
-	d, err := s.Current(ctx)
-	if err != nil {
-		return nil, err
-	}
-	d.Lanes = description.Lanes{}
-	return json.RawMessage(d.Pack()), nil
-}
-
-// Current gives the current description, confirmed by a majority.
-func (s *Service) Current(ctx context.Context) (description.Description, error) {
-	ctx, stop := s.limit(ctx)
-	defer stop()
-	v, err := s.read(ctx, confirm.Key)
-	if err != nil {
-		return description.Description{}, err
-	}
-	if len(v.Body) == 0 {
-		return description.Description{}, problem.New(problem.DescriptionNone, "no description was put yet")
-	}
-	return parse(v.Body)
-}
-
-// read reads a control key; while the voters change nobody can tell, and it asks again.
-func (s *Service) read(ctx context.Context, key string) (voter.Value, error) {
-	v, err := s.Client.Read(ctx, key)
-	for problem.Has(err, problem.StaleRoster) && s.Clock.Sleep(ctx, s.Bounds.Retry()) == nil {
-		v, err = s.Client.Read(ctx, key)
-	}
-	return v, err
-}
-
-func parse(b []byte) (d description.Description, err error) {
-	return d, problem.Wrap(problem.Internal, easyjson.Unmarshal(b, &d), "read the current description")
-}
-
 // Status is what a node knows of the fleet.
 type Status struct {
 	Node        member.Info     `json:"node"`
@@ -191,113 +148,13 @@
 	}
 	ctx, stop := s.limit(ctx)
 	defer stop()
-	v, err := s.read(ctx, record.Key(p))
+	c, err := readAs(ctx, s, record.Key(p), func(v voter.Value) (record.Record, error) { return parseRecord(p, v) })
 	if err != nil {
 		return nil, err
 	}
-	r := record.Record{Partition: p}
-	if len(v.Body) > 0 {
-		if r, err = record.Parse(v.Body, v.Writes); err != nil {
-			return nil, problem.Wrap(problem.Internal, err, "read the record of partition %d", p)
-		}
-	}
-	d := Detail{Topic: topic, Urgent: partition.Urgent(p, l), Record: r}
+	d := Detail{Topic: topic, Urgent: partition.Urgent(p, l), Record: c.value}
 	cx, end := context.WithTimeout(ctx, s.Bounds.Call())
 	defer end()
 	d.Withdrawn, _ = s.Marks(cx, p)
 	return d, nil
 }
-
-// Drains lists the machines that are being or were emptied.
-func (s *Service) Drains(ctx context.Context) (any, error) {
-	ctx, stop := s.limit(ctx)
-	defer stop()
-	v, err := s.read(ctx, drain.Key)
-	if err != nil {
-		return nil, err
-	}
-	ds := []drain.Drain{}
-	for _, d := range drain.Parse(v.Body) {
-		ds = append(ds, d)
-	}
-	sort.Slice(ds, func(a, b int) bool { return ds[a].Node < ds[b].Node })
-	return map[string]any{"drains": ds}, nil
-}
-
-// Drain asks for a machine to be emptied. The duty is recorded and goes on whoever runs it.
-func (s *Service) Drain(ctx context.Context, node string) (any, error) {
-	ctx, stop := s.limit(ctx)
-	defer stop()
-	for {
-		v, err := s.read(ctx, drain.Key)
-		if err != nil {
-			return nil, err
-		}
-		b := drain.Parse(v.Body)
-		if x, ok := b[node]; ok {
-			if x.Done {
-				return nil, problem.New(problem.AlreadyEmpty, "%s was emptied before", node)
-			}
-			return x, nil
-		}
-		x, err := s.askable(ctx, node, b)
-		if err != nil {
-			return nil, err
-		}
-		b[node] = x
-		if _, err := s.Client.Change(ctx, drain.Key, v.Writes, client.Name(), b.Pack()); err != nil {
-			if problem.Has(err, problem.StaleBase) || problem.Has(err, problem.StaleRoster) && s.Clock.Sleep(ctx, s.Bounds.Retry()) == nil {
-				continue
-			}
-			return nil, outcome(true, err)
-		}
-		s.Log.Say(event.DrainAsked, "node", node, "partitions", x.Left)
-		return x, nil
-	}
-}
-
-func (s *Service) askable(ctx context.Context, node string, b drain.Book) (drain.Drain, error) {
-	left, known := 0, false
-	var ps []int
-	for p := range s.Board.Roster().Layout.Count() {
-		ps = append(ps, p)
-	}
-	for _, a := range gather.Ask(ctx, ps, func(ctx context.Context, p int) (bool, error) {
-		v, err := s.read(ctx, record.Key(p))
-		if err != nil {
-			return false, err
-		}
-		r, err := record.Parse(v.Body, v.Writes)
-		return err == nil && r.Holds(node), nil
-	}, nil) {
-		if a.Err != nil {
-			return drain.Drain{}, a.Err
-		}
-		if a.A {
-			left++
-			known = true
-		}
-	}
-	rest := 0
-	var me member.Info
-	for _, i := range s.View.All() {
-		if i.Name == node {
-			me, known = i, true
-			continue
-		}
-		if x, out := b[i.Name]; i.Disk == options.DiskNone || i.Fitness != "" || i.Stage != member.Serving || out && x.Boot == i.Boot {
-			continue
-		}
-		rest++
-	}
-	if !known || me.Name != "" && me.Disk == options.DiskNone {
-		return drain.Drain{}, problem.New(problem.UnknownNode, "%q is no machine with a disk of this fleet", node)
-	}
-	if left == 0 && me.Disk != options.DiskStorage {
-		return drain.Drain{}, problem.New(problem.AlreadyEmpty, "%s holds no partition", node)
-	}
-	if n := s.Board.Roster().Layout.Copies(); rest < n {
-		return drain.Drain{}, problem.New(problem.DrainUnsafe, "without %s only %d machines with disks serve, %d are needed to bear a loss", node, rest, n)
-	}
-	return drain.Drain{Node: node, Boot: me.Boot, Asked: time.Now().UTC(), Left: left, Done: left == 0}, nil
-}
--- /dev/null
+++ b/internal/operator/quorum.go
@@ -0,0 +1,73 @@
+package operator
+
+import (
+	"context"
+
+	"postjunction/internal/control/roster"
+	"postjunction/internal/control/voter"
+	"postjunction/internal/gather"
+	"postjunction/internal/member"
+	"postjunction/internal/problem"
+)
+
+// confirmed is a value that a majority of voters stood for after the operator had asked. Only readAs and askMajority make
+// one, and final answers, refusals among them, are made from nothing else: a node that is cut off, lags or was away says
+// that it can't tell. A test reads this package's source for that.
+type confirmed[T any] struct{ value T }
+
+// refuse makes a final refusal that rests on the confirmed value.
+func (c confirmed[T]) refuse(k problem.Kind, f string, a ...any) *problem.Problem {
+	return problem.New(k, f, a...)
+}
+
+// with gives another value that follows from this one.
+func with[T, U any](c confirmed[T], f func(T) (U, error)) (confirmed[U], error) {
+	u, err := f(c.value)
+	return confirmed[U]{u}, err
+}
+
+// readAs reads a control key by quorum. While the voters change nobody can tell, and it asks again.
+func readAs[T any](ctx context.Context, s *Service, key string, parse func(voter.Value) (T, error)) (c confirmed[T], err error) {
+	v, err := s.Client.Read(ctx, key)
+	for problem.Has(err, problem.StaleRoster) && s.Clock.Sleep(ctx, s.Bounds.Retry()) == nil {
+		v, err = s.Client.Read(ctx, key)
+	}
+	if err != nil {
+		return c, err
+	}
+	return with(confirmed[voter.Value]{v}, parse)
+}
+
+// machines are nodes by name, as several control nodes know them.
+type machines map[string][]member.Info
+
+// askMajority asks the control nodes which machines they know until a majority of the voters has answered.
+func (s *Service) askMajority(ctx context.Context) (c confirmed[machines], err error) {
+	r := s.Board.Roster()
+	cx, stop := context.WithTimeout(ctx, s.Bounds.Call())
+	defer stop()
+	as := gather.Ask(cx, r.Seats, s.known, func(as []gather.Answer[roster.Seat, []member.Info]) bool { return len(gather.Good(as)) >= r.Majority() })
+	good := gather.Good(as)
+	if r.Sequence == 0 || len(good) < r.Majority() {
+		return c, problem.Because(problem.NoMajority, gather.First(as), "%d of %d control nodes told which machines they know", len(good), len(r.Seats))
+	}
+	c.value = machines{}
+	for _, a := range good {
+		for _, i := range a.A {
+			c.value[i.Name] = append(c.value[i.Name], i)
+		}
+	}
+	return c, nil
+}
+
+// known asks the control node of a seat which machines it knows, itself among them.
+func (s *Service) known(ctx context.Context, to roster.Seat) ([]member.Info, error) {
+	a, err := member.Hello.Call(ctx, s.Net, s.Info().Name, to.Addr, &member.HelloTask{})
+	if err != nil {
+		return nil, err
+	}
+	if a.Info.Incarnation != to.Incarnation {
+		return nil, problem.New(problem.WrongDisk, "%s has another disk than its seat", to.Node)
+	}
+	return append(a.Known, a.Info), nil
+}
--- a/internal/operator/replace.go
+++ b/internal/operator/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 
 	"postjunction/internal/control/confirm"
@@ -20,6 +21,30 @@
 	KeptLanes []description.Lane `json:"kept_lanes,omitempty"`
 }
 
+// Description reads the current description back, confirmed by a majority.
+func (s *Service) Description(ctx context.Context) (any, error) {
+	d, err := s.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d.Lanes = description.Lanes{}
+	return json.RawMessage(d.Pack()), nil
+}
+
+// Current gives the current description, confirmed by a majority.
+func (s *Service) Current(ctx context.Context) (description.Description, error) {
+	ctx, stop := s.limit(ctx)
+	defer stop()
+	c, err := readAs(ctx, s, confirm.Key, parseRegister)
+	if err != nil {
+		return description.Description{}, err
+	}
+	if c.value.current.Sequence == 0 {
+		return description.Description{}, c.refuse(problem.DescriptionNone, "no description was put yet")
+	}
+	return c.value.current, nil
+}
+
 // Put takes a whole description, built on the sequence last seen.
 func (s *Service) Put(ctx context.Context, b []byte) (any, error) {
 	d, err := description.Parse(b)
@@ -87,14 +112,11 @@
 // try reads the register by quorum and, where the order builds on what stands there, changes it on the count that was
 // read. All tries of an order share the change's name, so the register takes it once.
 func (s *Service) try(ctx context.Context, d description.Description, o accepted.Order) (*Accepted, error) {
-	v, err := s.Client.Read(ctx, confirm.Key)
-	if err != nil {
-		return nil, err
-	}
-	cur, log, err := current(v)
+	c, err := readAs(ctx, s, confirm.Key, parseRegister)
 	if err != nil {
 		return nil, err
 	}
+	cur, log := c.value.current, c.value.log
 	switch {
 	case log.Holds(o) && o.Sequence == cur.Sequence:
 		return s.accepted(cur), nil
@@ -103,7 +125,7 @@
 	case !log.Knows(o):
 		return nil, problem.New(problem.OutcomeUnknown, "which orders were accepted up to %d is no longer known; current is %d", log.Forgotten, cur.Sequence).At(cur.Sequence)
 	case cur.Sequence != d.Base:
-		return nil, problem.New(problem.DescriptionRaced, "the description builds on %d, current is %d", d.Base, cur.Sequence).At(cur.Sequence)
+		return nil, c.refuse(problem.DescriptionRaced, "the description builds on %d, current is %d", d.Base, cur.Sequence).At(cur.Sequence)
 	}
 	n, err := s.stand(ctx, d, cur)
 	if err != nil {
@@ -113,24 +135,33 @@
 	if len(body) > description.PackedMost {
 		return nil, problem.New(problem.Oversize, "the description takes %d bytes with its source, the limit is %d", len(body), description.PackedMost)
 	}
-	q := &holder.ChangeTask{Key: confirm.Key, Base: v.Writes, By: o.Name(), Body: body, Memory: log.With(o).Pack()}
+	q := &holder.ChangeTask{Key: confirm.Key, Base: c.value.writes, By: o.Name(), Body: body, Memory: log.With(o).Pack()}
 	if _, err := s.Client.Write(ctx, q); err != nil {
 		return nil, err
 	}
 	return s.accepted(n), nil
 }
 
-// current reads the description and the log of accepted orders out of their register. Older builds wrote no log.
-func current(v voter.Value) (description.Description, accepted.Log, error) {
-	d, err := confirm.Parse(v)
-	if err != nil {
-		return d, accepted.Log{}, problem.Wrap(problem.Internal, err, "read the current description")
+// register is what the description's register holds: the current description, the log of accepted orders, and the count
+// of writes that a change builds on.
+type register struct {
+	writes  uint64
+	current description.Description
+	log     accepted.Log
+}
+
+// parseRegister reads the description's register. Older builds wrote no log.
+func parseRegister(v voter.Value) (r register, err error) {
+	r.writes = v.Writes
+	if r.current, err = confirm.Parse(v); err != nil {
+		return r, problem.Wrap(problem.Internal, err, "read the current description")
 	}
 	if len(v.Memory) == 0 {
-		return d, accepted.Since(d), nil
+		r.log = accepted.Since(r.current)
+		return r, nil
 	}
-	log, err := accepted.Parse(v.Memory)
-	return d, log, err
+	r.log, err = accepted.Parse(v.Memory)
+	return r, err
 }
 
 // check finds the faults that need no other description, those against the fleet's bounds among them.
--- a/internal/placement/drain/drain.go
+++ b/internal/placement/drain/drain.go
@@ -1,37 +1,95 @@
-// Package drain keeps the recorded duty of emptying machines.
+// Package drain keeps the recorded orders to empty machines.
+//
+// An order stands in a control register until its machine serves again, whatever process or disk the machine comes back
+// with meanwhile. Invariants: an order that is Done stays Done; while an order stands and its machine is not Back, no copy
+// is placed on the machine.
 package drain
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
+
+	"postjunction/internal/problem"
 )
 
 // Key is the control key of all drains.
 const Key = "duty/drain"
 
-// Drain is the emptying of one machine.
+// ListMost is how many orders are kept. Past it, orders whose machines serve again or are away are forgotten, oldest first.
+const ListMost = 1024
+
+// Drain is the order to empty one machine.
 type Drain struct {
-	Node  string    `json:"node"`
-	Boot  string    `json:"boot"`
+	Node string `json:"node"`
+	// Boot is the process that the order last met; only older builds go by it.
+	Boot string `json:"boot"`
+	// Disk is the disk that the machine had when it was last seen before it was empty; "" in orders of older builds.
+	Disk  string    `json:"disk,omitempty"`
 	Asked time.Time `json:"asked"`
-	Done  bool      `json:"done"`
-	Left  int       `json:"left"`
+	// Done tells that no record names the machine, nor will any because of what was decided before the order. It never goes back.
+	Done bool `json:"done"`
+	// Left counts the records that name the machine.
+	Left int `json:"left"`
+	// Away tells that the emptied machine was gone for the keeping time, Back that it came again afterwards and serves.
+	Away bool `json:"away,omitempty"`
+	Back bool `json:"back,omitempty"`
 }
 
-// Book holds all drains by node.
-type Book map[string]Drain
+// List holds all orders by node.
+type List map[string]Drain
 
-// Parse reads a book.
-func Parse(b []byte) Book {
-	k := Book{}
-	if len(b) > 0 {
-		_ = json.Unmarshal(b, &k)
+// Parse reads a list; a register that was never written holds none. A list that can't be read is an error, never an empty one.
+func Parse(b []byte) (List, error) {
+	l := List{}
+	if len(b) == 0 {
+		return l, nil
 	}
-	return k
+	if err := json.Unmarshal(b, &l); err != nil {
+		return nil, problem.Wrap(problem.DiskDamaged, err, "read the list of drains")
+	}
+	return l, nil
 }
 
-// Pack writes a book.
-func (k Book) Pack() []byte {
-	b, _ := json.Marshal(k)
+// Pack writes a list.
+func (l List) Pack() []byte {
+	b, _ := json.Marshal(l)
 	return b
 }
+
+// Out tells whether a machine is to be empty: nothing is placed on it, and it isn't waited for.
+func (l List) Out(node string) bool {
+	d, ok := l[node]
+	return ok && !d.Back
+}
+
+// Add notes a new order. It reports false where the list is full of orders that are still needed.
+func (l List) Add(d Drain) bool {
+	l[d.Node] = d
+	if len(l) <= ListMost {
+		return true
+	}
+	var old []Drain
+	for _, x := range l {
+		if x.Back || x.Away {
+			old = append(old, x)
+		}
+	}
+	if len(old) == 0 {
+		delete(l, d.Node)
+		return false
+	}
+	delete(l, slices.MinFunc(old, func(a, b Drain) int { return a.Asked.Compare(b.Asked) }).Node)
+	return true
+}
+
+// Sorted gives the orders by node.
+func (l List) Sorted() []Drain {
+	ds := make([]Drain, 0, len(l))
+	for _, d := range l {
+		ds = append(ds, d)
+	}
+	slices.SortFunc(ds, func(a, b Drain) int { return cmp.Compare(a.Node, b.Node) })
+	return ds
+}
--- a/internal/placement/duty/drains.go
+++ b/internal/placement/duty/drains.go
@@ -2,49 +2,141 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"time"
 
 	"postjunction/internal/control/client"
+	"postjunction/internal/control/voter"
 	"postjunction/internal/event"
+	"postjunction/internal/gather"
 	"postjunction/internal/placement/drain"
+	"postjunction/internal/placement/record"
 )
 
-func (d *Duty) book(ctx context.Context, s *scene) {
+// readDrains reads the list of drains by quorum.
+func (d *Duty) readDrains(ctx context.Context) (voter.Value, drain.List, error) {
+	v, err := d.Client.Read(ctx, drain.Key)
+	if err != nil {
+		return v, nil, err
+	}
+	l, err := drain.Parse(v.Body)
+	return v, l, err
+}
+
+// tendDrains notes how far each drain is, and which emptied machines serve again.
+func (d *Duty) tendDrains(ctx context.Context, s *scene) {
 	if len(s.drains) == 0 {
 		return
 	}
-	v, err := d.Client.Read(ctx, drain.Key)
+	v, list, err := d.readDrains(ctx)
 	if err != nil {
+		d.Log.Say(event.DrainTrouble, "problem", err)
+		return
+	}
+	was := maps.Clone(list)
+	d.progress(ctx, s, list)
+	for n, x := range list {
+		list[n] = d.returned(s, x)
+	}
+	if maps.Equal(was, list) {
 		return
 	}
-	b := drain.Parse(v.Body)
-	changed := false
-	for n, x := range b {
-		left := 0
-		for _, r := range d.recs {
-			if r.Holds(n) {
-				left++
-			}
-		}
-		m, live := s.m[n]
-		if x.Done && live && m.Boot != x.Boot {
-			delete(b, n)
-			changed = true
+	if _, err := d.Client.Change(ctx, drain.Key, v.Writes, client.Name(), list.Pack()); err != nil {
+		d.Log.Say(event.DrainTrouble, "problem", err)
+		return
+	}
+	for n, x := range list {
+		if x.Done && !was[n].Done {
+			d.Log.Say(event.DrainDone, "node", n)
+		}
+		if x.Back && !was[n].Back {
 			d.Log.Say(event.DrainReturned, "node", n)
+		}
+	}
+}
+
+// progress counts what is left to be moved. Machines that no record names any more are done once all records are fenced.
+func (d *Duty) progress(ctx context.Context, s *scene, list drain.List) {
+	fenced := false
+	for _, x := range list.Sorted() {
+		if x.Done {
 			continue
 		}
-		if left != x.Left || (left == 0) != x.Done {
-			if left == 0 && !x.Done {
-				d.Log.Say(event.DrainDone, "node", n)
-			}
-			x.Left, x.Done = left, left == 0
-			if live && !x.Done {
-				x.Boot = m.Boot
-			}
-			b[n] = x
-			changed = true
+		x.Left = d.named(x.Node)
+		if m, live := s.m[x.Node]; live {
+			x.Boot, x.Disk = m.Boot, m.Incarnation
+		}
+		if x.Left == 0 {
+			fenced = fenced || d.fence(ctx)
+			x.Left = d.named(x.Node)
+			x.Done = fenced && x.Left == 0
 		}
+		list[x.Node] = x
+	}
+}
+
+// named counts the records that name a machine.
+func (d *Duty) named(node string) int {
+	n := 0
+	for _, r := range d.recs {
+		if r.Holds(node) {
+			n++
+		}
+	}
+	return n
+}
+
+// fence writes every record again as it stands. A node that had the placement duty before, and decided on a change before
+// it could know of a drain, builds on counts of writes that are stale from then on, so its change is refused.
+func (d *Duty) fence(ctx context.Context) bool {
+	whole := true
+	rs := slices.Collect(maps.Values(d.recs))
+	for _, a := range gather.Ask(ctx, rs, func(ctx context.Context, r record.Record) (record.Record, error) {
+		v, err := d.Client.Change(ctx, record.Key(r.Partition), r.Writes, client.Name(), r.Pack())
+		if err == nil {
+			r.Writes = v.Writes
+			return r, nil
+		}
+		return record.Record{}, err
+	}, nil) {
+		if a.Err != nil {
+			whole = false
+			_ = d.read(ctx, a.Who.Partition)
+			continue
+		}
+		d.keep(a.A)
+	}
+	return whole
+}
+
+// lasts tells whether something that was noted of a machine has held for the keeping time.
+func (d *Duty) lasts(s *scene, since map[string]time.Time, node string) bool {
+	if since[node].IsZero() {
+		since[node] = s.now
+	}
+	return s.now.Sub(since[node]) >= d.Bounds.Repair()
+}
+
+// returned tells whether an emptied machine serves again. It does once it was away for the keeping time, or has stood there
+// for as long with another disk. A machine that is only started again is still to be taken away.
+func (d *Duty) returned(s *scene, x drain.Drain) drain.Drain {
+	m, live := s.m[x.Node]
+	if !x.Done || x.Back || live {
+		delete(d.absent, x.Node)
+	}
+	renewed := live && x.Done && x.Disk != "" && m.Incarnation != x.Disk
+	if !renewed {
+		delete(d.renewed, x.Node)
 	}
-	if changed {
-		_, _ = d.Client.Change(ctx, drain.Key, v.Writes, client.Name(), b.Pack())
+	switch {
+	case !x.Done || x.Back:
+	case live && x.Away:
+		x.Back = true
+	case renewed && d.lasts(s, d.renewed, x.Node):
+		x.Back = true
+	case !live && d.lasts(s, d.absent, x.Node):
+		x.Away = true
 	}
+	return x
 }
--- a/internal/placement/duty/duty.go
+++ b/internal/placement/duty/duty.go
@@ -45,11 +45,14 @@
 	deaf  map[string]time.Time
 	slow  map[string]time.Time
 	// fresh are the storage machines that held nothing when they were first seen, and when that was, until nothing is gone.
-	fresh  map[string]time.Time
-	opened map[int]time.Time
-	epochs map[int]uint64
-	moved  time.Time
-	wants  []want
+	fresh map[string]time.Time
+	// absent are emptied machines that are gone, renewed those that are there with another disk, and since when.
+	absent  map[string]time.Time
+	renewed map[string]time.Time
+	opened  map[int]time.Time
+	epochs  map[int]uint64
+	moved   time.Time
+	wants   []want
 
 	members, records <-chan struct{}
 }
@@ -120,7 +123,7 @@
 
 func (d *Duty) take(ctx context.Context) {
 	d.recs, d.gone, d.deaf, d.slow = map[int]record.Record{}, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
-	d.fresh = map[string]time.Time{}
+	d.fresh, d.absent, d.renewed = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 	d.opened, d.epochs = map[int]time.Time{}, map[int]uint64{}
 	var ps []int
 	for p := range d.Board.Roster().Layout.Count() {
@@ -252,5 +255,5 @@
 	d.flush(ctx)
 	d.balance(s)
 	d.flush(ctx)
-	d.book(ctx, s)
+	d.tendDrains(ctx, s)
 }
--- a/internal/placement/duty/scene.go
+++ b/internal/placement/duty/scene.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"postjunction/internal/event"
 	"postjunction/internal/member"
 	"postjunction/internal/options"
 	"postjunction/internal/placement/drain"
@@ -42,7 +43,7 @@
 	stores int
 	// copies is how many disks are to hold a partition.
 	copies int
-	drains drain.Book
+	drains drain.List
 	usual  time.Duration
 }
 
@@ -53,8 +54,7 @@
 
 // emptied tells whether a machine that is gone was asked to be emptied, so that it is not waited for.
 func (s *scene) emptied(node string) bool {
-	_, ok := s.drains[node]
-	return ok
+	return s.drains.Out(node)
 }
 
 // fit tells whether a machine may be given a copy.
@@ -68,19 +68,17 @@
 
 func (d *Duty) scene(ctx context.Context) (*scene, error) {
 	s := &scene{now: d.Clock.Now(), m: map[string]*machine{}, copies: d.Board.Roster().Layout.Copies()}
-	v, err := d.Client.Read(ctx, drain.Key)
+	_, list, err := d.readDrains(ctx)
 	if err != nil {
+		d.Log.Say(event.DrainTrouble, "problem", err)
 		return nil, err
 	}
-	s.drains = drain.Parse(v.Body)
+	s.drains = list
 	for _, i := range d.Live() {
 		if i.Disk == options.DiskNone {
 			continue
 		}
-		dr, out := s.drains[i.Name]
-		if out && dr.Done && dr.Boot != i.Boot {
-			out = false
-		}
+		out := s.drains.Out(i.Name)
 		s.m[i.Name] = &machine{Info: i, out: out}
 		if i.Disk == options.DiskStorage && !out && i.Fitness == "" {
 			s.stores++
--- a/internal/proof/sim/drain_test.go
+++ b/internal/proof/sim/drain_test.go
@@ -48,7 +48,11 @@
 func (w *World) drained(n string) func() bool {
 	return func() bool {
 		v, err := w.Machines["a1"].Node().Operators.Client.Read(w.ctx, drain.Key)
-		return err == nil && drain.Parse(v.Body)[n].Done
+		if err != nil {
+			return false
+		}
+		l, err := drain.Parse(v.Body)
+		return err == nil && l[n].Done
 	}
 }
 
--- /dev/null
+++ b/internal/proof/sim/retire_test.go
@@ -0,0 +1,202 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/control/client"
+	"postjunction/internal/node"
+	"postjunction/internal/placement/drain"
+	"postjunction/internal/placement/record"
+	"postjunction/internal/problem"
+)
+
+// emptying asks a node how far the emptying of a machine is.
+func (w *World) emptying(at, n string) (x drain.Drain, err error) {
+	err = w.ask(at, w.Site.Bounds.Call(), func(ctx context.Context, k *node.Node) error {
+		var e error
+		x, e = k.Operators.Emptying(ctx, n)
+		return e
+	})
+	return x, err
+}
+
+// An emptied machine is restarted again and again before it is taken away: its order stays done wherever it is asked, and
+// nothing moves back to it. Then it is taken away, another store loses its disk and all others their power.
+func TestARestartDoesNotEndAnEmptying(t *testing.T) {
+	t.Parallel()
+	long(t)
+	for seed := range uint64(seeds(4)) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := siteOf(seed)
+			play(t, s, 390+seed, s.Bounds.Recovery, func(t *testing.T, w *World) {
+				o := busiest(w)
+				assert.NilError(t, w.askDrain(o))
+				assert.NilError(t, w.Until(60*time.Second, o+" is empty", w.drained(o)))
+				for k := range 4 {
+					if k == 1 {
+						w.Wipe(o)
+					} else {
+						w.Kill(o)
+					}
+					time.Sleep(w.span(1, 3))
+					assert.NilError(t, w.Start(o))
+					time.Sleep(w.span(4, 6))
+					for _, n := range w.Names {
+						x, err := w.emptying(n, o)
+						assert.NilError(t, err, "asked at %s", n)
+						assert.Assert(t, x.Done, "asked at %s: %+v", n, x)
+					}
+					assert.Equal(t, w.registered(t, o), 0, "something moved back to %s", o)
+				}
+				w.Remove(o, false)
+				wipedWhileAllLosePower(t, w, busiestOf(w, w.There()))
+				time.Sleep(s.Bounds.Recovery)
+			})
+		})
+	}
+}
+
+// busiestOf gives the store among those named that decides for most partitions.
+func busiestOf(w *World, names []string) string {
+	return slices.MaxFunc(slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n[0] != 's' }), func(a, b string) int {
+		return w.Machines[a].Node().Info().Partitions - w.Machines[b].Node().Info().Partitions
+	})
+}
+
+// A machine is killed, or loses its disk, while it is being emptied: the order stands, and is carried out.
+func TestAnEmptyingOutlivesItsMachinesProcessAndDisk(t *testing.T) {
+	t.Parallel()
+	long(t)
+	for seed := range uint64(seeds(6)) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := siteOf(seed)
+			play(t, s, 396+seed, s.Bounds.Recovery, func(t *testing.T, w *World) {
+				o := busiest(w)
+				assert.NilError(t, w.askDrain(o))
+				time.Sleep(w.span(0, 2))
+				if seed%3 == 0 {
+					w.Wipe(o)
+				} else {
+					w.Kill(o)
+				}
+				time.Sleep(w.span(0, 3))
+				assert.NilError(t, w.Start(o))
+				assert.NilError(t, w.Until(60*time.Second, o+" is empty", w.drained(o)))
+				assert.Equal(t, w.registered(t, o), 0)
+				time.Sleep(w.span(1, 8))
+				assert.Equal(t, w.registered(t, o), 0)
+			})
+		})
+	}
+}
+
+// A change of a record that a former holder of the placement duty decided on before an order to empty a machine is refused
+// once the order is done, also where the record never named the machine.
+func TestAnEmptyingFencesWhatWasDecidedBefore(t *testing.T) {
+	t.Parallel()
+	stand(t, Traductores, 400, func(t *testing.T, w *World) {
+		described(t, w)
+		op := w.Machines["c1"].Node().Operators
+		read := func(p int) (r record.Record) {
+			v, err := op.Client.Read(w.ctx, record.Key(p))
+			assert.NilError(t, err)
+			r, err = record.Parse(v.Body, v.Writes)
+			assert.NilError(t, err)
+			return r
+		}
+		var before []record.Record
+		for p := range w.Machines["c1"].Node().Roster().Layout.Count() {
+			before = append(before, read(p))
+		}
+		o := busiest(w)
+		assert.NilError(t, w.askDrain(o))
+		assert.NilError(t, w.Until(60*time.Second, o+" is empty", w.drained(o)))
+		others := 0
+		for p, r := range before {
+			if !r.Holds(o) {
+				others++
+			}
+			r.Learner = &record.Place{Node: o, Incarnation: w.Machines[o].Node().Info().Incarnation}
+			_, err := op.Client.Change(w.ctx, record.Key(p), r.Writes, client.Name(), r.Pack())
+			assert.Assert(t, problem.Has(err, problem.StaleBase), "partition %d: %v", p, err)
+			assert.Assert(t, !read(p).Holds(o))
+		}
+		assert.Assert(t, others > 0, "void: %s held everything", o)
+	})
+}
+
+// A node that is cut off, as an operator reaches it, gives no final answer: neither 404 nor 409 for a machine, nor that one
+// is empty, nor which configuration is current.
+func TestACutNodeGivesNoFinalAnswers(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(seeds(4)) {
+		stand(t, siteOf(seed), 402+seed, func(t *testing.T, w *World) {
+			_, err := w.Put("a1", load.Describe(0))
+			assert.NilError(t, err)
+			cut := []string{"c1", "a1"}[seed/2%2]
+			other := "c2"
+			w.Isolate(cut)
+			for range 20 {
+				time.Sleep(time.Second)
+				for _, n := range []string{"nobody", "s1", "c1", "a1"} {
+					_, err := w.emptying(cut, n)
+					assert.Assert(t, unclear(err), "the emptying of %s: %v", n, err)
+					err = w.ask(cut, 2*w.Site.Bounds.Call(), func(ctx context.Context, k *node.Node) error {
+						_, err := k.Operators.Drain(ctx, n)
+						return err
+					})
+					assert.Assert(t, unclear(err), "to empty %s: %v", n, err)
+				}
+				_, err := w.Put(cut, load.Describe(1))
+				assert.Assert(t, unclear(err), "an order: %v", err)
+				err = w.ask(cut, 2*w.Site.Bounds.Call(), func(ctx context.Context, k *node.Node) error {
+					_, err := k.Operators.Current(ctx)
+					return err
+				})
+				assert.Assert(t, unclear(err), "a read: %v", err)
+			}
+			_, err = w.emptying(other, "nobody")
+			assert.Assert(t, problem.Has(err, problem.UnknownNode), "%v", err)
+			w.Heal()
+			time.Sleep(w.Site.Bounds.Session())
+			for _, n := range w.Names {
+				_, err := w.emptying(n, "s1")
+				assert.Assert(t, problem.Has(err, problem.UnknownNode), "%v", err)
+			}
+		})
+	}
+}
+
+// final are the problems that end an operator's call for good.
+var final = []problem.Kind{problem.UnknownNode, problem.DrainUnsafe, problem.AlreadyEmpty, problem.DescriptionRaced, problem.DescriptionBad, problem.DescriptionNone}
+
+func unclear(err error) bool {
+	return err != nil && !slices.ContainsFunc(final, func(k problem.Kind) bool { return problem.Has(err, k) })
+}
+
+// A machine that joined a moment ago is known through every node, also one that has not heard of it.
+func TestANewMachineIsKnownThroughEveryNode(t *testing.T) {
+	t.Parallel()
+	stand(t, spared(Armor, "s2"), 410, func(t *testing.T, w *World) {
+		assert.NilError(t, w.Add("s2b"))
+		assert.NilError(t, w.Until(20*time.Second, "a control node has heard of s2b", func() bool {
+			_, ok := w.Machines["c1"].Node().View.Get("s2b")
+			return ok
+		}))
+		for _, n := range w.There() {
+			if n == "s2b" {
+				continue
+			}
+			_, err := w.Machines[n].Node().Operators.Drain(w.ctx, "s2b")
+			assert.Assert(t, err == nil || problem.Has(err, problem.AlreadyEmpty), "through %s: %v", n, err)
+		}
+	})
+}
--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -540,7 +540,11 @@
 			if k[0] == 'c' && !done.Load() {
 				_ = w.ask(k, w.Site.Bounds.Call(), func(ctx context.Context, x *node.Node) error {
 					v, err := x.Operators.Client.Read(ctx, drain.Key)
-					done.Store(err == nil && drain.Parse(v.Body)[n].Done)
+					if err != nil {
+						return err
+					}
+					l, err := drain.Parse(v.Body)
+					done.Store(err == nil && l[n].Done)
 					return err
 				})
 			}
