Control: the registers' rules are a pure core, walked through exhaustively

Cause: what a voter promises and accepts, what a claimant adopts and what a new roster begins with stood inside code with I/O, so no model could drive it. Change: internal/control/voter/slot.go holds them as pure functions, which voter, holder and reformer use. internal/control/model walks through every run within small bounds: 3 voters, 2 claimants with a change each, and either a quorum read or a wiped disk with its replacement by two reformers; messages late, repeated, reordered, lost, answers lost. Held: no write is decided twice with different values, and neither a claim nor a quorum read gives less than what was decided before it began.

--- a/internal/control/holder/holder.go
+++ b/internal/control/holder/holder.go
@@ -438,12 +438,7 @@
 	if err := h.verdict(k, r, as); err != nil {
 		return held{}, err
 	}
-	var top voter.Slot
-	for _, a := range gather.Good(as) {
-		if a.A.OK && a.A.Slot.Above(top) {
-			top = a.A.Slot
-		}
-	}
+	top := highest(as)
 	v := held{epoch: e, roster: r.Sequence, value: top.Value, seen: e, hint: h.self}
 	if top.Accepted.Zero() {
 		v.sure = true
@@ -458,6 +453,17 @@
 	return h.get(k), nil
 }
 
+// highest gives the latest acceptance of the voters that granted what was asked.
+func highest(as slotAnswers) voter.Slot {
+	var slots []voter.Slot
+	for _, a := range gather.Good(as) {
+		if a.A.OK {
+			slots = append(slots, a.A.Slot)
+		}
+	}
+	return voter.Highest(slots)
+}
+
 func ballot(r roster.Roster, s roster.Seat, k string) voter.Ballot {
 	return voter.Ballot{Roster: r.Sequence, Incarnation: s.Incarnation, Key: k}
 }
--- /dev/null
+++ b/internal/control/model/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package model
+
+const raced = false
--- a/internal/control/reform/reform.go
+++ b/internal/control/reform/reform.go
@@ -126,25 +126,19 @@
 	if !enough(as) {
 		return nil, problem.Because(problem.NoMajority, gather.First(as), "%d of the %d intact disks needed gave their keys", len(gather.Good(as)), r.Intact())
 	}
-	m := map[string]voter.Slot{}
+	copies := map[string][]voter.Slot{}
 	for _, a := range gather.Good(as) {
 		for k, s := range a.A.Slots {
-			if k == voter.RosterKey {
-				continue
+			if k != voter.RosterKey {
+				copies[k] = append(copies[k], s)
 			}
-			o := m[k]
-			p := o.Promised
-			if p.Less(s.Promised) {
-				p = s.Promised
-			}
-			if s.Above(o) {
-				o = s
-			}
-			o.Promised = p
-			m[k] = o
 		}
 	}
-	return m, nil
+	slots := map[string]voter.Slot{}
+	for k, cs := range copies {
+		slots[k] = voter.Merge(cs)
+	}
+	return slots, nil
 }
 
 // Catch opens the roster in force on a seat that missed it, with the slots of a seat that has it.
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -202,14 +202,14 @@
 		return nil, err
 	}
 	defer t.Back()
-	if !s.Promised.Less(q.Epoch) {
-		return &SlotAnswer{OK: s.Promised == q.Epoch, Slot: s}, nil
+	n, ok := s.Promise(q.Epoch)
+	if !ok || n.Promised == s.Promised {
+		return &SlotAnswer{OK: ok, Slot: s}, nil
 	}
-	s.Promised = q.Epoch
-	if err := v.store(ctx, t, q.Key, s); err != nil {
+	if err := v.store(ctx, t, q.Key, n); err != nil {
 		return nil, err
 	}
-	return &SlotAnswer{OK: true, Slot: s}, nil
+	return &SlotAnswer{OK: true, Slot: n}, nil
 }
 
 // Accept answers once the value is synced.
@@ -219,8 +219,8 @@
 		return nil, err
 	}
 	defer t.Back()
-	n := Slot{Promised: q.Epoch, Accepted: q.Epoch, Value: q.Value}
-	if q.Epoch.Less(s.Promised) || s.Above(n) {
+	n, ok := s.Accept(q.Epoch, q.Value)
+	if !ok {
 		return &SlotAnswer{Slot: s}, nil
 	}
 	if err := v.store(ctx, t, q.Key, n); err != nil {
@@ -288,9 +288,7 @@
 		if k == RosterKey {
 			continue
 		}
-		if s.Promised.Less(s.Accepted) {
-			s.Promised = s.Accepted
-		}
+		s = Merge([]Slot{s})
 		slots[k] = s
 		rs = append(rs, rec(kinds.Slot, slotRec{Key: k, Slot: s}))
 	}
