Calls: each declares why it may be repeated; an attachment asked for twice is one

Cause: every call between nodes is made again when its outcome is not known, and nothing said which ones bear that. Change: a call is named together with the reason (reads, ordered, numbered) and what it rests on; there is no kind for calls that may not be repeated, and a test fails for one without a reason. An owner knows an attachment by its secret and answers with the one in force. docs/design/wire.md has the table, made from the code. Tests: TestARepeatedAttachmentIsTheSameOne, red before. TestNoCallIsDoneTwiceWhereverItsConnectionBreaks resets a connection after each byte of a question and of an answer, short and long bodies; green at once, red with the lane's rule taken out (guard unsent-only). Left: a cursor that is left (Ack) late, by a copy of an older call to the same owner, stands until the next one; it is in the table as ordered by arrival.

--- a/internal/carrier/presence/presence.go
+++ b/internal/carrier/presence/presence.go
@@ -24,7 +24,7 @@
 }
 
 // Count is the presence call.
-var Count = wire.Name[CountTask, CountAnswer]("Carrier", "Count")
+var Count = wire.Name[CountTask, CountAnswer]("Carrier", "Count", wire.Reads, "counts")
 
 // Presence holds the listeners of one node by topic.
 type Presence struct {
--- a/internal/control/holder/calls.go
+++ b/internal/control/holder/calls.go
@@ -41,8 +41,8 @@
 
 // The holder's calls.
 var (
-	Change = wire.Name[ChangeTask, voter.Value]("Control", "Change")
-	Read   = wire.Name[ReadTask, voter.Value]("Control", "Read")
-	Who    = wire.Name[WhoTask, WhoAnswer]("Control", "Who")
-	Take   = wire.Name[TakeTask, voter.Done]("Control", "Take")
+	Change = wire.Name[ChangeTask, voter.Value]("Control", "Change", wire.Numbered, "the change has a name and builds on a count of writes; the register knows both")
+	Read   = wire.Name[ReadTask, voter.Value]("Control", "Read", wire.Reads, "a majority is asked")
+	Who    = wire.Name[WhoTask, WhoAnswer]("Control", "Who", wire.Reads, "says who is taken for the holder")
+	Take   = wire.Name[TakeTask, voter.Done]("Control", "Take", wire.Ordered, "claims under a higher epoch, whoever held the key")
 )
--- a/internal/control/voter/calls.go
+++ b/internal/control/voter/calls.go
@@ -94,11 +94,11 @@
 
 // The voter's calls.
 var (
-	Promise = wire.Name[PromiseTask, SlotAnswer]("Control", "Promise")
-	Accept  = wire.Name[AcceptTask, SlotAnswer]("Control", "Accept")
-	Peek    = wire.Name[PeekTask, PeekAnswer]("Control", "Peek")
-	Open    = wire.Name[OpenTask, Done]("Control", "Open")
-	Found   = wire.Name[FoundTask, Done]("Control", "Found")
+	Promise = wire.Name[PromiseTask, SlotAnswer]("Control", "Promise", wire.Ordered, "epochs only rise; the same one is promised again")
+	Accept  = wire.Name[AcceptTask, SlotAnswer]("Control", "Accept", wire.Ordered, "epoch and count of writes only rise")
+	Peek    = wire.Name[PeekTask, PeekAnswer]("Control", "Peek", wire.Reads, "slots of a voter")
+	Open    = wire.Name[OpenTask, Done]("Control", "Open", wire.Ordered, "rosters only rise; one that is in force or below changes nothing")
+	Found   = wire.Name[FoundTask, Done]("Control", "Found", wire.Ordered, "agreed to as long as the disk is under no roster")
 )
 
 // RosterKey is the register that names the next roster; accepting it seals the present one.
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -16,8 +16,10 @@
 	"gotest.tools/v3/golden"
 
 	"postjunction/internal/event"
+	_ "postjunction/internal/node" // names all calls
 	"postjunction/internal/options"
 	"postjunction/internal/problem"
+	"postjunction/internal/wire"
 )
 
 func update(t *testing.T, file, begin, end, want string) {
@@ -51,6 +53,19 @@
 	update(t, "events.md", "<!-- events -->", "<!-- end -->", b.String())
 }
 
+// The table of calls between nodes says of each why it may be made again.
+func TestCallsTable(t *testing.T) {
+	calls := wire.Shapes()
+	sort.Slice(calls, func(i, k int) bool { return calls[i].Path < calls[k].Path })
+	var b strings.Builder
+	b.WriteString("\n| call | repeated | because |\n|---|---|---|\n")
+	for _, c := range calls {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", strings.TrimPrefix(c.Path, "/postjunction."), c.Repeat, c.How)
+	}
+	b.WriteString("\n")
+	update(t, "design/wire.md", "<!-- calls -->", "<!-- end -->", b.String())
+}
+
 func TestProblemCatalogue(t *testing.T) {
 	m := problem.Kinds()
 	var ks []string
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -61,7 +61,7 @@
 }
 
 // Exchange is the gossip call.
-var Exchange = wire.Name[ExchangeTask, ExchangeAnswer]("Gossip", "Exchange")
+var Exchange = wire.Name[ExchangeTask, ExchangeAnswer]("Gossip", "Exchange", wire.Ordered, "news are numbered, and only higher numbers are taken")
 
 // Board holds a node's news; nothing on it ever goes back.
 type Board struct {
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -94,15 +94,15 @@
 
 // The desk's calls.
 var (
-	Submit   = wire.Name[owner.Task, owner.Decision]("Ledger", "Submit")
-	Attach   = wire.Name[AttachTask, AttachAnswer]("Ledger", "Attach")
-	Attached = wire.Name[AttachedTask, AttachedAnswer]("Ledger", "Attached")
-	Ack      = wire.Name[AckTask, Done]("Ledger", "Ack")
-	Trace    = wire.Name[TraceTask, Traced]("Ledger", "Trace")
-	Usage    = wire.Name[UsageTask, UsageAnswer]("Ledger", "Usage")
-	Read     = wire.Name[owner.ReadTask, owner.Reading]("Ledger", "Read")
+	Submit   = wire.Name[owner.Task, owner.Decision]("Ledger", "Submit", wire.Numbered, "the message has its number, which the owner remembers")
+	Attach   = wire.Name[AttachTask, AttachAnswer]("Ledger", "Attach", wire.Numbered, "the attachment has a secret of its own; the one in force is known by it")
+	Attached = wire.Name[AttachedTask, AttachedAnswer]("Ledger", "Attached", wire.Reads, "confirmed by a majority of copies")
+	Ack      = wire.Name[AckTask, Done]("Ledger", "Ack", wire.Ordered, "the cursor left last stands, as long as the attachment is in force")
+	Trace    = wire.Name[TraceTask, Traced]("Ledger", "Trace", wire.Reads, "looks up a call's fate")
+	Usage    = wire.Name[UsageTask, UsageAnswer]("Ledger", "Usage", wire.Reads, "counts")
+	Read     = wire.Name[owner.ReadTask, owner.Reading]("Ledger", "Read", wire.Reads, "committed entries behind a place")
 	// Forgotten tells who has not read behind a mark yet.
-	Forgotten = wire.Name[ForgottenTask, owner.Unheard]("Ledger", "Forgotten")
+	Forgotten = wire.Name[ForgottenTask, owner.Unheard]("Ledger", "Forgotten", wire.Reads, "waits for readers, changes nothing")
 )
 
 // Owners finds the owner that runs here.
--- a/internal/ledger/desk/fan.go
+++ b/internal/ledger/desk/fan.go
@@ -24,9 +24,9 @@
 
 // The calls of nodes that follow topics.
 var (
-	Follow    = wire.Name[owner.Want, owner.Told]("Ledger", "Follow")
-	Poll      = wire.Name[owner.PollTask, owner.Polled]("Ledger", "Poll")
-	Listeners = wire.Name[ListenersTask, ListenersAnswer]("Ledger", "Listeners")
+	Follow    = wire.Name[owner.Want, owner.Told]("Ledger", "Follow", wire.Ordered, "wishes of a feed are numbered; an old number changes nothing")
+	Poll      = wire.Name[owner.PollTask, owner.Polled]("Ledger", "Poll", wire.Reads, "committed entries behind a place; the place that it confirms only rises")
+	Listeners = wire.Name[ListenersTask, ListenersAnswer]("Ledger", "Listeners", wire.Reads, "counts")
 )
 
 func (d *Desk) follow(ctx context.Context, q *owner.Want) (*owner.Told, error) {
--- a/internal/ledger/desk/offer.go
+++ b/internal/ledger/desk/offer.go
@@ -26,7 +26,7 @@
 }
 
 // SubmitMany has a batch decided at the owner's node.
-var SubmitMany = wire.Name[ManyTask, ManyAnswer]("Ledger", "SubmitMany")
+var SubmitMany = wire.Name[ManyTask, ManyAnswer]("Ledger", "SubmitMany", wire.Numbered, "each message has its number, which the owner remembers")
 
 const (
 	batchMost  = 256
--- a/internal/ledger/owner/submit.go
+++ b/internal/ledger/owner/submit.go
@@ -12,6 +12,7 @@
 type front struct {
 	last       uint64
 	generation uint64
+	secret     string
 	flight     []state.Taken
 	at         uint64
 }
@@ -225,6 +226,9 @@
 		o.front[k] = f
 	}
 	last := max(o.st.Attached[visitor].Generation, f.generation)
+	if given == 0 && o.isRepeated(visitor, f, secret) {
+		given = last
+	}
 	if given > 0 && given <= last {
 		basis := o.basis(k)
 		o.mu.Unlock()
@@ -240,7 +244,7 @@
 	if given > 0 {
 		g = given
 	}
-	f.generation = g
+	f.generation, f.secret = g, secret
 	e := o.tracks[line.Ledger].push(line.Entry{What: line.Attach, Visitor: visitor, Generation: g, Body: []byte(secret)}, o.Rec.Epoch)
 	f.at = e.Offset
 	o.mu.Unlock()
@@ -256,6 +260,16 @@
 	return g, nil
 }
 
+// isRepeated tells whether the attachment that was taken last has the secret of this one: each attachment draws a secret of
+// its own, so it is the same call again. The lock is held.
+func (o *Owner) isRepeated(visitor string, f *front, secret string) bool {
+	t := o.st.Attached[visitor]
+	if f.generation > t.Generation {
+		return f.secret == secret
+	}
+	return t.Generation > 0 && t.Secret == secret
+}
+
 // Attached gives the attachment in force and the cursor that the visitor left, once a majority confirmed the epoch.
 func (o *Owner) Attached(ctx context.Context, visitor string) (state.Attached, state.Acked, error) {
 	begun := o.d.Clock.Now()
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -95,9 +95,9 @@
 
 // The replica's calls.
 var (
-	Seal   = wire.Name[SealTask, SealAnswer]("Ledger", "Seal")
-	Append = wire.Name[AppendTask, AppendAnswer]("Ledger", "Append")
-	Still  = wire.Name[StillTask, StillAnswer]("Ledger", "Still")
-	Fetch  = wire.Name[FetchTask, FetchAnswer]("Ledger", "Fetch")
-	Drop   = wire.Name[DropTask, Done]("Ledger", "Drop")
+	Seal   = wire.Name[SealTask, SealAnswer]("Ledger", "Seal", wire.Ordered, "epochs only rise on a disk")
+	Append = wire.Name[AppendTask, AppendAnswer]("Ledger", "Append", wire.Ordered, "entries have their epoch and place; a copy that has them answers the same, and lower epochs are refused")
+	Still  = wire.Name[StillTask, StillAnswer]("Ledger", "Still", wire.Reads, "compares sums, changes nothing on disk")
+	Fetch  = wire.Name[FetchTask, FetchAnswer]("Ledger", "Fetch", wire.Reads, "entries of a copy")
+	Drop   = wire.Name[DropTask, Done]("Ledger", "Drop", wire.Ordered, "names the epoch of the record that no longer places the copy here")
 )
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -88,8 +88,8 @@
 
 // The calls of membership.
 var (
-	Sessions = wire.Name[SessionsTask, SessionsAnswer]("Member", "Sessions")
-	Hello    = wire.Name[HelloTask, HelloAnswer]("Member", "Hello")
+	Sessions = wire.Name[SessionsTask, SessionsAnswer]("Member", "Sessions", wire.Ordered, "sessions carry ages, and what was heard later stands")
+	Hello    = wire.Name[HelloTask, HelloAnswer]("Member", "Hello", wire.Ordered, "what is said of the sender is kept for a session at most")
 )
 
 type seen struct {
--- a/internal/member/touch/touch.go
+++ b/internal/member/touch/touch.go
@@ -24,7 +24,7 @@
 }
 
 // Reach is the call.
-var Reach = wire.Name[ReachTask, ReachAnswer]("Touch", "Reach")
+var Reach = wire.Name[ReachTask, ReachAnswer]("Touch", "Reach", wire.Reads, "the receiver looks whom it reaches")
 
 const (
 	doubtOf   = 3
--- a/internal/member/watch/watch.go
+++ b/internal/member/watch/watch.go
@@ -37,8 +37,8 @@
 
 // The calls of machines that look after one another.
 var (
-	Beat  = wire.Name[BeatTask, BeatAnswer]("Watch", "Beat")
-	Heard = wire.Name[HeardTask, HeardAnswer]("Watch", "Heard")
+	Beat  = wire.Name[BeatTask, BeatAnswer]("Watch", "Beat", wire.Reads, "tells that the process lives")
+	Heard = wire.Name[HeardTask, HeardAnswer]("Watch", "Heard", wire.Reads, "tells whom the receiver has heard")
 )
 
 // Why a machine counts as gone.
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -115,6 +115,8 @@
 	for _, s := range ss {
 		assert.Assert(t, !seen[s.Path], "%s twice", s.Path)
 		seen[s.Path] = true
+		assert.Assert(t, s.Repeat == wire.Reads || s.Repeat == wire.Ordered || s.Repeat == wire.Numbered, "%s does not say why it may be repeated", s.Path)
+		assert.Assert(t, s.How != "", "%s does not say what its repetition rests on", s.Path)
 		for _, x := range []reflect.Type{s.Task, s.Answer} {
 			t.Run(strings.TrimPrefix(s.Path, "/postjunction.")+" "+x.Name(), func(t *testing.T) {
 				whole := reflect.New(x)
--- a/internal/wire/lane_bench_test.go
+++ b/internal/wire/lane_bench_test.go
@@ -25,7 +25,7 @@
 	Body []byte `json:"body,omitempty"`
 }
 
-var poll = wire.Name[asked, asked]("Bench", "Poll")
+var poll = wire.Name[asked, asked]("Bench", "Poll", wire.Reads, "echoes")
 
 type plainCodec struct{}
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,17 +39,34 @@
 	client sync.Map
 }
 
-// Name makes a procedure.
-func Name[Q, A any](part, verb string) *Procedure[Q, A] {
+// Repeat says why a call may be made again when the outcome of the first one is not known. There is no kind for calls
+// that may not: a new call has to be one of these.
+type Repeat string
+
+// The kinds of Repeat.
+const (
+	// Reads is of calls that change nothing.
+	Reads Repeat = "reads"
+	// Ordered is of calls whose task has an epoch, a number or a place that only rises: done again, or late, it changes nothing
+	// that is newer.
+	Ordered Repeat = "ordered"
+	// Numbered is of calls whose task has a name or number of its own that the receiver remembers, so that it is done once.
+	Numbered Repeat = "numbered"
+)
+
+// Name makes a procedure. It may be repeated for the given kind of reason; how says what that rests on.
+func Name[Q, A any](part, verb string, repeat Repeat, how string) *Procedure[Q, A] {
 	p := &Procedure[Q, A]{Path: "/postjunction." + part + "/" + verb}
-	shapes = append(shapes, Shape{Path: p.Path, Task: reflect.TypeFor[Q](), Answer: reflect.TypeFor[A]()})
+	shapes = append(shapes, Shape{Path: p.Path, Task: reflect.TypeFor[Q](), Answer: reflect.TypeFor[A](), Repeat: repeat, How: how})
 	return p
 }
 
-// Shape is a procedure's path and types.
+// Shape is a procedure's path and types, and why it may be repeated.
 type Shape struct {
 	Path         string
 	Task, Answer reflect.Type
+	Repeat       Repeat
+	How          string
 }
 
 var shapes []Shape
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -75,6 +75,8 @@
 guard promise internal/control/voter/voter.go 's/if q.Epoch.Less\(s.Promised\) \|\| s.Above\(n\) \{/if s.Above(n) {/' ./internal/control/voter 'Promise'
 guard claim-asks internal/control/holder/holder.go 's/err != nil \|\| w\.Holds/err != nil || w.Holds || true/' ./internal/control/holder 'ClaimAsks'
 guard compare-and-set internal/control/holder/holder.go 's/if v.value.Writes != q.Base \{/if false \&\& v.value.Writes != q.Base {/' $S 'TwoOperators|Outcome'
+guard unsent-only internal/wire/lane/network.go 's/case err == errUnsent && !again:/case err != nil \&\& !again:/' ./internal/wire/lane 'DoneTwice'
+guard attach-once internal/ledger/owner/submit.go 's/if given == 0 && o\.isRepeated\(visitor, f, secret\) \{/if false {/' ./internal/ledger/owner 'RepeatedAttachment'
 M=./internal/control/model
 guard slot-promise internal/control/voter/slot.go 's/if !s\.Promised\.Less\(e\) \{/if s.Promised == e {/' $M 'SmallBounds'
 guard slot-accept internal/control/voter/slot.go 's/if e\.Less\(s\.Promised\) \|\| s\.Above\(n\) \{/if s.Above(n) {/' $M 'SmallBounds'
