Model: what a quorum read gave counts as decided

Cause: guard slot-alike (all copies count as alike) was caught only by the number of states: the walk did not hold a read value against what is decided later. Change: it does.

--- a/internal/control/model/walk_test.go
+++ b/internal/control/model/walk_test.go
@@ -248,7 +248,8 @@
 	k.add(n)
 }
 
-// look has the reader ask one voter more; it is sure where a majority holds the highest copy that it was told.
+// look has the reader ask one voter more; it is sure where a majority holds the highest copy that it was told. What it gives
+// counts as decided: nothing else may be decided in its place, and nobody may hold less afterwards.
 func (k *walk) look(w world) {
 	if !w.reader.began {
 		n := w
@@ -273,8 +274,12 @@
 			}
 		}
 		if len(voter.Alike(told)) >= seats.Majority() {
-			if top := voter.Highest(told); int8(top.Value.Writes) < w.reader.before {
-				k.breach("a quorum read gave write %d, and write %d was decided before it began", top.Value.Writes, w.reader.before)
+			top := small(voter.Highest(told))
+			if top.writes < w.reader.before {
+				k.breach("a quorum read gave write %d, and write %d was decided before it began", top.writes, w.reader.before)
+			}
+			if top.writes > 0 {
+				k.decide(&n, top.writes, top.value)
 			}
 			n.reader = reader{began: true, ended: true}
 		}
