--- a/internal/carrier/fan/deaf_test.go
+++ b/internal/carrier/fan/deaf_test.go
@@ -40,9 +40,9 @@
 				pass(2 * tick)
 				assert.DeepEqual(t, y.got, []uint64{5})
 				s.set(func(*owner.Want) (*owner.Told, time.Duration) { return nil, time.Hour })
-				var lost []func(*owner.PollTask) (*owner.Polled, time.Duration)
+				var lost []func(*owner.PollRequest) (*owner.Polled, time.Duration)
 				for range 1000 {
-					lost = append(lost, func(*owner.PollTask) (*owner.Polled, time.Duration) { return nil, time.Second })
+					lost = append(lost, func(*owner.PollRequest) (*owner.Polled, time.Duration) { return nil, time.Second })
 				}
 				s.then(lost...)
 				pass(b.Recovery)
--- a/internal/carrier/fan/feed.go
+++ b/internal/carrier/fan/feed.go
@@ -567,7 +567,7 @@
 		f.cut = cut
 		r := f.h.board.Record(f.p)
 		f.epoch = r.Epoch
-		q := &owner.PollTask{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.acked, From: f.to, Hold: f.h.bounds.Spread, Marks: true, Turn: f.number}
+		q := &owner.PollRequest{Partition: f.p, Node: f.h.self, Boot: f.boot, Sequence: f.acked, From: f.to, Hold: f.h.bounds.Spread, Marks: true, Turn: f.number}
 		ready, gen := f.ready, f.gen
 		f.mu.Unlock()
 		a, err := f.h.src.Poll(cx, r, q)
--- a/internal/carrier/fan/forget_test.go
+++ b/internal/carrier/fan/forget_test.go
@@ -136,7 +136,7 @@
 	return a
 }
 
-func (c *court) polled(q *owner.PollTask) *owner.Polled {
+func (c *court) polled(q *owner.PollRequest) *owner.Polled {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if q.Boot != c.boot || q.Sequence > c.seq {
@@ -181,7 +181,7 @@
 	return ask(ctx, c, func() *owner.Told { return c.told(q) })
 }
 
-func (c *court) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (c *court) Poll(ctx context.Context, _ record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	cx, stop := context.WithTimeout(ctx, q.Hold+options.DefaultBounds.Call())
 	defer stop()
 	until := time.Now().Add(q.Hold)
--- a/internal/carrier/fan/hub.go
+++ b/internal/carrier/fan/hub.go
@@ -18,7 +18,7 @@
 // Owners asks the owner that a record names, one time.
 type Owners interface {
 	Follow(ctx context.Context, r record.Record, q *owner.Want) (*owner.Told, error)
-	Poll(ctx context.Context, r record.Record, q *owner.PollTask) (*owner.Polled, error)
+	Poll(ctx context.Context, r record.Record, q *owner.PollRequest) (*owner.Polled, error)
 }
 
 // Hub holds what one node follows, by partition.
--- a/internal/carrier/fan/later_test.go
+++ b/internal/carrier/fan/later_test.go
@@ -41,7 +41,7 @@
 	return &owner.Told{Epoch: 1}, nil
 }
 
-func (c *clerk) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (c *clerk) Poll(ctx context.Context, _ record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	return &owner.Polled{Epoch: 1, To: q.From}, clock.Real{}.Sleep(ctx, q.Hold)
 }
 
--- a/internal/carrier/fan/marks_test.go
+++ b/internal/carrier/fan/marks_test.go
@@ -25,7 +25,7 @@
 type scribe struct {
 	mu     sync.Mutex
 	follow func(q *owner.Want) (*owner.Told, time.Duration)
-	polls  []func(q *owner.PollTask) (*owner.Polled, time.Duration)
+	polls  []func(q *owner.PollRequest) (*owner.Polled, time.Duration)
 	log    []string
 	stuck  bool
 	takes  time.Duration
@@ -63,7 +63,7 @@
 	return a, nil
 }
 
-func (s *scribe) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (s *scribe) Poll(ctx context.Context, _ record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	s.note("poll %s %d marks=%t", q.Boot, q.From, q.Marks)
 	s.mu.Lock()
 	a, d := &owner.Polled{Epoch: 1, To: q.From}, q.Hold
@@ -94,8 +94,8 @@
 }
 
 // once answers a poll after a while with entries.
-func once(after time.Duration, es ...line.Entry) func(*owner.PollTask) (*owner.Polled, time.Duration) {
-	return func(*owner.PollTask) (*owner.Polled, time.Duration) {
+func once(after time.Duration, es ...line.Entry) func(*owner.PollRequest) (*owner.Polled, time.Duration) {
+	return func(*owner.PollRequest) (*owner.Polled, time.Duration) {
 		return &owner.Polled{Epoch: 1, To: es[len(es)-1].Offset, Entries: es}, after
 	}
 }
@@ -133,7 +133,7 @@
 	s.follow = f
 }
 
-func (s *scribe) then(ps ...func(*owner.PollTask) (*owner.Polled, time.Duration)) {
+func (s *scribe) then(ps ...func(*owner.PollRequest) (*owner.Polled, time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.polls = append(s.polls, ps...)
@@ -268,7 +268,7 @@
 				if name == "by follow" {
 					wait = time.Second
 				}
-				s.then(once(later, message(5, "k")), func(*owner.PollTask) (*owner.Polled, time.Duration) {
+				s.then(once(later, message(5, "k")), func(*owner.PollRequest) (*owner.Polled, time.Duration) {
 					return &owner.Polled{Epoch: 1, Clean: true}, wait - later
 				})
 				var x, y heard
@@ -351,7 +351,7 @@
 					return &owner.Told{Epoch: 1, Tail: 4, Upto: 4, Reader: told}, 0
 				})
 				if !told {
-					s.then(func(q *owner.PollTask) (*owner.Polled, time.Duration) {
+					s.then(func(q *owner.PollRequest) (*owner.Polled, time.Duration) {
 						return &owner.Polled{Epoch: 1, To: q.From, Reader: true}, tick
 					})
 				}
@@ -417,9 +417,9 @@
 
 // A node to which the owner gave something with a key counts as a reader, also where that came too late to be used.
 func TestAReaderByALateAnswer(t *testing.T) {
-	answers := map[string]func(*owner.PollTask) (*owner.Polled, time.Duration){
+	answers := map[string]func(*owner.PollRequest) (*owner.Polled, time.Duration){
 		"late": once(later, message(5, "k")),
-		"lost": func(*owner.PollTask) (*owner.Polled, time.Duration) { return nil, later },
+		"lost": func(*owner.PollRequest) (*owner.Polled, time.Duration) { return nil, later },
 	}
 	for name, poll := range answers {
 		t.Run(name, func(t *testing.T) {
--- a/internal/carrier/fan/slow_test.go
+++ b/internal/carrier/fan/slow_test.go
@@ -37,7 +37,7 @@
 	return a, nil
 }
 
-func (s *thin) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (s *thin) Poll(ctx context.Context, _ record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	_ = clock.Real{}.Sleep(ctx, q.Hold)
 	return &owner.Polled{Epoch: 1, To: q.From}, nil
 }
--- a/internal/carrier/fan/soon_test.go
+++ b/internal/carrier/fan/soon_test.go
@@ -59,7 +59,7 @@
 	return a, clock.Real{}.Sleep(ctx, s.way)
 }
 
-func (s *far) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (s *far) Poll(ctx context.Context, _ record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	if err := (clock.Real{}).Sleep(ctx, time.Millisecond); err != nil {
 		return nil, err
 	}
--- a/internal/carrier/fan/turn_test.go
+++ b/internal/carrier/fan/turn_test.go
@@ -33,7 +33,7 @@
 	return &owner.Told{Epoch: 1, Lost: u.deaf || q.Turn != u.turn, Turn: u.turn}, nil
 }
 
-func (u *usher) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (u *usher) Poll(ctx context.Context, _ record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	u.mu.Lock()
 	u.polled = append(u.polled, q.Turn)
 	t, late := u.turn, q.Turn != u.turn
--- a/internal/carrier/feed/feed_test.go
+++ b/internal/carrier/feed/feed_test.go
@@ -22,14 +22,14 @@
 	es    []line.Entry
 	base  uint64
 	epoch uint64
-	asked []owner.ReadTask
+	asked []owner.ReadRequest
 	turn  uint64
 	clean map[string]bool
 	late  chan struct{}
 	news  chan struct{}
 }
 
-func (c *clerk) ReadAs(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+func (c *clerk) ReadAs(ctx context.Context, q *owner.ReadRequest) (*owner.Reading, error) {
 	for end := time.Now().Add(q.Hold); ; {
 		c.mu.Lock()
 		c.asked = append(c.asked, *q)
--- a/internal/carrier/presence/presence.go
+++ b/internal/carrier/presence/presence.go
@@ -13,18 +13,18 @@
 	"postjunction/internal/wire"
 )
 
-// CountTask asks a node who listens to a topic on it.
-type CountTask struct {
+// CountRequest asks a node who listens to a topic on it.
+type CountRequest struct {
 	Topic string `json:"t"`
 }
 
-// CountAnswer names the listeners.
-type CountAnswer struct {
+// CountResponse names the listeners.
+type CountResponse struct {
 	Visitors []string `json:"v"`
 }
 
 // Count is the presence call.
-var Count = wire.Name[CountTask, CountAnswer]("Carrier", "Count", wire.Reads, "counts")
+var Count = wire.Name[CountRequest, CountResponse]("Carrier", "Count", wire.Reads, "counts")
 
 // Presence holds the listeners of one node by topic.
 type Presence struct {
@@ -80,8 +80,8 @@
 	cx, stop := context.WithTimeout(ctx, p.Bounds.Call()/2)
 	defer stop()
 	fs := member.Pick(p.View.All(), func(i member.Info) bool { return i.Name != p.Self })
-	as := gather.Ask(cx, fs, func(ctx context.Context, i member.Info) (*CountAnswer, error) {
-		return Count.Call(ctx, p.Net, p.Self, i.Fellows, &CountTask{Topic: topic})
+	as := gather.Ask(cx, fs, func(ctx context.Context, i member.Info) (*CountResponse, error) {
+		return Count.Call(ctx, p.Net, p.Self, i.Peers, &CountRequest{Topic: topic})
 	}, nil)
 	all := p.here(topic)
 	for _, a := range gather.Good(as) {
@@ -94,7 +94,7 @@
 
 // Serve adds the presence call.
 func (p *Presence) Serve(m *http.ServeMux) {
-	Count.Handle(m, func(_ context.Context, q *CountTask) (*CountAnswer, error) {
-		return &CountAnswer{Visitors: p.here(q.Topic)}, nil
+	Count.Handle(m, func(_ context.Context, q *CountRequest) (*CountResponse, error) {
+		return &CountResponse{Visitors: p.here(q.Topic)}, nil
 	})
 }
--- a/internal/command/caller/visit.go
+++ b/internal/command/caller/visit.go
@@ -56,7 +56,7 @@
 	if err := d.task(map[string]any{"verb": visit.Attach, "visitor": a[0]}); err != nil {
 		return err
 	}
-	go pulses(ctx, d)
+	go heartbeats(ctx, d)
 	go func() {
 		for in := bufio.NewScanner(s.In); in.Scan(); {
 			if d.say(in.Bytes()) != nil {
@@ -87,9 +87,9 @@
 	return nil
 }
 
-func pulses(ctx context.Context, d *desk) {
+func heartbeats(ctx context.Context, d *desk) {
 	for (clock.Real{}).Sleep(ctx, time.Duration(options.Default().Keepalive)) == nil {
-		if d.task(map[string]any{"verb": visit.Pulse}) != nil {
+		if d.task(map[string]any{"verb": visit.Heartbeat}) != nil {
 			return
 		}
 	}
--- a/internal/command/serve/limits.go
+++ b/internal/command/serve/limits.go
@@ -35,7 +35,7 @@
 	return gcPercent
 }
 
-// share gives how many connections a door may have open: callers a sixteenth of the descriptors that are not kept for files (visits have their own share), fellows no bound of their own.
+// share gives how many connections a door may have open: callers a sixteenth of the descriptors that are not kept for files (visits have their own share), peers no bound of their own.
 func share(d Door, descriptors int) int {
 	if d.Most > 0 || descriptors == 0 || d.Field != "listen" {
 		return d.Most
--- a/internal/command/serve/serve.go
+++ b/internal/command/serve/serve.go
@@ -144,7 +144,7 @@
 		callers = func(n *node.Node) http.Handler { return t.Callers(n, n.Door().Handler()) }
 	}
 	doors := append([]Door{
-		{Field: "fellow_listen", Address: o.Fellows, Open: func(n *node.Node) Server { return wire.Server(n.Fellows(), o.Bounds()) }},
+		{Field: "fellow_listen", Address: o.Peers, Open: func(n *node.Node) Server { return wire.Server(n.Peers(), o.Bounds()) }},
 		{Field: "listen", Address: o.Listen, Open: func(n *node.Node) Server { return door.Server(callers(n), o.Bounds()) }},
 	}, t.Doors...)
 	if o.Visits != "" {
@@ -175,7 +175,7 @@
 		ss = append(ss, s)
 		go p.serve(d, s, ls[i])
 	}
-	log.Say(event.Listening, "callers", o.Listen, "fellows", o.Fellows)
+	log.Say(event.Listening, "callers", o.Listen, "fellows", o.Peers)
 	watch, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	if t.File != "" {
--- a/internal/command/serve/serve_test.go
+++ b/internal/command/serve/serve_test.go
@@ -67,5 +67,5 @@
 	b := options.DefaultBounds
 	assert.Assert(t, b.Gap() <= b.Recovery)
 	assert.Assert(t, b.Stop() < 6e9)
-	assert.Assert(t, b.Licence() < b.Spread)
+	assert.Assert(t, b.Lease() < b.Spread)
 }
--- a/internal/command/serve/visits.go
+++ b/internal/command/serve/visits.go
@@ -22,7 +22,7 @@
 // Enter begins a visit.
 func (h house) Enter(out visit.Out) lines.Guest { return h.House.Enter(out) }
 
-// visits makes the server of line sessions. Of a bounded number of descriptors, a quarter stays for fellows and files.
+// visits makes the server of line sessions. Of a bounded number of descriptors, a quarter stays for peers and files.
 func visits(n *node.Node, o options.Options, words lines.Codec) Server {
 	if words == nil {
 		words = plain.Codec{}
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -72,7 +72,7 @@
 		go func() {
 			cx, stop := context.WithTimeout(cx, c.bounds.Call())
 			defer stop()
-			a, err := f(cx, i.Fellows)
+			a, err := f(cx, i.Peers)
 			ch <- answer[A]{a, err, i.Name}
 		}()
 	}
@@ -113,7 +113,7 @@
 	}
 	cx, stop := context.WithTimeout(ctx, c.bounds.Call())
 	defer stop()
-	_, err = p.Call(cx, c.net, c.self, ns[mrand.IntN(len(ns))].Fellows, q)
+	_, err = p.Call(cx, c.net, c.self, ns[mrand.IntN(len(ns))].Peers, q)
 	return true, err
 }
 
@@ -129,12 +129,12 @@
 	err := error(problem.New(problem.NotFounded, "no control node is known"))
 	if c.local != nil {
 		var v *voter.Value
-		if v, err = c.local.Read(ctx, &holder.ReadTask{Key: key}); err == nil {
+		if v, err = c.local.Read(ctx, &holder.ReadRequest{Key: key}); err == nil {
 			return *v, nil
 		}
 	}
 	v, ok := race(ctx, c, func(ctx context.Context, addr string) (*voter.Value, error) {
-		return holder.Read.Call(ctx, c.net, c.self, addr, &holder.ReadTask{Key: key})
+		return holder.Read.Call(ctx, c.net, c.self, addr, &holder.ReadRequest{Key: key})
 	}, func(e error, _ int) bool {
 		err = e
 		return ctx.Err() != nil
@@ -150,11 +150,11 @@
 // Change writes a key on its base. After an unclear answer the same change is asked of the next
 // control node, which knows it by name; a stale base after an unclear answer stays unclear.
 func (c *Client) Change(ctx context.Context, key string, base uint64, by string, body []byte) (voter.Value, error) {
-	return c.Write(ctx, &holder.ChangeTask{Key: key, Base: base, By: by, Body: body})
+	return c.Write(ctx, &holder.ChangeRequest{Key: key, Base: base, By: by, Body: body})
 }
 
 // Write makes a change as Change does.
-func (c *Client) Write(ctx context.Context, q *holder.ChangeTask) (voter.Value, error) {
+func (c *Client) Write(ctx context.Context, q *holder.ChangeRequest) (voter.Value, error) {
 	err := error(problem.New(problem.NotFounded, "no control node is known"))
 	doubt := false
 	see := func(e error, open int) bool {
--- a/internal/control/confirm/confirm.go
+++ b/internal/control/confirm/confirm.go
@@ -49,7 +49,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.c
-	c.OK = c.OK && now.Sub(c.At) < f.Bounds.Licence()
+	c.OK = c.OK && now.Sub(c.At) < f.Bounds.Lease()
 	c.Apart = f.reached != none && !f.there && now.Sub(f.reached) > f.Bounds.Apart()
 	return c
 }
@@ -64,17 +64,17 @@
 	return d, err
 }
 
-// Run confirms every pulse; until it did so for the first time, it tries again soon and on news.
+// Run confirms every heartbeat; until it did so for the first time, it tries again soon and on news.
 func (f *Confirmer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		news := f.Board.Changed()
 		f.once(ctx)
 		if f.begun() {
-			_ = f.Clock.Sleep(ctx, f.Bounds.Pulse())
+			_ = f.Clock.Sleep(ctx, f.Bounds.Heartbeat())
 			continue
 		}
 		if f.Board.Roster().Sequence == 0 {
-			clock.Wait(ctx, f.Clock, f.Bounds.Pulse()/2, news, nil)
+			clock.Wait(ctx, f.Clock, f.Bounds.Heartbeat()/2, news, nil)
 			continue
 		}
 		_ = f.Clock.Sleep(ctx, clock.Jitter(f.Bounds.Soon(), 1, rand.Float64()))
@@ -87,7 +87,7 @@
 	return f.c.At != none
 }
 
-type peeks = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+type peeks = []gather.Answer[roster.Seat, *voter.PeekResponse]
 
 func (f *Confirmer) once(ctx context.Context) {
 	r := f.Board.Roster()
@@ -97,8 +97,8 @@
 	at := f.Clock.Now()
 	cx, stop := context.WithTimeout(ctx, f.Bounds.Call())
 	defer stop()
-	as := gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
-		return voter.Peek.Call(ctx, f.Net, f.Self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{Key}, Brief: true})
+	as := gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekResponse, error) {
+		return voter.Peek.Call(ctx, f.Net, f.Self, s.Addr, &voter.PeekRequest{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{Key}, Brief: true})
 	}, func(as peeks) bool {
 		f.reach(as, r.Majority())
 		return len(gather.Good(as)) >= r.Majority()
@@ -130,7 +130,7 @@
 	}
 	v, ok := f.Holder.Glance(cx, Key)
 	if !ok {
-		w, err := f.Holder.Read(cx, &holder.ReadTask{Key: Key})
+		w, err := f.Holder.Read(cx, &holder.ReadRequest{Key: Key})
 		if err != nil {
 			return
 		}
@@ -175,7 +175,7 @@
 }
 
 // settle tells whether the description may be read now. Copies that differ mostly do so while a change is on its way, and to read a key whose copies
-// differ may mean to claim it, which makes them differ for all others. So that is left to later pulses, while the last confirmation is young, and to a few
+// differ may mean to claim it, which makes them differ for all others. So that is left to later heartbeats, while the last confirmation is young, and to a few
 // nodes.
 func (f *Confirmer) settle(r roster.Roster, same bool) bool {
 	f.mu.Lock()
@@ -183,10 +183,10 @@
 	if same || f.c.At == none {
 		return true
 	}
-	return f.Clock.Now().Sub(f.c.At) >= f.Bounds.Licence()/youngShare && rand.IntN(len(r.Seats)) < fewNodes
+	return f.Clock.Now().Sub(f.c.At) >= f.Bounds.Lease()/youngShare && rand.IntN(len(r.Seats)) < fewNodes
 }
 
-// A confirmation is young for a part of the licence; fewNodes is how many read a key whose copies differ, on the average.
+// A confirmation is young for a part of the lease; fewNodes is how many read a key whose copies differ, on the average.
 const (
 	youngShare = 2
 	fewNodes   = 2
--- a/internal/control/confirm/confirm_test.go
+++ b/internal/control/confirm/confirm_test.go
@@ -41,23 +41,23 @@
 		return nil, q.Context().Err()
 	}
 	m := http.NewServeMux()
-	voter.Peek.Handle(m, func(context.Context, *voter.PeekTask) (*voter.PeekAnswer, error) {
+	voter.Peek.Handle(m, func(context.Context, *voter.PeekRequest) (*voter.PeekResponse, error) {
 		if k != "" {
 			return nil, problem.New(k, "so")
 		}
-		return &voter.PeekAnswer{Slots: map[string]voter.Slot{Key: {}}}, nil
+		return &voter.PeekResponse{Slots: map[string]voter.Slot{Key: {}}}, nil
 	})
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, q)
 	return w.Result(), nil
 }
 
-type fellows struct{ b *gossip.Board }
+type peers struct{ b *gossip.Board }
 
-func (f fellows) Roster() roster.Roster      { return f.b.Roster() }
-func (fellows) Live(n string) (string, bool) { return n, true }
+func (f peers) Roster() roster.Roster      { return f.b.Roster() }
+func (peers) Live(n string) (string, bool) { return n, true }
 
-// A control node is apart once no majority has answered for a third of a licence, and no longer when one does. Voters that turn the question away, as while the
+// A control node is apart once no majority has answered for a third of a lease, and no longer when one does. Voters that turn the question away, as while the
 // roster changes, have answered, though they confirm nothing.
 func TestWhoIsApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -66,7 +66,7 @@
 		r := roster.Found([]roster.Seat{{Node: "c1", Addr: "c1"}, {Node: "c2", Addr: "c2"}, {Node: "c3", Addr: "c3"}}, roster.Layout{Routine: 1})
 		b.Offer(gossip.News{Roster: &r})
 		v := &voters{say: map[string]problem.Kind{}}
-		h := holder.New("c1", v, clock.Real{}, bounds, fellows{b}, func(string, voter.Value) {})
+		h := holder.New("c1", v, clock.Real{}, bounds, peers{b}, func(string, voter.Value) {})
 		f := &Confirmer{Self: "c1", Net: v, Clock: clock.Real{}, Bounds: bounds, Board: b, Holder: h}
 		assert.Assert(t, !f.Latest().Apart)
 		go f.Run(ctx)
@@ -85,16 +85,16 @@
 			for _, n := range []string{"c1", "c2", "c3"} {
 				v.set(n, x.say[n])
 			}
-			time.Sleep(bounds.Apart() + bounds.Call() + 2*bounds.Pulse())
+			time.Sleep(bounds.Apart() + bounds.Call() + 2*bounds.Heartbeat())
 			assert.Equal(t, f.Latest().Apart, x.apart, x.name)
 		}
 		v.set("c2", "")
-		time.Sleep(bounds.Call() + 2*bounds.Pulse())
+		time.Sleep(bounds.Call() + 2*bounds.Heartbeat())
 		assert.Assert(t, !f.Latest().Apart)
 		v.set("c2", problem.Unreachable)
 		time.Sleep(bounds.Apart())
 		assert.Assert(t, !f.Latest().Apart, "too soon")
-		time.Sleep(2 * bounds.Pulse())
+		time.Sleep(2 * bounds.Heartbeat())
 		assert.Assert(t, f.Latest().Apart, "too late")
 		stop()
 		synctest.Wait()
--- a/internal/control/founding/founding.go
+++ b/internal/control/founding/founding.go
@@ -49,7 +49,7 @@
 		}
 		cx, stop := context.WithTimeout(ctx, f.opts.Bounds().Call())
 		defer stop()
-		h, err := member.Hello.Call(cx, f.net, f.opts.Name, a, &member.HelloTask{})
+		h, err := member.Hello.Call(cx, f.net, f.opts.Name, a, &member.HelloRequest{})
 		if err != nil {
 			return member.Info{}, err
 		}
@@ -64,14 +64,14 @@
 			return roster.Roster{}, problem.New(problem.StaleRoster, "%s is under roster %d already", a.A.Name, a.A.Roster).At(a.A.Roster)
 		}
 		if a.A.Disk == options.DiskControl {
-			seats = append(seats, roster.Seat{Node: a.A.Name, Addr: a.A.Fellows, Incarnation: a.A.Incarnation})
+			seats = append(seats, roster.Seat{Node: a.A.Name, Addr: a.A.Peers, Incarnation: a.A.Incarnation})
 		} else if named {
 			return roster.Roster{}, problem.New(problem.NotFounded, "founder %s at %s has no control disk", a.A.Name, a.Who)
 		}
 	}
 	if len(seats) == 0 && seeds {
 		i := f.self()
-		seats = []roster.Seat{{Node: i.Name, Addr: i.Fellows, Incarnation: i.Incarnation}}
+		seats = []roster.Seat{{Node: i.Name, Addr: i.Peers, Incarnation: i.Incarnation}}
 	}
 	if len(seats) == 0 {
 		return roster.Roster{}, problem.New(problem.NotFounded, "no founding address has a control disk")
@@ -104,7 +104,7 @@
 	addrs := slices.Sorted(slices.Values(f.opts.Seeds))
 	for _, a := range slices.Compact(addrs) {
 		cx, stop := context.WithTimeout(ctx, f.opts.Bounds().Call())
-		_, err := Leave.Call(cx, f.net, f.opts.Name, a, &LeaveTask{Node: f.opts.Name, Incarnation: r.Seats[0].Incarnation})
+		_, err := Leave.Call(cx, f.net, f.opts.Name, a, &LeaveRequest{Node: f.opts.Name, Incarnation: r.Seats[0].Incarnation})
 		stop()
 		if err != nil {
 			return problem.Because(problem.NotFounded, err, "no seed has a control disk, and %s gave no leave to found alone", a)
@@ -139,11 +139,11 @@
 		return nil
 	}
 	if err := ask(func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
-		return voter.Found.Call(ctx, f.net, f.opts.Name, s.Addr, &voter.FoundTask{Incarnation: s.Incarnation, Roster: r})
+		return voter.Found.Call(ctx, f.net, f.opts.Name, s.Addr, &voter.FoundRequest{Incarnation: s.Incarnation, Roster: r})
 	}); err != nil {
 		return r, err
 	}
 	return r, ask(func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
-		return voter.Open.Call(ctx, f.net, f.opts.Name, s.Addr, &voter.OpenTask{Incarnation: s.Incarnation, Roster: r, Founding: true})
+		return voter.Open.Call(ctx, f.net, f.opts.Name, s.Addr, &voter.OpenRequest{Incarnation: s.Incarnation, Roster: r, Founding: true})
 	})
 }
--- a/internal/control/founding/leave.go
+++ b/internal/control/founding/leave.go
@@ -11,14 +11,14 @@
 	"postjunction/internal/wire"
 )
 
-// LeaveTask asks a seed for leave to found a fleet of one control disk, where no seed has such a disk.
-type LeaveTask struct {
+// LeaveRequest asks a seed for leave to found a fleet of one control disk, where no seed has such a disk.
+type LeaveRequest struct {
 	Node        string `json:"node"`
 	Incarnation string `json:"incarnation"`
 }
 
 // Leave is the call for it.
-var Leave = wire.Name[LeaveTask, voter.Done]("Founding", "Leave", wire.Numbered, "a seed gives leave to one disk for its life, and to the same one again")
+var Leave = wire.Name[LeaveRequest, voter.Done]("Founding", "Leave", wire.Numbered, "a seed gives leave to one disk for its life, and to the same one again")
 
 // Leaves gives leave to one disk at most in the life of the process. Only a process of the first start gives any, so a
 // restarted seed that forgot whom it gave leave to never gives it to another.
@@ -26,7 +26,7 @@
 	opts   options.Options
 	roster func() uint64
 	mu     sync.Mutex
-	given  LeaveTask
+	given  LeaveRequest
 }
 
 // NewLeaves makes the seeds' side; roster gives the sequence of the roster known here.
@@ -35,7 +35,7 @@
 }
 
 // Leave gives leave to the first that asks.
-func (l *Leaves) Leave(_ context.Context, q *LeaveTask) (*voter.Done, error) {
+func (l *Leaves) Leave(_ context.Context, q *LeaveRequest) (*voter.Done, error) {
 	if r := l.roster(); r > 0 {
 		return nil, problem.New(problem.StaleRoster, "the fleet is under roster %d already", r).At(r)
 	}
--- a/internal/control/holder/calls.go
+++ b/internal/control/holder/calls.go
@@ -6,9 +6,9 @@
 	"postjunction/internal/wire"
 )
 
-// ChangeTask writes a key if its count of writes is still Base. By is the change's own name, so that a repeat is known.
+// ChangeRequest writes a key if its count of writes is still Base. By is the change's own name, so that a repeat is known.
 // Memory is written with Body and read back with it.
-type ChangeTask struct {
+type ChangeRequest struct {
 	Key    string `json:"key"`
 	Base   uint64 `json:"base"`
 	By     string `json:"by"`
@@ -17,32 +17,32 @@
 	Handed int    `json:"handed,omitempty"`
 }
 
-// ReadTask reads a key; the answer is current when it was asked for.
-type ReadTask struct {
+// ReadRequest reads a key; the answer is current when it was asked for.
+type ReadRequest struct {
 	Key    string `json:"key"`
 	Handed int    `json:"handed,omitempty"`
 }
 
-// TakeTask names the receiver as successor for a key.
-type TakeTask struct {
+// TakeRequest names the receiver as successor for a key.
+type TakeRequest struct {
 	Key string `json:"key"`
 }
 
-// WhoTask asks a control node whether it holds a key.
-type WhoTask struct {
+// WhoRequest asks a control node whether it holds a key.
+type WhoRequest struct {
 	Key string `json:"key"`
 }
 
-// WhoAnswer says so, and else whom it takes for the holder.
-type WhoAnswer struct {
+// WhoResponse says so, and else whom it takes for the holder.
+type WhoResponse struct {
 	Holds bool   `json:"holds"`
 	Hint  string `json:"hint,omitempty"`
 }
 
 // The holder's calls.
 var (
-	Change = wire.Name[ChangeTask, voter.Value]("Control", "Change", wire.Numbered, "the change has a name and builds on a count of writes; the register knows both")
-	Read   = wire.Name[ReadTask, voter.Value]("Control", "Read", wire.Reads, "a majority is asked")
-	Who    = wire.Name[WhoTask, WhoAnswer]("Control", "Who", wire.Reads, "says who is taken for the holder")
-	Take   = wire.Name[TakeTask, voter.Done]("Control", "Take", wire.Ordered, "claims under a higher epoch, whoever held the key")
+	Change = wire.Name[ChangeRequest, voter.Value]("Control", "Change", wire.Numbered, "the change has a name and builds on a count of writes; the register knows both")
+	Read   = wire.Name[ReadRequest, voter.Value]("Control", "Read", wire.Reads, "a majority is asked")
+	Who    = wire.Name[WhoRequest, WhoResponse]("Control", "Who", wire.Reads, "says who is taken for the holder")
+	Take   = wire.Name[TakeRequest, voter.Done]("Control", "Take", wire.Ordered, "claims under a higher epoch, whoever held the key")
 )
--- a/internal/control/holder/holder.go
+++ b/internal/control/holder/holder.go
@@ -17,8 +17,8 @@
 	"postjunction/internal/wire"
 )
 
-// Fellows is what the holder knows of the other nodes.
-type Fellows interface {
+// Peers is what the holder knows of the other nodes.
+type Peers interface {
 	Roster() roster.Roster
 	Live(node string) (addr string, ok bool)
 }
@@ -41,7 +41,7 @@
 	net     wire.Network
 	clk     clock.Clock
 	bounds  options.Bounds
-	fellows Fellows
+	peers   Peers
 	told    Told
 	turns   *turn.Turns
 	keys    *turn.Map[string, held]
@@ -60,8 +60,8 @@
 )
 
 // New makes a holder that holds nothing.
-func New(self string, n wire.Network, c clock.Clock, b options.Bounds, f Fellows, t Told) *Holder {
-	return &Holder{self: self, net: n, clk: c, bounds: b, fellows: f, told: t, turns: turn.New(turnShards), keys: turn.NewMap[string, held]()}
+func New(self string, n wire.Network, c clock.Clock, b options.Bounds, f Peers, t Told) *Holder {
+	return &Holder{self: self, net: n, clk: c, bounds: b, peers: f, told: t, turns: turn.New(turnShards), keys: turn.NewMap[string, held]()}
 }
 
 func (h *Holder) get(k string) held {
@@ -79,7 +79,7 @@
 // Holds tells whether this node holds a key as far as it knows.
 func (h *Holder) Holds(k string) bool {
 	v := h.get(k)
-	return v.sure && v.roster == h.fellows.Roster().Sequence
+	return v.sure && v.roster == h.peers.Roster().Sequence
 }
 
 // Hint notes who holds a key by an epoch seen elsewhere.
@@ -96,10 +96,10 @@
 
 func (h *Holder) elsewhere(k string) (string, bool) {
 	v := h.get(k)
-	if v.sure && v.roster == h.fellows.Roster().Sequence || v.hint == "" || v.hint == h.self {
+	if v.sure && v.roster == h.peers.Roster().Sequence || v.hint == "" || v.hint == h.self {
 		return "", false
 	}
-	return h.fellows.Live(v.hint)
+	return h.peers.Live(v.hint)
 }
 
 // Holder gives who is thought to hold a key.
@@ -119,7 +119,7 @@
 var passing = map[problem.Kind]bool{problem.Unreachable: true, problem.NotHolder: true, problem.Leaving: true, problem.NotFounded: true}
 
 // Change has a change on a majority before it answers.
-func (h *Holder) Change(ctx context.Context, q *ChangeTask) (*voter.Value, error) {
+func (h *Holder) Change(ctx context.Context, q *ChangeRequest) (*voter.Value, error) {
 	doubt := false
 	for n := *q; ; {
 		if a, ok := h.elsewhere(q.Key); ok && n.Handed < handsMost {
@@ -147,14 +147,14 @@
 	return f(cx)
 }
 
-func (h *Holder) clear(err error, doubt bool, q *ChangeTask) error {
+func (h *Holder) clear(err error, doubt bool, q *ChangeRequest) error {
 	if doubt && problem.Has(err, problem.StaleBase) {
 		return problem.New(problem.NoMajority, "%s changed while the holder of the key was lost; the outcome is not known", q.Key)
 	}
 	return err
 }
 
-func (h *Holder) change(ctx context.Context, q *ChangeTask, doubt, polite bool) (*voter.Value, error) {
+func (h *Holder) change(ctx context.Context, q *ChangeRequest, doubt, polite bool) (*voter.Value, error) {
 	back, err := h.turns.Take(ctx, q.Key)
 	if err != nil {
 		return nil, err
@@ -186,12 +186,12 @@
 }
 
 // Read gives the value that was current at some moment after the call began.
-func (h *Holder) Read(ctx context.Context, q *ReadTask) (*voter.Value, error) {
+func (h *Holder) Read(ctx context.Context, q *ReadRequest) (*voter.Value, error) {
 	for handed := q.Handed; ; {
 		if a, ok := h.elsewhere(q.Key); ok && handed < handsMost {
 			handed++
 			v, err := toldBy(ctx, h, func(cx context.Context) (*voter.Value, error) {
-				return Read.Call(cx, h.net, h.self, a, &ReadTask{Key: q.Key, Handed: handed})
+				return Read.Call(cx, h.net, h.self, a, &ReadRequest{Key: q.Key, Handed: handed})
 			})
 			if err == nil {
 				return v, nil
@@ -233,23 +233,23 @@
 	return &v.value, nil
 }
 
-type peeks = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+type peeks = []gather.Answer[roster.Seat, *voter.PeekResponse]
 
 // Glance reads a key without claiming it, whoever holds it: what a majority has accepted alike was decided, and nothing was decided after it before
 // the question. It waits a moment for more than a majority where the first copies differ. Only this node's own voter, or one voter more, gives the
 // value itself.
 func (h *Holder) Glance(ctx context.Context, k string) (voter.Value, bool) {
-	r := h.fellows.Roster()
+	r := h.peers.Roster()
 	if r.Sequence == 0 {
 		return voter.Value{}, false
 	}
 	cx, stop := context.WithTimeout(ctx, h.bounds.Hand())
 	defer stop()
-	peek := func(ctx context.Context, s roster.Seat, brief bool) (*voter.PeekAnswer, error) {
-		return voter.Peek.Call(ctx, h.net, h.self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{k}, Brief: brief})
+	peek := func(ctx context.Context, s roster.Seat, brief bool) (*voter.PeekResponse, error) {
+		return voter.Peek.Call(ctx, h.net, h.self, s.Addr, &voter.PeekRequest{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{k}, Brief: brief})
 	}
 	waiting := false
-	g := gather.Good(gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
+	g := gather.Good(gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekResponse, error) {
 		return peek(ctx, s, s.Node != h.self)
 	}, func(as peeks) bool {
 		g := gather.Good(as)
@@ -321,10 +321,10 @@
 }
 
 func (h *Holder) confirm(ctx context.Context, k string, v held) bool {
-	r := h.fellows.Roster()
+	r := h.peers.Roster()
 	ctx, stop := context.WithTimeout(ctx, h.bounds.Call())
 	defer stop()
-	ours := func(as []gather.Answer[roster.Seat, *voter.PeekAnswer]) int {
+	ours := func(as []gather.Answer[roster.Seat, *voter.PeekResponse]) int {
 		n := 0
 		for _, a := range gather.Good(as) {
 			if a.A.Slots[k].Promised == v.epoch {
@@ -333,9 +333,9 @@
 		}
 		return n
 	}
-	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
-		return voter.Peek.Call(ctx, h.net, h.self, s.Addr, &voter.PeekTask{Roster: v.roster, Incarnation: s.Incarnation, Keys: []string{k}, Brief: true})
-	}, func(as []gather.Answer[roster.Seat, *voter.PeekAnswer]) bool { return ours(as) >= r.Majority() })
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekResponse, error) {
+		return voter.Peek.Call(ctx, h.net, h.self, s.Addr, &voter.PeekRequest{Roster: v.roster, Incarnation: s.Incarnation, Keys: []string{k}, Brief: true})
+	}, func(as []gather.Answer[roster.Seat, *voter.PeekResponse]) bool { return ours(as) >= r.Majority() })
 	for _, a := range gather.Good(as) {
 		x := a.A.Slots[k]
 		h.Hint(k, x.Promised, x.Value.Successor)
@@ -345,7 +345,7 @@
 
 func (h *Holder) own(ctx context.Context, k string, polite bool) (held, error) {
 	for try := 0; ; try++ {
-		r := h.fellows.Roster()
+		r := h.peers.Roster()
 		if r.Sequence == 0 {
 			return held{}, problem.New(problem.NotFounded, "no roster of control disks is known")
 		}
@@ -377,9 +377,9 @@
 	}
 }
 
-type slotAnswers = []gather.Answer[roster.Seat, *voter.SlotAnswer]
+type slotResponses = []gather.Answer[roster.Seat, *voter.SlotResponse]
 
-func granted(as slotAnswers) int {
+func granted(as slotResponses) int {
 	n := 0
 	for _, a := range gather.Good(as) {
 		if a.A.OK {
@@ -389,7 +389,7 @@
 	return n
 }
 
-func refusals(as slotAnswers) int {
+func refusals(as slotResponses) int {
 	n := 0
 	for _, a := range as {
 		if a.Err == nil && !a.A.OK || problem.Has(a.Err, problem.StaleRoster) || problem.Has(a.Err, problem.WrongDisk) {
@@ -399,7 +399,7 @@
 	return n
 }
 
-func (h *Holder) verdict(k string, r roster.Roster, as slotAnswers) error {
+func (h *Holder) verdict(k string, r roster.Roster, as slotResponses) error {
 	if granted(as) >= r.Majority() {
 		return nil
 	}
@@ -430,9 +430,9 @@
 	h.count(&h.claims)
 	cx, stop := context.WithTimeout(ctx, h.bounds.Call())
 	defer stop()
-	as := gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
-		return voter.Promise.Call(ctx, h.net, h.self, s.Addr, &voter.PromiseTask{Ballot: ballot(r, s, k), Epoch: e})
-	}, func(as slotAnswers) bool { return granted(as) >= r.Majority() })
+	as := gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotResponse, error) {
+		return voter.Promise.Call(ctx, h.net, h.self, s.Addr, &voter.PromiseRequest{Ballot: ballot(r, s, k), Epoch: e})
+	}, func(as slotResponses) bool { return granted(as) >= r.Majority() })
 	if err := h.verdict(k, r, as); err != nil {
 		return held{}, err
 	}
@@ -452,7 +452,7 @@
 }
 
 // highest gives the latest acceptance of the voters that granted what was asked.
-func highest(as slotAnswers) voter.Slot {
+func highest(as slotResponses) voter.Slot {
 	var slots []voter.Slot
 	for _, a := range gather.Good(as) {
 		if a.A.OK {
@@ -467,7 +467,7 @@
 }
 
 func (h *Holder) accept(ctx context.Context, k string, v held, n voter.Value) error {
-	r := h.fellows.Roster()
+	r := h.peers.Roster()
 	if r.Sequence != v.roster {
 		return problem.New(problem.StaleRoster, "roster %d came into force", r.Sequence)
 	}
@@ -488,11 +488,11 @@
 }
 
 func (h *Holder) round(ctx context.Context, k string, r roster.Roster, v held, n voter.Value) error {
-	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotResponse, error) {
 		cx, stop := context.WithTimeout(context.WithoutCancel(ctx), h.bounds.Call())
 		defer stop()
-		return voter.Accept.Call(cx, h.net, h.self, s.Addr, &voter.AcceptTask{Ballot: ballot(r, s, k), Epoch: v.epoch, Value: n})
-	}, func(as slotAnswers) bool { return granted(as) >= r.Majority() })
+		return voter.Accept.Call(cx, h.net, h.self, s.Addr, &voter.AcceptRequest{Ballot: ballot(r, s, k), Epoch: v.epoch, Value: n})
+	}, func(as slotResponses) bool { return granted(as) >= r.Majority() })
 	if err := h.verdict(k, r, as); err != nil {
 		if refusals(as) == len(r.Seats) {
 			return err
@@ -529,11 +529,13 @@
 		return h.take(ctx, k, true)
 	}
 	hint := h.get(k).hint
-	w, err := toldBy(ctx, h, func(cx context.Context) (*WhoAnswer, error) { return Who.Call(cx, h.net, h.self, a, &WhoTask{Key: k}) })
+	w, err := toldBy(ctx, h, func(cx context.Context) (*WhoResponse, error) {
+		return Who.Call(cx, h.net, h.self, a, &WhoRequest{Key: k})
+	})
 	if err != nil || w.Holds {
 		return problem.Because(problem.NotHolder, err, "%s is held by %s", k, hint)
 	}
-	if _, live := h.fellows.Live(w.Hint); live && w.Hint != h.self && w.Hint != hint {
+	if _, live := h.peers.Live(w.Hint); live && w.Hint != h.self && w.Hint != hint {
 		h.edit(k, func(v *held) { v.hint = w.Hint })
 		return problem.New(problem.NotHolder, "%s does not hold %s and names %s", hint, k, w.Hint)
 	}
@@ -585,11 +587,11 @@
 			}
 		}
 		h.edit(k, func(x *held) { x.sure, x.hint = false, to })
-		a, ok := h.fellows.Live(to)
+		a, ok := h.peers.Live(to)
 		if !ok {
 			return false, problem.New(problem.Unreachable, "%s is gone", to)
 		}
-		_, err = Take.Call(ctx, h.net, h.self, a, &TakeTask{Key: k})
+		_, err = Take.Call(ctx, h.net, h.self, a, &TakeRequest{Key: k})
 		return err == nil, err
 	}, nil)
 	return len(gather.Good(as))
@@ -599,10 +601,10 @@
 func (h *Holder) Serve(m *http.ServeMux) {
 	Change.Handle(m, h.Change)
 	Read.Handle(m, h.Read)
-	Who.Handle(m, func(_ context.Context, q *WhoTask) (*WhoAnswer, error) {
-		return &WhoAnswer{Holds: h.Holds(q.Key), Hint: h.get(q.Key).hint}, nil
+	Who.Handle(m, func(_ context.Context, q *WhoRequest) (*WhoResponse, error) {
+		return &WhoResponse{Holds: h.Holds(q.Key), Hint: h.get(q.Key).hint}, nil
 	})
-	Take.Handle(m, func(ctx context.Context, q *TakeTask) (*voter.Done, error) {
+	Take.Handle(m, func(ctx context.Context, q *TakeRequest) (*voter.Done, error) {
 		h.forget(q.Key)
 		return &voter.Done{}, h.take(ctx, q.Key, false)
 	})
--- a/internal/control/holder/holder_test.go
+++ b/internal/control/holder/holder_test.go
@@ -21,8 +21,8 @@
 
 // Only copies alike to the highest one count: a higher copy on one disk may or may not be decided, and what lies below it says nothing.
 func TestOnlyTheHighestCopiesCountAsAlike(t *testing.T) {
-	at := func(n, writes uint64) gather.Answer[roster.Seat, *voter.PeekAnswer] {
-		return gather.Answer[roster.Seat, *voter.PeekAnswer]{A: &voter.PeekAnswer{Slots: map[string]voter.Slot{
+	at := func(n, writes uint64) gather.Answer[roster.Seat, *voter.PeekResponse] {
+		return gather.Answer[roster.Seat, *voter.PeekResponse]{A: &voter.PeekResponse{Slots: map[string]voter.Slot{
 			"k": {Accepted: epoch.Epoch{N: n, Node: "c1"}, Value: voter.Value{Writes: writes}},
 		}}}
 	}
@@ -43,7 +43,7 @@
 
 // core is three control nodes, of which c2 says who holds a key, and all promise it to anybody.
 type core struct {
-	who      *WhoAnswer
+	who      *WhoResponse
 	promised atomic.Int32
 }
 
@@ -55,15 +55,15 @@
 
 func (c *core) Do(q *http.Request) (*http.Response, error) {
 	m := http.NewServeMux()
-	Who.Handle(m, func(context.Context, *WhoTask) (*WhoAnswer, error) {
+	Who.Handle(m, func(context.Context, *WhoRequest) (*WhoResponse, error) {
 		if c.who == nil {
 			return nil, problem.New(problem.Unreachable, "c2 does not answer")
 		}
 		return c.who, nil
 	})
-	voter.Promise.Handle(m, func(_ context.Context, q *voter.PromiseTask) (*voter.SlotAnswer, error) {
+	voter.Promise.Handle(m, func(_ context.Context, q *voter.PromiseRequest) (*voter.SlotResponse, error) {
 		c.promised.Add(1)
-		return &voter.SlotAnswer{OK: true, Slot: voter.Slot{Promised: q.Epoch}}, nil
+		return &voter.SlotResponse{OK: true, Slot: voter.Slot{Promised: q.Epoch}}, nil
 	})
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, q)
@@ -75,17 +75,17 @@
 func TestClaimAsksWhoIsTakenForTheHolder(t *testing.T) {
 	for _, x := range []struct {
 		name  string
-		who   *WhoAnswer
+		who   *WhoResponse
 		hint  string
 		claim bool
 	}{
-		{"it holds the key", &WhoAnswer{Holds: true}, "c2", false},
+		{"it holds the key", &WhoResponse{Holds: true}, "c2", false},
 		{"it does not answer", nil, "c2", false},
-		{"it names another one", &WhoAnswer{Hint: "c3"}, "c3", false},
-		{"it names one that is gone", &WhoAnswer{Hint: "c4"}, "c1", true},
-		{"it names the asker", &WhoAnswer{Hint: "c1"}, "c1", true},
-		{"it names itself", &WhoAnswer{Hint: "c2"}, "c1", true},
-		{"it names nobody", &WhoAnswer{}, "c1", true},
+		{"it names another one", &WhoResponse{Hint: "c3"}, "c3", false},
+		{"it names one that is gone", &WhoResponse{Hint: "c4"}, "c1", true},
+		{"it names the asker", &WhoResponse{Hint: "c1"}, "c1", true},
+		{"it names itself", &WhoResponse{Hint: "c2"}, "c1", true},
+		{"it names nobody", &WhoResponse{}, "c1", true},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -108,8 +108,8 @@
 
 func (*elsewhere) Do(q *http.Request) (*http.Response, error) {
 	m := http.NewServeMux()
-	voter.Peek.Handle(m, func(_ context.Context, q *voter.PeekTask) (*voter.PeekAnswer, error) {
-		return &voter.PeekAnswer{Slots: map[string]voter.Slot{q.Keys[0]: {Promised: epoch.Epoch{N: 9, Node: "c2"}}}}, nil
+	voter.Peek.Handle(m, func(_ context.Context, q *voter.PeekRequest) (*voter.PeekResponse, error) {
+		return &voter.PeekResponse{Slots: map[string]voter.Slot{q.Keys[0]: {Promised: epoch.Epoch{N: 9, Node: "c2"}}}}, nil
 	})
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, q)
@@ -125,7 +125,7 @@
 		h.edit("k", func(v *held) {
 			*v = held{epoch: mine, seen: mine, roster: net.Roster().Sequence, sure: true, hint: "c1", value: voter.Value{Writes: 4}}
 		})
-		_, err := h.change(t.Context(), &ChangeTask{Key: "k", Base: 7}, false, true)
+		_, err := h.change(t.Context(), &ChangeRequest{Key: "k", Base: 7}, false, true)
 		assert.Assert(t, problem.Has(err, problem.NotHolder), "%v", err)
 		assert.Assert(t, !h.Holds("k"))
 	})
--- a/internal/control/reform/reform.go
+++ b/internal/control/reform/reform.go
@@ -45,7 +45,7 @@
 	as := gather.Ask(ctx, next.Seats, func(ctx context.Context, s roster.Seat) (*voter.Done, error) {
 		cx, stop := f.call(context.WithoutCancel(ctx))
 		defer stop()
-		return voter.Open.Call(cx, f.net, f.self, s.Addr, &voter.OpenTask{Incarnation: s.Incarnation, Roster: next, Slots: slots})
+		return voter.Open.Call(cx, f.net, f.self, s.Addr, &voter.OpenRequest{Incarnation: s.Incarnation, Roster: next, Slots: slots})
 	}, func(as []gather.Answer[roster.Seat, *voter.Done]) bool {
 		return len(gather.Good(as)) >= next.Majority()
 	})
@@ -58,14 +58,14 @@
 func (f *Reformer) decide(ctx context.Context, r, want roster.Roster) (roster.Roster, error) {
 	e := f.seen.Next(f.self)
 	f.seen = e
-	enough := func(as []gather.Answer[roster.Seat, *voter.SlotAnswer]) bool { return f.ok(as) >= r.Majority() }
+	enough := func(as []gather.Answer[roster.Seat, *voter.SlotResponse]) bool { return f.ok(as) >= r.Majority() }
 	ballot := func(s roster.Seat) voter.Ballot {
 		return voter.Ballot{Roster: r.Sequence, Incarnation: s.Incarnation, Key: voter.RosterKey}
 	}
-	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotResponse, error) {
 		cx, stop := f.call(ctx)
 		defer stop()
-		return voter.Promise.Call(cx, f.net, f.self, s.Addr, &voter.PromiseTask{Ballot: ballot(s), Epoch: e})
+		return voter.Promise.Call(cx, f.net, f.self, s.Addr, &voter.PromiseRequest{Ballot: ballot(s), Epoch: e})
 	}, enough)
 	if !enough(as) {
 		return roster.Roster{}, f.short(r, as, "promised")
@@ -83,10 +83,10 @@
 		}
 	}
 	b, _ := json.Marshal(next)
-	as = gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotAnswer, error) {
+	as = gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.SlotResponse, error) {
 		cx, stop := f.call(ctx)
 		defer stop()
-		return voter.Accept.Call(cx, f.net, f.self, s.Addr, &voter.AcceptTask{Ballot: ballot(s), Epoch: e, Value: voter.Value{Writes: 1, By: f.self, Body: b}})
+		return voter.Accept.Call(cx, f.net, f.self, s.Addr, &voter.AcceptRequest{Ballot: ballot(s), Epoch: e, Value: voter.Value{Writes: 1, By: f.self, Body: b}})
 	}, enough)
 	if !enough(as) {
 		return roster.Roster{}, f.short(r, as, "accepted")
@@ -94,7 +94,7 @@
 	return next, nil
 }
 
-func (f *Reformer) ok(as []gather.Answer[roster.Seat, *voter.SlotAnswer]) int {
+func (f *Reformer) ok(as []gather.Answer[roster.Seat, *voter.SlotResponse]) int {
 	n := 0
 	for _, a := range gather.Good(as) {
 		if a.A.OK {
@@ -106,7 +106,7 @@
 	return n
 }
 
-func (f *Reformer) short(r roster.Roster, as []gather.Answer[roster.Seat, *voter.SlotAnswer], verb string) error {
+func (f *Reformer) short(r roster.Roster, as []gather.Answer[roster.Seat, *voter.SlotResponse], verb string) error {
 	for _, a := range as {
 		if problem.Has(a.Err, problem.StaleRoster) {
 			return a.Err
@@ -116,12 +116,12 @@
 }
 
 func (f *Reformer) copy(ctx context.Context, r roster.Roster) (map[string]voter.Slot, error) {
-	type answers = []gather.Answer[roster.Seat, *voter.PeekAnswer]
+	type answers = []gather.Answer[roster.Seat, *voter.PeekResponse]
 	enough := func(as answers) bool { return len(gather.Good(as)) >= r.Intact() }
-	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
+	as := gather.Ask(ctx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekResponse, error) {
 		cx, stop := f.call(ctx)
 		defer stop()
-		return voter.Peek.Call(cx, f.net, f.self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Sealed: true})
+		return voter.Peek.Call(cx, f.net, f.self, s.Addr, &voter.PeekRequest{Roster: r.Sequence, Incarnation: s.Incarnation, Sealed: true})
 	}, enough)
 	if !enough(as) {
 		return nil, problem.Because(problem.NoMajority, gather.First(as), "%d of the %d intact disks needed gave their keys", len(gather.Good(as)), r.Intact())
@@ -148,14 +148,14 @@
 			continue
 		}
 		cx, stop := f.call(ctx)
-		a, err := voter.Peek.Call(cx, f.net, f.self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation})
+		a, err := voter.Peek.Call(cx, f.net, f.self, s.Addr, &voter.PeekRequest{Roster: r.Sequence, Incarnation: s.Incarnation})
 		stop()
 		if err != nil {
 			continue
 		}
 		cx, stop = f.call(ctx)
 		defer stop()
-		_, err = voter.Open.Call(cx, f.net, f.self, late.Addr, &voter.OpenTask{Incarnation: late.Incarnation, Roster: r, Slots: a.Slots})
+		_, err = voter.Open.Call(cx, f.net, f.self, late.Addr, &voter.OpenRequest{Incarnation: late.Incarnation, Roster: r, Slots: a.Slots})
 		return err
 	}
 	return problem.New(problem.NoMajority, "no seat could give its keys to %s", late.Node)
--- a/internal/control/repair/repair.go
+++ b/internal/control/repair/repair.go
@@ -19,15 +19,15 @@
 	Bounds options.Bounds
 }
 
-type copy = gather.Answer[roster.Seat, *voter.PeekAnswer]
+type copy = gather.Answer[roster.Seat, *voter.PeekResponse]
 
 // Keys compares the copies of the named keys, all when none are named, and brings old ones up. It gives how many it mended. Values are read only
 // where some copy is old, and then from one voter.
 func (m *Mender) Keys(ctx context.Context, r roster.Roster, keys ...string) int {
 	cx, stop := context.WithTimeout(ctx, m.Bounds.Call())
 	defer stop()
-	as := gather.Good(gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekAnswer, error) {
-		return voter.Peek.Call(ctx, m.Net, m.Self, s.Addr, &voter.PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: keys, Brief: true})
+	as := gather.Good(gather.Ask(cx, r.Seats, func(ctx context.Context, s roster.Seat) (*voter.PeekResponse, error) {
+		return voter.Peek.Call(ctx, m.Net, m.Self, s.Addr, &voter.PeekRequest{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: keys, Brief: true})
 	}, nil))
 	top, at := map[string]voter.Slot{}, map[string]roster.Seat{}
 	for _, a := range as {
@@ -54,7 +54,7 @@
 	n := 0
 	for _, a := range old {
 		cx, stop := context.WithTimeout(ctx, m.Bounds.Call())
-		b, err := voter.Accept.Call(cx, m.Net, m.Self, a.Who.Addr, &voter.AcceptTask{Ballot: voter.Ballot{Roster: r.Sequence, Incarnation: a.Who.Incarnation, Key: k}, Epoch: t.Accepted, Value: t.Value})
+		b, err := voter.Accept.Call(cx, m.Net, m.Self, a.Who.Addr, &voter.AcceptRequest{Ballot: voter.Ballot{Roster: r.Sequence, Incarnation: a.Who.Incarnation, Key: k}, Epoch: t.Accepted, Value: t.Value})
 		stop()
 		if err == nil && b.OK {
 			n++
--- a/internal/control/steward/steward.go
+++ b/internal/control/steward/steward.go
@@ -1,5 +1,5 @@
-// Package steward looks after the roster on one control node: it founds the fleet, seats new disks and catches late ones up.
-package steward
+// Package reconfigurer looks after the roster on one control node: it founds the fleet, seats new disks and catches late ones up.
+package reconfigurer
 
 import (
 	"cmp"
@@ -23,8 +23,8 @@
 	"postjunction/internal/problem"
 )
 
-// Steward runs beside a voter.
-type Steward struct {
+// Reconfigurer runs beside a voter.
+type Reconfigurer struct {
 	Self     string
 	Clock    clock.Clock
 	Bounds   options.Bounds
@@ -48,7 +48,7 @@
 }
 
 // Run tends the roster until ctx ends: at once on news of a control disk, and at its own pace.
-func (s *Steward) Run(ctx context.Context) {
+func (s *Reconfigurer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		ch, seal := s.Changed(), s.Sealing()
 		pace := clock.Jitter(s.Bounds.Tend(), 1, rand.Float64())
@@ -79,7 +79,7 @@
 // spareShare makes the pace at which voters that are gone are noticed where seats can be given up.
 const spareShare = 2
 
-func (s *Steward) found(ctx context.Context) {
+func (s *Reconfigurer) found(ctx context.Context) {
 	r, err := s.Founder.Try(ctx)
 	if err == nil {
 		s.Log.Say(event.Founded, "fleet", r.Fleet, "voters", len(r.Seats))
@@ -92,7 +92,7 @@
 	}
 }
 
-func (s *Steward) tend(ctx context.Context, r roster.Roster) {
+func (s *Reconfigurer) tend(ctx context.Context, r roster.Roster) {
 	live := map[string]member.Info{}
 	for _, i := range s.Live() {
 		if i.Disk == options.DiskControl {
@@ -122,7 +122,7 @@
 		case !ok:
 		case i.Incarnation != x.Incarnation:
 			ins, whys = append(ins, seat(i)), append(whys, "disk of "+x.Node+" is another one")
-		case i.Fellows != x.Addr:
+		case i.Peers != x.Addr:
 			ins, whys = append(ins, seat(i)), append(whys, x.Node+" is reached at another address")
 		case i.Roster < r.Sequence:
 			late = append(late, x)
@@ -168,7 +168,7 @@
 
 // finish ends a change of the roster that another voter began, when the roster has been sealed here for longer than that takes: who began it may
 // be lost, and nobody decides anything until it ended. The voters step in one after the other; epochs settle it where two do.
-func (s *Steward) finish(ctx context.Context, r roster.Roster, live map[string]member.Info, first string) {
+func (s *Reconfigurer) finish(ctx context.Context, r roster.Roster, live map[string]member.Info, first string) {
 	if s.Sealed() != r.Sequence {
 		s.sealed = time.Time{}
 		return
@@ -194,7 +194,7 @@
 }
 
 // miss notes which seats are not live and since when, and the zones of those that are.
-func (s *Steward) miss(r roster.Roster, live map[string]member.Info) {
+func (s *Reconfigurer) miss(r roster.Roster, live map[string]member.Info) {
 	was := s.gone
 	s.gone = map[string]time.Time{}
 	if s.zones == nil {
@@ -213,7 +213,7 @@
 }
 
 // pair gives newcomers the seats of voters that are gone, each at most one: that of their zone first, then the one that is gone for longest.
-func (s *Steward) pair(news []member.Info) map[string]string {
+func (s *Reconfigurer) pair(news []member.Info) map[string]string {
 	gone := slices.SortedFunc(maps.Keys(s.gone), func(a, b string) int {
 		return cmp.Or(s.gone[a].Compare(s.gone[b]), strings.Compare(a, b))
 	})
@@ -232,7 +232,7 @@
 }
 
 // surplus lists the seats, among those beyond what the fleet was founded with, whose voters are gone: a newcomer was seated before they went.
-func (s *Steward) surplus(r roster.Roster) []string {
+func (s *Reconfigurer) surplus(r roster.Roster) []string {
 	var gone []string
 	for _, x := range r.Seats {
 		t, ok := s.gone[x.Node]
@@ -249,7 +249,7 @@
 }
 
 // ripe tells whether a voter is gone for long enough that its seat may be taken, which is longer for a newcomer of another zone.
-func (s *Steward) ripe(out string, i member.Info) bool {
+func (s *Reconfigurer) ripe(out string, i member.Info) bool {
 	wait := s.Bounds.Session()
 	if s.zones[out] == i.Zone {
 		wait /= 2
@@ -257,7 +257,7 @@
 	return s.Clock.Now().Sub(s.gone[out]) >= wait
 }
 
-func (s *Steward) sweep(ctx context.Context, r roster.Roster) {
+func (s *Reconfigurer) sweep(ctx context.Context, r roster.Roster) {
 	now := s.Clock.Now()
 	if now.Sub(s.swept) < s.Bounds.Sweep() {
 		return
@@ -269,10 +269,10 @@
 }
 
 func seat(i member.Info) roster.Seat {
-	return roster.Seat{Node: i.Name, Addr: i.Fellows, Incarnation: i.Incarnation}
+	return roster.Seat{Node: i.Name, Addr: i.Peers, Incarnation: i.Incarnation}
 }
 
-func (s *Steward) change(ctx context.Context, r, want roster.Roster, why string) {
+func (s *Reconfigurer) change(ctx context.Context, r, want roster.Roster, why string) {
 	s.Log.Say(event.RosterChange, "from", r.Sequence, "reason", why)
 	n, err := s.Reformer.Change(ctx, r, want)
 	if err != nil {
--- a/internal/control/voter/calls.go
+++ b/internal/control/voter/calls.go
@@ -42,27 +42,27 @@
 	Key         string `json:"key"`
 }
 
-// PromiseTask asks for a promise.
-type PromiseTask struct {
+// PromiseRequest asks for a promise.
+type PromiseRequest struct {
 	Ballot
 	Epoch epoch.Epoch `json:"epoch"`
 }
 
-// AcceptTask asks for an acceptance.
-type AcceptTask struct {
+// AcceptRequest asks for an acceptance.
+type AcceptRequest struct {
 	Ballot
 	Epoch epoch.Epoch `json:"epoch"`
 	Value Value       `json:"value"`
 }
 
-// SlotAnswer gives the slot; OK tells whether the task was done.
-type SlotAnswer struct {
+// SlotResponse gives the slot; OK tells whether the task was done.
+type SlotResponse struct {
 	OK   bool `json:"ok"`
 	Slot Slot `json:"slot"`
 }
 
-// PeekTask reads slots of the named keys, all when none are named. Sealed slots are given only when asked for; Brief leaves out body and memory.
-type PeekTask struct {
+// PeekRequest reads slots of the named keys, all when none are named. Sealed slots are given only when asked for; Brief leaves out body and memory.
+type PeekRequest struct {
 	Roster      uint64   `json:"roster"`
 	Incarnation string   `json:"incarnation"`
 	Keys        []string `json:"keys,omitempty"`
@@ -70,21 +70,21 @@
 	Brief       bool     `json:"brief,omitempty"`
 }
 
-// PeekAnswer gives slots by key.
-type PeekAnswer struct {
+// PeekResponse gives slots by key.
+type PeekResponse struct {
 	Slots map[string]Slot `json:"slots"`
 }
 
-// OpenTask brings a voter under a roster with the copied keys.
-type OpenTask struct {
+// OpenRequest brings a voter under a roster with the copied keys.
+type OpenRequest struct {
 	Incarnation string          `json:"incarnation"`
 	Roster      roster.Roster   `json:"roster"`
 	Slots       map[string]Slot `json:"slots"`
 	Founding    bool            `json:"founding,omitempty"`
 }
 
-// FoundTask asks a fresh disk to agree to a founding roster.
-type FoundTask struct {
+// FoundRequest asks a fresh disk to agree to a founding roster.
+type FoundRequest struct {
 	Incarnation string        `json:"incarnation"`
 	Roster      roster.Roster `json:"roster"`
 }
@@ -94,11 +94,11 @@
 
 // The voter's calls.
 var (
-	Promise = wire.Name[PromiseTask, SlotAnswer]("Control", "Promise", wire.Ordered, "epochs only rise; the same one is promised again")
-	Accept  = wire.Name[AcceptTask, SlotAnswer]("Control", "Accept", wire.Ordered, "epoch and count of writes only rise")
-	Peek    = wire.Name[PeekTask, PeekAnswer]("Control", "Peek", wire.Reads, "slots of a voter")
-	Open    = wire.Name[OpenTask, Done]("Control", "Open", wire.Ordered, "rosters only rise; one that is in force or below changes nothing")
-	Found   = wire.Name[FoundTask, Done]("Control", "Found", wire.Ordered, "agreed to as long as the disk is under no roster")
+	Promise = wire.Name[PromiseRequest, SlotResponse]("Control", "Promise", wire.Ordered, "epochs only rise; the same one is promised again")
+	Accept  = wire.Name[AcceptRequest, SlotResponse]("Control", "Accept", wire.Ordered, "epoch and count of writes only rise")
+	Peek    = wire.Name[PeekRequest, PeekResponse]("Control", "Peek", wire.Reads, "slots of a voter")
+	Open    = wire.Name[OpenRequest, Done]("Control", "Open", wire.Ordered, "rosters only rise; one that is in force or below changes nothing")
+	Found   = wire.Name[FoundRequest, Done]("Control", "Found", wire.Ordered, "agreed to as long as the disk is under no roster")
 )
 
 // RosterKey is the register that names the next roster; accepting it seals the present one.
@@ -106,7 +106,7 @@
 
 // Whole reads the slot that a voter told briefly, with its value; it is not ok when another one stands there by now.
 func Whole(ctx context.Context, n wire.Network, self string, r roster.Roster, s roster.Seat, k string, told Slot) (Slot, bool) {
-	a, err := Peek.Call(ctx, n, self, s.Addr, &PeekTask{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{k}})
+	a, err := Peek.Call(ctx, n, self, s.Addr, &PeekRequest{Roster: r.Sequence, Incarnation: s.Incarnation, Keys: []string{k}})
 	if err != nil {
 		return Slot{}, false
 	}
--- a/internal/control/voter/giveup_test.go
+++ b/internal/control/voter/giveup_test.go
@@ -41,11 +41,11 @@
 func TestAnAskerThatGivesUpLeavesNoStaleSlot(t *testing.T) {
 	for name, next := range map[string]func(v *Voter) (Slot, error){
 		"a promise comes next": func(v *Voter) (Slot, error) {
-			a, err := v.Promise(ctx, &PromiseTask{Ballot: ballot("k"), Epoch: at(2, "c2")})
+			a, err := v.Promise(ctx, &PromiseRequest{Ballot: ballot("k"), Epoch: at(2, "c2")})
 			return a.Slot, err
 		},
 		"the same write comes again": func(v *Voter) (Slot, error) {
-			a, err := v.Accept(ctx, &AcceptTask{Ballot: ballot("k"), Epoch: at(1, "c1"), Value: Value{Writes: 1, Body: []byte("a")}})
+			a, err := v.Accept(ctx, &AcceptRequest{Ballot: ballot("k"), Epoch: at(1, "c1"), Value: Value{Writes: 1, Body: []byte("a")}})
 			return a.Slot, err
 		},
 	} {
@@ -59,9 +59,9 @@
 				defer end()
 				go j.Run(run)
 				v.Start("i1", j, func(roster.Roster) error { return nil }, func(roster.Roster) {})
-				_, err = v.Found(ctx, &FoundTask{Incarnation: "i1", Roster: first()})
+				_, err = v.Found(ctx, &FoundRequest{Incarnation: "i1", Roster: first()})
 				assert.NilError(t, err)
-				_, err = v.Open(ctx, &OpenTask{Incarnation: "i1", Roster: first(), Founding: true})
+				_, err = v.Open(ctx, &OpenRequest{Incarnation: "i1", Roster: first(), Founding: true})
 				assert.NilError(t, err)
 				promise(t, v, at(1, "c1"))
 				accept(t, v, at(1, "c1"), 1, "a")
@@ -69,7 +69,7 @@
 				cx, leave := context.WithCancel(ctx)
 				gone := make(chan error, 1)
 				go func() {
-					_, err := v.Accept(cx, &AcceptTask{Ballot: ballot("k"), Epoch: at(1, "c1"), Value: Value{Writes: 2, Body: []byte("b")}})
+					_, err := v.Accept(cx, &AcceptRequest{Ballot: ballot("k"), Epoch: at(1, "c1"), Value: Value{Writes: 2, Body: []byte("b")}})
 					gone <- err
 				}()
 				synctest.Wait()
@@ -86,7 +86,7 @@
 				release()
 				assert.NilError(t, <-done)
 				assert.Equal(t, s.Value.Writes, uint64(2))
-				p, err := v.Peek(ctx, &PeekTask{Roster: 1, Incarnation: "i1", Keys: []string{"k"}})
+				p, err := v.Peek(ctx, &PeekRequest{Roster: 1, Incarnation: "i1", Keys: []string{"k"}})
 				assert.NilError(t, err)
 				assert.Equal(t, p.Slots["k"].Value.Writes, uint64(2))
 				assert.Equal(t, string(p.Slots["k"].Value.Body), "b")
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -196,7 +196,7 @@
 }
 
 // Promise answers once the promise is synced.
-func (v *Voter) Promise(ctx context.Context, q *PromiseTask) (*SlotAnswer, error) {
+func (v *Voter) Promise(ctx context.Context, q *PromiseRequest) (*SlotResponse, error) {
 	s, t, err := v.enter(ctx, q.Ballot)
 	if err != nil {
 		return nil, err
@@ -204,16 +204,16 @@
 	defer t.Back()
 	n, ok := s.Promise(q.Epoch)
 	if !ok || n.Promised == s.Promised {
-		return &SlotAnswer{OK: ok, Slot: s}, nil
+		return &SlotResponse{OK: ok, Slot: s}, nil
 	}
 	if err := v.store(ctx, t, q.Key, n); err != nil {
 		return nil, err
 	}
-	return &SlotAnswer{OK: true, Slot: n}, nil
+	return &SlotResponse{OK: true, Slot: n}, nil
 }
 
 // Accept answers once the value is synced.
-func (v *Voter) Accept(ctx context.Context, q *AcceptTask) (*SlotAnswer, error) {
+func (v *Voter) Accept(ctx context.Context, q *AcceptRequest) (*SlotResponse, error) {
 	s, t, err := v.enter(ctx, q.Ballot)
 	if err != nil {
 		return nil, err
@@ -221,16 +221,16 @@
 	defer t.Back()
 	n, ok := s.Accept(q.Epoch, q.Value)
 	if !ok {
-		return &SlotAnswer{Slot: s}, nil
+		return &SlotResponse{Slot: s}, nil
 	}
 	if err := v.store(ctx, t, q.Key, n); err != nil {
 		return nil, err
 	}
-	return &SlotAnswer{OK: true, Slot: n}, nil
+	return &SlotResponse{OK: true, Slot: n}, nil
 }
 
 // Peek reads without promising.
-func (v *Voter) Peek(_ context.Context, q *PeekTask) (*PeekAnswer, error) {
+func (v *Voter) Peek(_ context.Context, q *PeekRequest) (*PeekResponse, error) {
 	if err := v.disk(q.Incarnation); err != nil {
 		return nil, err
 	}
@@ -242,7 +242,7 @@
 	if q.Sealed && !v.sealed() {
 		return nil, problem.New(problem.StaleRoster, "roster %d is not sealed here", v.roster.Sequence)
 	}
-	a := &PeekAnswer{Slots: map[string]Slot{}}
+	a := &PeekResponse{Slots: map[string]Slot{}}
 	add := func(k string, s Slot) {
 		if q.Brief {
 			s.Value.Body, s.Value.Memory = nil, nil
@@ -261,7 +261,7 @@
 }
 
 // Open brings the voter under a higher roster; slots accepted under the old one are replaced by the copy.
-func (v *Voter) Open(ctx context.Context, q *OpenTask) (*Done, error) {
+func (v *Voter) Open(ctx context.Context, q *OpenRequest) (*Done, error) {
 	t, err := v.alone(ctx, q.Incarnation)
 	if err != nil {
 		return nil, err
@@ -305,7 +305,7 @@
 }
 
 // Found agrees to a founding roster while the disk is under none.
-func (v *Voter) Found(ctx context.Context, q *FoundTask) (*Done, error) {
+func (v *Voter) Found(ctx context.Context, q *FoundRequest) (*Done, error) {
 	t, err := v.alone(ctx, q.Incarnation)
 	if err != nil {
 		return nil, err
--- a/internal/control/voter/voter_test.go
+++ b/internal/control/voter/voter_test.go
@@ -35,9 +35,9 @@
 func opened(t *testing.T, d *memlog.Disk) *Voter {
 	v := boot(t, d, "i1")
 	r := first()
-	_, err := v.Found(ctx, &FoundTask{Incarnation: "i1", Roster: r})
+	_, err := v.Found(ctx, &FoundRequest{Incarnation: "i1", Roster: r})
 	assert.NilError(t, err)
-	_, err = v.Open(ctx, &OpenTask{Incarnation: "i1", Roster: r, Founding: true})
+	_, err = v.Open(ctx, &OpenRequest{Incarnation: "i1", Roster: r, Founding: true})
 	assert.NilError(t, err)
 	return v
 }
@@ -46,14 +46,14 @@
 
 func ballot(k string) Ballot { return Ballot{Roster: 1, Incarnation: "i1", Key: k} }
 
-func promise(t *testing.T, v *Voter, e epoch.Epoch) *SlotAnswer {
-	a, err := v.Promise(ctx, &PromiseTask{Ballot: ballot("k"), Epoch: e})
+func promise(t *testing.T, v *Voter, e epoch.Epoch) *SlotResponse {
+	a, err := v.Promise(ctx, &PromiseRequest{Ballot: ballot("k"), Epoch: e})
 	assert.NilError(t, err)
 	return a
 }
 
-func accept(t *testing.T, v *Voter, e epoch.Epoch, writes uint64, body string) *SlotAnswer {
-	a, err := v.Accept(ctx, &AcceptTask{Ballot: ballot("k"), Epoch: e, Value: Value{Writes: writes, Body: []byte(body)}})
+func accept(t *testing.T, v *Voter, e epoch.Epoch, writes uint64, body string) *SlotResponse {
+	a, err := v.Accept(ctx, &AcceptRequest{Ballot: ballot("k"), Epoch: e, Value: Value{Writes: writes, Body: []byte(body)}})
 	assert.NilError(t, err)
 	return a
 }
@@ -81,9 +81,9 @@
 	opened(t, d)
 	d.Wipe()
 	v := boot(t, d, "i9")
-	_, err := v.Promise(ctx, &PromiseTask{Ballot: ballot("k"), Epoch: at(1, "c1")})
+	_, err := v.Promise(ctx, &PromiseRequest{Ballot: ballot("k"), Epoch: at(1, "c1")})
 	assert.Assert(t, problem.Has(err, problem.WrongDisk), "%v", err)
-	_, err = v.Open(ctx, &OpenTask{Incarnation: "i1", Roster: first()})
+	_, err = v.Open(ctx, &OpenRequest{Incarnation: "i1", Roster: first()})
 	assert.Assert(t, problem.Has(err, problem.WrongDisk), "%v", err)
 }
 
@@ -91,32 +91,32 @@
 	v := opened(t, memlog.New())
 	b := ballot("k")
 	b.Roster = 2
-	_, err := v.Accept(ctx, &AcceptTask{Ballot: b, Epoch: at(9, "c1"), Value: Value{Writes: 1}})
+	_, err := v.Accept(ctx, &AcceptRequest{Ballot: b, Epoch: at(9, "c1"), Value: Value{Writes: 1}})
 	assert.Assert(t, problem.Has(err, problem.StaleRoster), "%v", err)
 	n := first().Replace(roster.Seat{Node: "c3", Incarnation: "j3"})
-	_, err = v.Open(ctx, &OpenTask{Incarnation: "i1", Roster: n, Slots: map[string]Slot{"k": {Accepted: at(4, "c2"), Value: Value{Writes: 7}}}})
+	_, err = v.Open(ctx, &OpenRequest{Incarnation: "i1", Roster: n, Slots: map[string]Slot{"k": {Accepted: at(4, "c2"), Value: Value{Writes: 7}}}})
 	assert.NilError(t, err)
-	_, err = v.Promise(ctx, &PromiseTask{Ballot: ballot("k"), Epoch: at(9, "c1")})
+	_, err = v.Promise(ctx, &PromiseRequest{Ballot: ballot("k"), Epoch: at(9, "c1")})
 	assert.Assert(t, problem.Has(err, problem.StaleRoster), "%v", err)
-	a, err := v.Promise(ctx, &PromiseTask{Ballot: b, Epoch: at(4, "c1")})
+	a, err := v.Promise(ctx, &PromiseRequest{Ballot: b, Epoch: at(4, "c1")})
 	assert.NilError(t, err)
 	assert.Assert(t, !a.OK, "below what was accepted")
-	_, err = v.Open(ctx, &OpenTask{Incarnation: "i1", Roster: first()})
+	_, err = v.Open(ctx, &OpenRequest{Incarnation: "i1", Roster: first()})
 	assert.NilError(t, err)
 	assert.Equal(t, v.Roster().Sequence, uint64(2), "a roster never goes back")
 }
 
 func TestSealedVoterAnswersNothingOlder(t *testing.T) {
 	v := opened(t, memlog.New())
-	a, err := v.Accept(ctx, &AcceptTask{Ballot: ballot(RosterKey), Epoch: at(1, "c1"), Value: Value{Writes: 1, Body: []byte("{}")}})
+	a, err := v.Accept(ctx, &AcceptRequest{Ballot: ballot(RosterKey), Epoch: at(1, "c1"), Value: Value{Writes: 1, Body: []byte("{}")}})
 	assert.NilError(t, err)
 	assert.Assert(t, a.OK)
-	_, err = v.Accept(ctx, &AcceptTask{Ballot: ballot("k"), Epoch: at(9, "c1"), Value: Value{Writes: 1}})
+	_, err = v.Accept(ctx, &AcceptRequest{Ballot: ballot("k"), Epoch: at(9, "c1"), Value: Value{Writes: 1}})
 	assert.Assert(t, problem.Has(err, problem.StaleRoster), "%v", err)
-	_, err = v.Promise(ctx, &PromiseTask{Ballot: ballot("k"), Epoch: at(9, "c1")})
+	_, err = v.Promise(ctx, &PromiseRequest{Ballot: ballot("k"), Epoch: at(9, "c1")})
 	assert.Assert(t, problem.Has(err, problem.StaleRoster), "%v", err)
-	_, err = v.Peek(ctx, &PeekTask{Roster: 1, Incarnation: "i1"})
+	_, err = v.Peek(ctx, &PeekRequest{Roster: 1, Incarnation: "i1"})
 	assert.Assert(t, problem.Has(err, problem.StaleRoster), "%v", err)
-	_, err = v.Peek(ctx, &PeekTask{Roster: 1, Incarnation: "i1", Sealed: true})
+	_, err = v.Peek(ctx, &PeekRequest{Roster: 1, Incarnation: "i1", Sealed: true})
 	assert.NilError(t, err)
 }
--- a/internal/door/lines/lines_test.go
+++ b/internal/door/lines/lines_test.go
@@ -297,7 +297,7 @@
 func TestNobodyTurnsAway(t *testing.T) {
 	var got []visit.Answer
 	g := lines.Nobody{}.Enter(func(a visit.Answer) { got = append(got, a) })
-	g.Do(visit.Task{Verb: visit.Pulse})
+	g.Do(visit.Task{Verb: visit.Heartbeat})
 	g.Do(visit.Task{Verb: visit.Join, Topic: "a"})
 	g.End()
 	assert.Equal(t, got[0].What, visit.Alive)
--- a/internal/door/lines/nobody.go
+++ b/internal/door/lines/nobody.go
@@ -15,7 +15,7 @@
 
 // Do turns a task away.
 func (a alone) Do(t visit.Task) {
-	if t.Verb == visit.Pulse {
+	if t.Verb == visit.Heartbeat {
 		a.out(visit.Answer{What: visit.Alive})
 		return
 	}
--- a/internal/door/lines/plain/plain.go
+++ b/internal/door/lines/plain/plain.go
@@ -59,12 +59,12 @@
 		"key": text, "of": text, "upto": {Kind: strict.Count},
 	}
 	needs = map[visit.Verb][]string{
-		visit.Attach: {"visitor"},
-		visit.Join:   {"topic"},
-		visit.Leave:  {"topic"},
-		visit.Send:   {"topic", "call_seq", "body"},
-		visit.Count:  {"topic"},
-		visit.Pulse:  nil,
+		visit.Attach:    {"visitor"},
+		visit.Join:      {"topic"},
+		visit.Leave:     {"topic"},
+		visit.Send:      {"topic", "call_seq", "body"},
+		visit.Count:     {"topic"},
+		visit.Heartbeat: nil,
 
 		visit.Withdraw: {"topic", "key", "call_seq"},
 	}
--- a/internal/door/lines/plain/plain_test.go
+++ b/internal/door/lines/plain/plain_test.go
@@ -49,7 +49,7 @@
 		`{"verb":"leave","topic":"a/b"}`:                            {Verb: visit.Leave, Topic: "a/b"},
 		`{"verb":"send","topic":"a/b","call_seq":7,"body":{"x":1}}`: {Verb: visit.Send, Topic: "a/b", Call: 7, Body: []byte(`{"x":1}`)},
 		`{"verb":"count","topic":"a/b"}`:                            {Verb: visit.Count, Topic: "a/b"},
-		`{"verb":"pulse"}`:                                          {Verb: visit.Pulse},
+		`{"verb":"pulse"}`:                                          {Verb: visit.Heartbeat},
 
 		`{"verb":"send","topic":"a/b","call_seq":7,"body":1,"key":"k"}`:               {Verb: visit.Send, Topic: "a/b", Call: 7, Body: []byte(`1`), Key: "k"},
 		`{"verb":"withdraw","topic":"a/b","key":"k","call_seq":8}`:                    {Verb: visit.Withdraw, Topic: "a/b", Key: "k", Call: 8},
@@ -91,7 +91,7 @@
 		assert.Assert(t, errors.As(err, &f) && f.Sure, s)
 		next, err := Codec{}.Read(r, 5)
 		assert.NilError(t, err)
-		assert.Equal(t, next.Verb, visit.Pulse)
+		assert.Equal(t, next.Verb, visit.Heartbeat)
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -42,8 +42,8 @@
 
 	Joined        = entry(300, hclog.Info, "session opened with a control node")
 	SessionMoved  = entry(301, hclog.Warn, "session lost, looking for another control node")
-	LicenceLost   = entry(302, hclog.Warn, "licence lapsed; serving stops")
-	LicenceBack   = entry(303, hclog.Info, "licence live; serving")
+	LeaseLost     = entry(302, hclog.Warn, "licence lapsed; serving stops")
+	LeaseBack     = entry(303, hclog.Info, "licence live; serving")
 	VisitorsSent  = entry(304, hclog.Warn, "those who decide are not reached; visitors are sent to fellows that reach them")
 	VisitorsStay  = entry(305, hclog.Info, "those who decide are reached again; visitors may stay")
 	Founded       = entry(310, hclog.Info, "fleet founded")
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,4 +1,4 @@
-// Package gossip carries news to the data plane: nodes pass it on to a few fellows and mend gaps by comparing digests.
+// Package gossip carries news to the data plane: nodes pass it on to a few peers and mend gaps by comparing digests.
 package gossip
 
 import (
@@ -27,7 +27,7 @@
 	Records     []uint64 `json:"p"`
 	// Changes tells that a description may come by its changes.
 	Changes bool `json:"c,omitempty"`
-	// Without tells that the description is asked of another fellow already.
+	// Without tells that the description is asked of another peer already.
 	Without bool `json:"w,omitempty"`
 	// Lean tells that records are wanted without their history.
 	Lean bool `json:"l,omitempty"`
@@ -46,22 +46,22 @@
 	return n.Roster == nil && n.Description == nil && len(n.Changes) == 0 && len(n.Records) == 0
 }
 
-// ExchangeTask offers a digest, and news to those known to lack it. With a Hash of it, the digest leaves the records out.
-type ExchangeTask struct {
+// ExchangeRequest offers a digest, and news to those known to lack it. With a Hash of it, the digest leaves the records out.
+type ExchangeRequest struct {
 	Digest Digest `json:"digest,omitzero"`
 	News   News   `json:"news,omitzero"`
 	Hash   uint64 `json:"h,omitempty"`
 }
 
-// ExchangeAnswer gives the receiver's digest and what the asker lacks, or only that both have the Same.
-type ExchangeAnswer struct {
+// ExchangeResponse gives the receiver's digest and what the asker lacks, or only that both have the Same.
+type ExchangeResponse struct {
 	Digest Digest `json:"digest,omitzero"`
 	News   News   `json:"news,omitzero"`
 	Same   bool   `json:"s,omitempty"`
 }
 
 // Exchange is the gossip call.
-var Exchange = wire.Name[ExchangeTask, ExchangeAnswer]("Gossip", "Exchange", wire.Ordered, "news are numbered, and only higher numbers are taken")
+var Exchange = wire.Name[ExchangeRequest, ExchangeResponse]("Gossip", "Exchange", wire.Ordered, "news are numbered, and only higher numbers are taken")
 
 // Board holds a node's news; nothing on it ever goes back.
 type Board struct {
@@ -315,9 +315,9 @@
 	over    uint64
 }
 
-const fellowsPerRound = 2
+const peersPerRound = 2
 
-// suited gives news as one fellow is to have it: records without their history where they are lean. A node without a disk gives records to lean ones only,
+// suited gives news as one peer is to have it: records without their history where they are lean. A node without a disk gives records to lean ones only,
 // since those that write them need them whole.
 func (g *Gossip) suited(n News, lean bool) News {
 	if !lean {
@@ -339,8 +339,8 @@
 	return d
 }
 
-// answer says how new the board is to one that told how new its own is. A description that one fellow was let send stands as had towards the
-// others for a pulse, so that the whole of it doesn't come from all of them at once.
+// answer says how new the board is to one that told how new its own is. A description that one peer was let send stands as had towards the
+// others for a heartbeat, so that the whole of it doesn't come from all of them at once.
 func (g *Gossip) answer(theirs Digest) Digest {
 	d := g.digest()
 	if theirs.Description <= d.Description {
@@ -353,7 +353,7 @@
 		d.Description = theirs.Description
 		return d
 	}
-	g.coming, g.until = theirs.Description, now.Add(g.Bounds.Pulse())
+	g.coming, g.until = theirs.Description, now.Add(g.Bounds.Heartbeat())
 	return d
 }
 
@@ -364,11 +364,11 @@
 	return g.sent, g.mended
 }
 
-// Run exchanges with a few fellows at once when there is news, and again until several in a row had the same; else with one now and then.
+// Run exchanges with a few peers at once when there is news, and again until several in a row had the same; else with one now and then.
 func (g *Gossip) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		ch := g.Board.Changed()
-		few, wide := fellowsPerRound, g.wide
+		few, wide := peersPerRound, g.wide
 		switch {
 		case g.Disk && g.owners():
 			wide = g.warm(false)
@@ -381,13 +381,13 @@
 		for _, f := range fs[:min(len(fs), few)] {
 			go g.swap(ctx, f)
 		}
-		if err := g.Clock.Sleep(ctx, g.Bounds.Pulse()/fellowsPerRound/10); err != nil {
+		if err := g.Clock.Sleep(ctx, g.Bounds.Heartbeat()/peersPerRound/10); err != nil {
 			return
 		}
 	}
 }
 
-// wait waits for news or until it is time to ask someone, and says how many fellows to exchange with, and whether those without a disk are among them.
+// wait waits for news or until it is time to ask someone, and says how many peers to exchange with, and whether those without a disk are among them.
 func (g *Gossip) wait(ctx context.Context, ch <-chan struct{}) (few int, wide bool) {
 	cx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -403,9 +403,9 @@
 	}
 	switch own := g.owners(); {
 	case own && g.Disk:
-		return fellowsPerRound, g.warm(false)
+		return peersPerRound, g.warm(false)
 	case !own && g.Control:
-		return fellowsPerRound, g.warm(true)
+		return peersPerRound, g.warm(true)
 	}
 	return 0, false
 }
@@ -417,8 +417,8 @@
 	roundsMost = 12
 )
 
-// owners tells whether there was news of ownership since the last time. That can't wait for the next pulse; of a description only control nodes tell
-// at once, and all others hear with their pulses, each in its own time, which spares a small machine two dozen exchanges at once.
+// owners tells whether there was news of ownership since the last time. That can't wait for the next heartbeat; of a description only control nodes tell
+// at once, and all others hear with their heartbeats, each in its own time, which spares a small machine two dozen exchanges at once.
 func (g *Gossip) owners() bool {
 	e := g.Board.told()
 	g.mu.Lock()
@@ -428,7 +428,7 @@
 	return e != was
 }
 
-// warm begins rounds, wide ones with fellows of all kinds. Wide ones that go on stay so.
+// warm begins rounds, wide ones with peers of all kinds. Wide ones that go on stay so.
 func (g *Gossip) warm(wide bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -503,13 +503,13 @@
 	return x ^ x>>32
 }
 
-// tell gives news to a fellow, without asking for any description.
+// tell gives news to a peer, without asking for any description.
 func (g *Gossip) tell(ctx context.Context, f member.Info, n News) {
 	cx, stop := context.WithTimeout(ctx, g.Bounds.Call())
 	defer stop()
 	d := g.digest()
 	d.Description, d.Without = 0, true
-	_, _ = Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: d, News: g.suited(n, !kept(f))})
+	_, _ = Exchange.Call(cx, g.Net, g.Self, f.Peers, &ExchangeRequest{Digest: d, News: g.suited(n, !kept(f))})
 }
 
 // Tell has records that were written here known at once: by those that they name, and by a few others with a disk that pass them on.
@@ -523,7 +523,7 @@
 	}
 	g.telling = true
 	go func() {
-		_ = g.Clock.Sleep(ctx, g.Bounds.Pulse()/gatherShare)
+		_ = g.Clock.Sleep(ctx, g.Bounds.Heartbeat()/gatherShare)
 		g.mu.Lock()
 		rs := g.untold
 		g.untold, g.telling = nil, false
@@ -577,7 +577,7 @@
 	d.Records = nil
 	d.Without = !g.first()
 	defer g.freed(!d.Without)
-	a, err := Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: d, Hash: hash})
+	a, err := Exchange.Call(cx, g.Net, g.Self, f.Peers, &ExchangeRequest{Digest: d, Hash: hash})
 	if err != nil {
 		return
 	}
@@ -588,7 +588,7 @@
 			got = true
 			had := g.digest()
 			had.Without = d.Without
-			if a, err = Exchange.Call(cx, g.Net, g.Self, f.Fellows, &ExchangeTask{Digest: had, News: n}); err == nil {
+			if a, err = Exchange.Call(cx, g.Net, g.Self, f.Peers, &ExchangeRequest{Digest: had, News: n}); err == nil {
 				g.Board.Offer(a.News)
 			}
 		}
@@ -606,15 +606,15 @@
 
 // Serve adds the gossip call.
 func (g *Gossip) Serve(m *http.ServeMux) {
-	Exchange.Handle(m, func(_ context.Context, q *ExchangeTask) (*ExchangeAnswer, error) {
+	Exchange.Handle(m, func(_ context.Context, q *ExchangeRequest) (*ExchangeResponse, error) {
 		g.Board.Offer(q.News)
 		n := g.Board.Since(q.Digest)
 		if q.Hash != 0 {
 			if q.Hash == g.Board.Hash() {
-				return &ExchangeAnswer{Same: true}, nil
+				return &ExchangeResponse{Same: true}, nil
 			}
 			n.Records = nil
 		}
-		return &ExchangeAnswer{Digest: g.answer(q.Digest), News: g.suited(n, q.Digest.Lean)}, nil
+		return &ExchangeResponse{Digest: g.answer(q.Digest), News: g.suited(n, q.Digest.Lean)}, nil
 	})
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -48,7 +48,7 @@
 		assert.Assert(t, !lacks(4))
 		assert.Assert(t, lacks(6), "a newer one")
 		assert.Assert(t, !lacks(6))
-		time.Sleep(b.Pulse())
+		time.Sleep(b.Heartbeat())
 		assert.Assert(t, lacks(6), "the fellow that was let send it never did")
 		g.Board.Offer(News{Description: &description.Description{Sequence: 6}})
 		assert.Equal(t, g.answer(Digest{Description: 6}).Description, uint64(6))
--- a/internal/ledger/desk/desk.go
+++ b/internal/ledger/desk/desk.go
@@ -19,34 +19,34 @@
 	"postjunction/internal/wire"
 )
 
-// AttachTask records an attachment.
-type AttachTask struct {
+// AttachRequest records an attachment.
+type AttachRequest struct {
 	Visitor    string `json:"v"`
 	Secret     string `json:"s"`
 	Generation uint64 `json:"g,omitempty"`
 	Urgent     bool   `json:"u,omitempty"`
 }
 
-// AttachAnswer gives the attachment's generation and the cursor that was left.
-type AttachAnswer struct {
+// AttachResponse gives the attachment's generation and the cursor that was left.
+type AttachResponse struct {
 	Generation uint64      `json:"g"`
 	Acked      state.Acked `json:"k"`
 }
 
-// AttachedTask asks which attachment is in force.
-type AttachedTask struct {
+// AttachedRequest asks which attachment is in force.
+type AttachedRequest struct {
 	Visitor string `json:"v"`
 	Urgent  bool   `json:"u,omitempty"`
 }
 
-// AttachedAnswer says so.
-type AttachedAnswer struct {
+// AttachedResponse says so.
+type AttachedResponse struct {
 	Attached state.Attached `json:"t"`
 	Acked    state.Acked    `json:"k"`
 }
 
-// AckTask leaves a cursor.
-type AckTask struct {
+// AckRequest leaves a cursor.
+type AckRequest struct {
 	Visitor    string `json:"v"`
 	Generation uint64 `json:"g"`
 	Cursor     string `json:"c"`
@@ -56,19 +56,19 @@
 // Done is an answer without contents.
 type Done struct{}
 
-// UsageTask asks how a partition's topics were used.
-type UsageTask struct {
+// UsageRequest asks how a partition's topics were used.
+type UsageRequest struct {
 	Partition int `json:"p"`
 }
 
-// UsageAnswer says so.
-type UsageAnswer struct {
+// UsageResponse says so.
+type UsageResponse struct {
 	Uses  []owner.Use      `json:"u"`
 	Marks *owner.MarksView `json:"m,omitempty"`
 }
 
-// TraceTask asks what the ledger knows of a call.
-type TraceTask struct {
+// TraceRequest asks what the ledger knows of a call.
+type TraceRequest struct {
 	Visitor string `json:"v"`
 	Topic   string `json:"t"`
 	Call    uint64 `json:"c"`
@@ -85,8 +85,8 @@
 	Forgotten bool   `json:"forgotten,omitempty"`
 }
 
-// ForgottenTask asks whether all readers of a partition have read behind a mark, waiting up to Hold.
-type ForgottenTask struct {
+// ForgottenRequest asks whether all readers of a partition have read behind a mark, waiting up to Hold.
+type ForgottenRequest struct {
 	Partition int           `json:"p"`
 	Offset    uint64        `json:"o"`
 	Hold      time.Duration `json:"h"`
@@ -95,14 +95,14 @@
 // The desk's calls.
 var (
 	Submit   = wire.Name[owner.Task, owner.Decision]("Ledger", "Submit", wire.Numbered, "the message has its number, which the owner remembers")
-	Attach   = wire.Name[AttachTask, AttachAnswer]("Ledger", "Attach", wire.Numbered, "the attachment has a secret of its own; the one in force is known by it")
-	Attached = wire.Name[AttachedTask, AttachedAnswer]("Ledger", "Attached", wire.Reads, "confirmed by a majority of copies")
-	Ack      = wire.Name[AckTask, Done]("Ledger", "Ack", wire.Ordered, "the cursor left last stands, as long as the attachment is in force")
-	Trace    = wire.Name[TraceTask, Traced]("Ledger", "Trace", wire.Reads, "looks up a call's fate")
-	Usage    = wire.Name[UsageTask, UsageAnswer]("Ledger", "Usage", wire.Reads, "counts")
-	Read     = wire.Name[owner.ReadTask, owner.Reading]("Ledger", "Read", wire.Reads, "committed entries behind a place")
+	Attach   = wire.Name[AttachRequest, AttachResponse]("Ledger", "Attach", wire.Numbered, "the attachment has a secret of its own; the one in force is known by it")
+	Attached = wire.Name[AttachedRequest, AttachedResponse]("Ledger", "Attached", wire.Reads, "confirmed by a majority of copies")
+	Ack      = wire.Name[AckRequest, Done]("Ledger", "Ack", wire.Ordered, "the cursor left last stands, as long as the attachment is in force")
+	Trace    = wire.Name[TraceRequest, Traced]("Ledger", "Trace", wire.Reads, "looks up a call's fate")
+	Usage    = wire.Name[UsageRequest, UsageResponse]("Ledger", "Usage", wire.Reads, "counts")
+	Read     = wire.Name[owner.ReadRequest, owner.Reading]("Ledger", "Read", wire.Reads, "committed entries behind a place")
 	// Forgotten tells who has not read behind a mark yet.
-	Forgotten = wire.Name[ForgottenTask, owner.Unheard]("Ledger", "Forgotten", wire.Reads, "waits for readers, changes nothing")
+	Forgotten = wire.Name[ForgottenRequest, owner.Unheard]("Ledger", "Forgotten", wire.Reads, "waits for readers, changes nothing")
 )
 
 // Owners finds the owner that runs here.
@@ -154,7 +154,7 @@
 	return o.Submit(ctx, q)
 }
 
-func (d *Desk) attach(ctx context.Context, q *AttachTask) (*AttachAnswer, error) {
+func (d *Desk) attach(ctx context.Context, q *AttachRequest) (*AttachResponse, error) {
 	o, err := d.here(d.home(q.Visitor, q.Urgent))
 	if err != nil {
 		return nil, err
@@ -164,19 +164,19 @@
 		return nil, err
 	}
 	_, k, err := o.Attached(ctx, q.Visitor)
-	return &AttachAnswer{Generation: g, Acked: k}, err
+	return &AttachResponse{Generation: g, Acked: k}, err
 }
 
-func (d *Desk) attached(ctx context.Context, q *AttachedTask) (*AttachedAnswer, error) {
+func (d *Desk) attached(ctx context.Context, q *AttachedRequest) (*AttachedResponse, error) {
 	o, err := d.here(d.home(q.Visitor, q.Urgent))
 	if err != nil {
 		return nil, err
 	}
 	t, k, err := o.Attached(ctx, q.Visitor)
-	return &AttachedAnswer{Attached: t, Acked: k}, err
+	return &AttachedResponse{Attached: t, Acked: k}, err
 }
 
-func (d *Desk) ack(ctx context.Context, q *AckTask) (*Done, error) {
+func (d *Desk) ack(ctx context.Context, q *AckRequest) (*Done, error) {
 	o, err := d.here(d.home(q.Visitor, q.Urgent))
 	if err != nil {
 		return nil, err
@@ -184,7 +184,7 @@
 	return &Done{}, o.Ack(ctx, q.Visitor, q.Generation, q.Cursor)
 }
 
-func (d *Desk) read(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+func (d *Desk) read(ctx context.Context, q *owner.ReadRequest) (*owner.Reading, error) {
 	o, err := d.here(q.Partition)
 	if err != nil {
 		return nil, err
@@ -193,7 +193,7 @@
 	return o.Read(ctx, q)
 }
 
-func (d *Desk) forgotten(ctx context.Context, q *ForgottenTask) (*owner.Unheard, error) {
+func (d *Desk) forgotten(ctx context.Context, q *ForgottenRequest) (*owner.Unheard, error) {
 	o, err := d.here(q.Partition)
 	if err != nil {
 		return nil, err
@@ -201,16 +201,16 @@
 	return o.Forgotten(ctx, q.Offset, min(q.Hold, d.Bounds.Hold()))
 }
 
-func (d *Desk) usage(_ context.Context, q *UsageTask) (*UsageAnswer, error) {
+func (d *Desk) usage(_ context.Context, q *UsageRequest) (*UsageResponse, error) {
 	o, err := d.here(q.Partition)
 	if err != nil {
 		return nil, err
 	}
 	us, err := o.Usage()
-	return &UsageAnswer{Uses: us, Marks: o.Marks()}, err
+	return &UsageResponse{Uses: us, Marks: o.Marks()}, err
 }
 
-func (d *Desk) trace(ctx context.Context, q *TraceTask) (*Traced, error) {
+func (d *Desk) trace(ctx context.Context, q *TraceRequest) (*Traced, error) {
 	s, err := d.Board.Index().Find(q.Topic)
 	if err != nil {
 		return nil, err
@@ -332,7 +332,7 @@
 		return nil, problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, p)
 	}
 	defer context.AfterFunc(d.reigns.of(d.Board, r), stop)()
-	return c.Call(cx, d.Net, d.Self, i.Fellows, q)
+	return c.Call(cx, d.Net, d.Self, i.Peers, q)
 }
 
 // Submit has a message decided by its partition's owner, wherever that is.
@@ -370,7 +370,7 @@
 }
 
 // Attach has an attachment recorded: numbered in the visitor's routine home, then known in the urgent one.
-func (d *Desk) Attach(ctx context.Context, q *AttachTask) (*AttachAnswer, error) {
+func (d *Desk) Attach(ctx context.Context, q *AttachRequest) (*AttachResponse, error) {
 	a, err := handOver(ctx, d, d.home(q.Visitor, false), Attach, d.attach, q)
 	if err != nil || !d.TwoHomes() {
 		return a, err
@@ -379,19 +379,19 @@
 }
 
 func (d *Desk) carryOver(ctx context.Context, visitor, secret string, generation uint64) error {
-	_, err := handOver(ctx, d, d.home(visitor, true), Attach, d.attach, &AttachTask{Visitor: visitor, Secret: secret, Generation: generation, Urgent: true})
+	_, err := handOver(ctx, d, d.home(visitor, true), Attach, d.attach, &AttachRequest{Visitor: visitor, Secret: secret, Generation: generation, Urgent: true})
 	return err
 }
 
 // Attached asks which attachment is in force. An urgent home that does not know of this generation yet, since an older
 // build or a call that broke off in between gave it out, learns of it from the routine home.
-func (d *Desk) Attached(ctx context.Context, v string, generation uint64, urgent bool) (*AttachedAnswer, error) {
+func (d *Desk) Attached(ctx context.Context, v string, generation uint64, urgent bool) (*AttachedResponse, error) {
 	urgent = urgent && d.TwoHomes()
-	a, err := handOver(ctx, d, d.home(v, urgent), Attached, d.attached, &AttachedTask{Visitor: v, Urgent: urgent})
+	a, err := handOver(ctx, d, d.home(v, urgent), Attached, d.attached, &AttachedRequest{Visitor: v, Urgent: urgent})
 	if err != nil || !urgent || a.Attached.Generation >= generation {
 		return a, err
 	}
-	b, err := handOver(ctx, d, d.home(v, false), Attached, d.attached, &AttachedTask{Visitor: v})
+	b, err := handOver(ctx, d, d.home(v, false), Attached, d.attached, &AttachedRequest{Visitor: v})
 	if err == nil && b.Attached.Generation == generation {
 		err = d.carryOver(ctx, v, b.Attached.Secret, generation)
 	}
@@ -399,7 +399,7 @@
 }
 
 // Ack leaves a cursor, in both homes.
-func (d *Desk) Ack(ctx context.Context, q *AckTask) error {
+func (d *Desk) Ack(ctx context.Context, q *AckRequest) error {
 	_, err := handOver(ctx, d, d.home(q.Visitor, false), Ack, d.ack, q)
 	if err != nil || !d.TwoHomes() {
 		return err
@@ -412,27 +412,27 @@
 
 // Read reads committed entries of a partition, without what stands under keys.
 func (d *Desk) Read(ctx context.Context, p int, from uint64, hold time.Duration) (*owner.Reading, error) {
-	return d.ReadAs(ctx, &owner.ReadTask{Partition: p, From: from, Hold: hold})
+	return d.ReadAs(ctx, &owner.ReadRequest{Partition: p, From: from, Hold: hold})
 }
 
 // ReadAs reads committed entries of a partition as a reader that may mind withdrawals.
-func (d *Desk) ReadAs(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+func (d *Desk) ReadAs(ctx context.Context, q *owner.ReadRequest) (*owner.Reading, error) {
 	return handOver(ctx, d, q.Partition, Read, d.read, q)
 }
 
 // Trace asks what the ledger knows of a call.
-func (d *Desk) Trace(ctx context.Context, p int, q *TraceTask) (*Traced, error) {
+func (d *Desk) Trace(ctx context.Context, p int, q *TraceRequest) (*Traced, error) {
 	return handOver(ctx, d, p, Trace, d.trace, q)
 }
 
 // Forgotten asks who has not read behind a mark of a partition yet, waiting up to hold until nobody is left.
 func (d *Desk) Forgotten(ctx context.Context, p int, offset uint64, hold time.Duration) (*owner.Unheard, error) {
-	return handOver(ctx, d, p, Forgotten, d.forgotten, &ForgottenTask{Partition: p, Offset: offset, Hold: hold})
+	return handOver(ctx, d, p, Forgotten, d.forgotten, &ForgottenRequest{Partition: p, Offset: offset, Hold: hold})
 }
 
 // Usage asks how a partition's topics were used.
 func (d *Desk) Usage(ctx context.Context, p int) ([]owner.Use, error) {
-	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageTask{Partition: p})
+	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageRequest{Partition: p})
 	if err != nil {
 		return nil, err
 	}
@@ -441,7 +441,7 @@
 
 // Marks asks which withdrawals of a partition stand and who reads what has keys; nil where nothing does.
 func (d *Desk) Marks(ctx context.Context, p int) (*owner.MarksView, error) {
-	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageTask{Partition: p})
+	a, err := handOver(ctx, d, p, Usage, d.usage, &UsageRequest{Partition: p})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ledger/desk/fan.go
+++ b/internal/ledger/desk/fan.go
@@ -11,22 +11,22 @@
 	"postjunction/internal/wire"
 )
 
-// ListenersTask asks how many listen to a topic.
-type ListenersTask struct {
+// ListenersRequest asks how many listen to a topic.
+type ListenersRequest struct {
 	Partition int    `json:"p"`
 	Topic     string `json:"t"`
 }
 
-// ListenersAnswer says so.
-type ListenersAnswer struct {
+// ListenersResponse says so.
+type ListenersResponse struct {
 	Count int `json:"n"`
 }
 
 // The calls of nodes that follow topics.
 var (
 	Follow    = wire.Name[owner.Want, owner.Told]("Ledger", "Follow", wire.Ordered, "wishes of a feed are numbered; an old number changes nothing")
-	Poll      = wire.Name[owner.PollTask, owner.Polled]("Ledger", "Poll", wire.Reads, "committed entries behind a place; the place that it confirms only rises")
-	Listeners = wire.Name[ListenersTask, ListenersAnswer]("Ledger", "Listeners", wire.Reads, "counts")
+	Poll      = wire.Name[owner.PollRequest, owner.Polled]("Ledger", "Poll", wire.Reads, "committed entries behind a place; the place that it confirms only rises")
+	Listeners = wire.Name[ListenersRequest, ListenersResponse]("Ledger", "Listeners", wire.Reads, "counts")
 )
 
 func (d *Desk) follow(ctx context.Context, q *owner.Want) (*owner.Told, error) {
@@ -37,7 +37,7 @@
 	return o.Follow(ctx, q)
 }
 
-func (d *Desk) poll(ctx context.Context, q *owner.PollTask) (*owner.Polled, error) {
+func (d *Desk) poll(ctx context.Context, q *owner.PollRequest) (*owner.Polled, error) {
 	o, err := d.here(q.Partition)
 	if err != nil {
 		return nil, err
@@ -46,22 +46,22 @@
 	return o.Poll(ctx, q)
 }
 
-func (d *Desk) listeners(_ context.Context, q *ListenersTask) (*ListenersAnswer, error) {
+func (d *Desk) listeners(_ context.Context, q *ListenersRequest) (*ListenersResponse, error) {
 	o, err := d.here(q.Partition)
 	if err != nil {
 		return nil, err
 	}
 	n, err := o.Listeners(q.Topic)
-	return &ListenersAnswer{Count: n}, err
+	return &ListenersResponse{Count: n}, err
 }
 
 func (d *Desk) serveFans(m *http.ServeMux) {
 	Follow.Handle(m, packing(d.follow, func(q *owner.Want) bool { return q.Packs }))
-	Poll.Handle(m, packing(d.poll, func(q *owner.PollTask) bool { return q.Packs }))
+	Poll.Handle(m, packing(d.poll, func(q *owner.PollRequest) bool { return q.Packs }))
 	Listeners.Handle(m, d.listeners)
 }
 
-// packing packs the bodies of what a fellow is told, where it asks for that.
+// packing packs the bodies of what a peer is told, where it asks for that.
 func packing[Q, A any, P interface {
 	*A
 	Pack()
@@ -89,7 +89,7 @@
 	if !ok {
 		return nil, problem.New(problem.NoOwner, "the owner %s of partition %d is gone", r.Owner, r.Partition)
 	}
-	return c.Call(cx, d.Net, d.Self, i.Fellows, q)
+	return c.Call(cx, d.Net, d.Self, i.Peers, q)
 }
 
 // Follow tells a partition's owner what this node follows, one time.
@@ -103,7 +103,7 @@
 }
 
 // Poll reads what this node follows from a partition's owner, one time.
-func (d *Desk) Poll(ctx context.Context, r record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (d *Desk) Poll(ctx context.Context, r record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	q.Packs = d.Packs
 	a, err := once(ctx, d, r, q.Hold+d.Bounds.Call(), Poll, d.poll, q)
 	if err != nil {
@@ -114,7 +114,7 @@
 
 // Listeners asks a partition's owner how many listen to a topic, one time.
 func (d *Desk) Listeners(ctx context.Context, p int, topic string) (int, error) {
-	a, err := once(ctx, d, d.Board.Record(p), d.Bounds.Call()/2, Listeners, d.listeners, &ListenersTask{Partition: p, Topic: topic})
+	a, err := once(ctx, d, d.Board.Record(p), d.Bounds.Call()/2, Listeners, d.listeners, &ListenersRequest{Partition: p, Topic: topic})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/ledger/desk/forgotten_test.go
+++ b/internal/ledger/desk/forgotten_test.go
@@ -14,14 +14,14 @@
 )
 
 type askers struct {
-	asked []ForgottenTask
+	asked []ForgottenRequest
 	tell  func(n int) (*owner.Unheard, error)
 }
 
 // Do carries a call to the stand-in.
 func (a *askers) Do(r *http.Request) (*http.Response, error) {
 	m := http.NewServeMux()
-	Forgotten.Handle(m, func(_ context.Context, q *ForgottenTask) (*owner.Unheard, error) {
+	Forgotten.Handle(m, func(_ context.Context, q *ForgottenRequest) (*owner.Unheard, error) {
 		a.asked = append(a.asked, *q)
 		return a.tell(len(a.asked))
 	})
@@ -47,7 +47,7 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, u, &owner.Unheard{Nodes: []string{"a2"}})
 		assert.Equal(t, len(a.asked), len(moving)+1)
-		assert.DeepEqual(t, a.asked[0], ForgottenTask{Partition: part, Offset: 7, Hold: time.Second})
+		assert.DeepEqual(t, a.asked[0], ForgottenRequest{Partition: part, Offset: 7, Hold: time.Second})
 
 		a.tell = func(int) (*owner.Unheard, error) { return nil, problem.New(problem.NotOwner, "superseded") }
 		u, err = b.Forgotten(t.Context(), part, 7, time.Second)
@@ -59,11 +59,11 @@
 func TestUnknownKeyIsFinal(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		n := 0
-		b := newBench(func(_ *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+		b := newBench(func(_ *bench, _ context.Context, _ string, q *ManyRequest) (*ManyResponse, error) {
 			if n++; n == 1 {
 				return lost()
 			}
-			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.KeyUnknown, "nothing")}}}, nil
+			return &ManyResponse{Verdicts: []owner.Verdict{{Problem: problem.New(problem.KeyUnknown, "nothing")}}}, nil
 		})
 		b.owned("s1")
 		b.offer(1, time.Minute)
--- a/internal/ledger/desk/offer.go
+++ b/internal/ledger/desk/offer.go
@@ -14,19 +14,19 @@
 	"postjunction/internal/wire"
 )
 
-// ManyTask is messages of one partition, decided in their order.
-type ManyTask struct {
+// ManyRequest is messages of one partition, decided in their order.
+type ManyRequest struct {
 	Partition int           `json:"p"`
 	Tasks     []*owner.Task `json:"t"`
 }
 
-// ManyAnswer gives a verdict for each message, in the same order.
-type ManyAnswer struct {
+// ManyResponse gives a verdict for each message, in the same order.
+type ManyResponse struct {
 	Verdicts []owner.Verdict `json:"v"`
 }
 
 // SubmitMany has a batch decided at the owner's node.
-var SubmitMany = wire.Name[ManyTask, ManyAnswer]("Ledger", "SubmitMany", wire.Numbered, "each message has its number, which the owner remembers")
+var SubmitMany = wire.Name[ManyRequest, ManyResponse]("Ledger", "SubmitMany", wire.Numbered, "each message has its number, which the owner remembers")
 
 const (
 	batchMost  = 256
@@ -214,7 +214,7 @@
 // whatever comes back: an older copy of the batch may still be on its way.
 func (d *Desk) attempt(p int, l *lane, r record.Record, batch []*offer) ([]owner.Verdict, error) {
 	type answer struct {
-		a   *ManyAnswer
+		a   *ManyResponse
 		err error
 	}
 	i, known := d.View.Get(r.Owner)
@@ -227,7 +227,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), d.Bounds.Call())
 	defer stop()
 	defer context.AfterFunc(d.reigns.of(d.Board, r), stop)()
-	q := &ManyTask{Partition: p}
+	q := &ManyRequest{Partition: p}
 	doubts := make([]bool, len(batch))
 	for i, o := range batch {
 		q.Tasks = append(q.Tasks, o.q)
@@ -241,7 +241,7 @@
 			c <- answer{a, err}
 			return
 		}
-		a, err := SubmitMany.Call(ctx, d.Net, d.Self, i.Fellows, q)
+		a, err := SubmitMany.Call(ctx, d.Net, d.Self, i.Peers, q)
 		c <- answer{a, err}
 	}()
 	for {
@@ -358,12 +358,12 @@
 	}
 }
 
-func (d *Desk) submitMany(ctx context.Context, q *ManyTask) (*ManyAnswer, error) {
+func (d *Desk) submitMany(ctx context.Context, q *ManyRequest) (*ManyResponse, error) {
 	o, err := d.here(q.Partition)
 	if err != nil {
 		return nil, err
 	}
-	a := &ManyAnswer{Verdicts: make([]owner.Verdict, len(q.Tasks))}
+	a := &ManyResponse{Verdicts: make([]owner.Verdict, len(q.Tasks))}
 	var ts []*owner.Task
 	var at []int
 	for i, t := range q.Tasks {
--- a/internal/ledger/desk/offer_test.go
+++ b/internal/ledger/desk/offer_test.go
@@ -29,7 +29,7 @@
 type bench struct {
 	*Desk
 	mu     sync.Mutex
-	path   func(ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error)
+	path   func(ctx context.Context, to string, q *ManyRequest) (*ManyResponse, error)
 	got    []uint64
 	under  int
 	most   int
@@ -45,7 +45,7 @@
 		return nil, problem.Because(problem.Unreachable, syscall.ECONNREFUSED, "nobody listens")
 	}
 	m := http.NewServeMux()
-	SubmitMany.Handle(m, func(_ context.Context, q *ManyTask) (*ManyAnswer, error) {
+	SubmitMany.Handle(m, func(_ context.Context, q *ManyRequest) (*ManyResponse, error) {
 		b.mu.Lock()
 		b.under++
 		b.most = max(b.most, b.under)
@@ -73,18 +73,20 @@
 }
 
 // lost makes a call fail on its way, as seen by the caller.
-func lost() (*ManyAnswer, error) { return nil, problem.New(problem.Unreachable, "lost") }
+func lost() (*ManyResponse, error) { return nil, problem.New(problem.Unreachable, "lost") }
 
 func (b *bench) owned(who string) {
 	b.writes++
 	b.Board.Offer(gossip.News{Records: []record.Record{{Partition: part, Owner: who, Epoch: b.writes, Writes: b.writes}}})
 }
 
-func newBench(path func(b *bench, ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error)) *bench {
+func newBench(path func(b *bench, ctx context.Context, to string, q *ManyRequest) (*ManyResponse, error)) *bench {
 	b := &bench{told: map[uint64]error{}, times: map[uint64]time.Time{}}
-	b.path = func(ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error) { return path(b, ctx, to, q) }
+	b.path = func(ctx context.Context, to string, q *ManyRequest) (*ManyResponse, error) {
+		return path(b, ctx, to, q)
+	}
 	v := member.NewView()
-	v.Set([]member.Info{{Name: "s1", Fellows: "s1"}, {Name: "s2", Fellows: "s2"}, {Name: "s0", Fellows: "s0"}})
+	v.Set([]member.Info{{Name: "s1", Peers: "s1"}, {Name: "s2", Peers: "s2"}, {Name: "s0", Peers: "s0"}})
 	b.Desk = &Desk{Self: "a1", Net: b, Clock: clock.Real{}, Bounds: options.DefaultBounds, Board: gossip.NewBoard(func(n gossip.News) { b.News(n.Records) }), View: v, Owners: unready{}, Backlog: func() int { return 1000 }}
 	return b
 }
@@ -117,10 +119,10 @@
 }
 
 // take decides as an owner does: a number above the last is taken.
-func (b *bench) take(q *ManyTask) *ManyAnswer {
+func (b *bench) take(q *ManyRequest) *ManyResponse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := &ManyAnswer{}
+	a := &ManyResponse{}
 	for _, t := range q.Tasks {
 		v := owner.Verdict{Decision: &owner.Decision{Offset: t.Call}}
 		switch {
@@ -152,7 +154,7 @@
 func TestOffersReachTheOwnerInOrder(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		n := 0
-		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyRequest) (*ManyResponse, error) {
 			time.Sleep(3 * time.Millisecond)
 			b.mu.Lock()
 			n++
@@ -162,7 +164,7 @@
 			case 2:
 				return lost()
 			case 4:
-				b.take(&ManyTask{Tasks: q.Tasks[:(len(q.Tasks)+1)/2]})
+				b.take(&ManyRequest{Tasks: q.Tasks[:(len(q.Tasks)+1)/2]})
 				return lost()
 			case 6:
 				return nil, problem.New(problem.NotReady, "taking over")
@@ -192,40 +194,40 @@
 func TestOffersAreGivenUpWithATruePromise(t *testing.T) {
 	cases := map[string]struct {
 		owner string
-		path  func(b *bench, n int, ctx context.Context, q *ManyTask) (*ManyAnswer, error)
+		path  func(b *bench, n int, ctx context.Context, q *ManyRequest) (*ManyResponse, error)
 		kind  problem.Kind
 		last  time.Duration
 	}{
 		"no owner":         {"", nil, problem.NoOwner, 300 * time.Millisecond},
 		"the owner's gone": {"s9", nil, problem.NoOwner, 300 * time.Millisecond},
-		"each call lost":   {"s1", func(*bench, int, context.Context, *ManyTask) (*ManyAnswer, error) { return lost() }, problem.OutcomeUnknown, 500 * time.Millisecond},
-		"taking over, at length": {"s1", func(*bench, int, context.Context, *ManyTask) (*ManyAnswer, error) {
+		"each call lost":   {"s1", func(*bench, int, context.Context, *ManyRequest) (*ManyResponse, error) { return lost() }, problem.OutcomeUnknown, 500 * time.Millisecond},
+		"taking over, at length": {"s1", func(*bench, int, context.Context, *ManyRequest) (*ManyResponse, error) {
 			return nil, problem.New(problem.NotReady, "x")
 		}, problem.OutcomeUnknown, 2 * time.Second},
 		"taking over here, at length": {"a1", nil, problem.NoOwner, 2 * time.Second},
 		"nobody listens":              {"s0", nil, problem.NoOwner, 500 * time.Millisecond},
-		"one call lost, then taking over": {"s1", func(_ *bench, n int, _ context.Context, _ *ManyTask) (*ManyAnswer, error) {
+		"one call lost, then taking over": {"s1", func(_ *bench, n int, _ context.Context, _ *ManyRequest) (*ManyResponse, error) {
 			if n == 1 {
 				return lost()
 			}
 			return nil, problem.New(problem.NotReady, "x")
 		}, problem.OutcomeUnknown, 2 * time.Second},
-		"one call lost, then no room": {"s1", func(_ *bench, n int, _ context.Context, q *ManyTask) (*ManyAnswer, error) {
+		"one call lost, then no room": {"s1", func(_ *bench, n int, _ context.Context, q *ManyRequest) (*ManyResponse, error) {
 			if n == 1 {
 				return lost()
 			}
-			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.Overloaded, "x")}}}, nil
+			return &ManyResponse{Verdicts: []owner.Verdict{{Problem: problem.New(problem.Overloaded, "x")}}}, nil
 		}, problem.OutcomeUnknown, 500 * time.Millisecond},
-		"one call lost, then passed": {"s1", func(_ *bench, n int, _ context.Context, q *ManyTask) (*ManyAnswer, error) {
+		"one call lost, then passed": {"s1", func(_ *bench, n int, _ context.Context, q *ManyRequest) (*ManyResponse, error) {
 			if n == 1 {
 				return lost()
 			}
-			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.CallPassed, "x")}}}, nil
+			return &ManyResponse{Verdicts: []owner.Verdict{{Problem: problem.New(problem.CallPassed, "x")}}}, nil
 		}, problem.CallPassed, 500 * time.Millisecond},
-		"no room": {"s1", func(*bench, int, context.Context, *ManyTask) (*ManyAnswer, error) {
-			return &ManyAnswer{Verdicts: []owner.Verdict{{Problem: problem.New(problem.Overloaded, "x")}}}, nil
+		"no room": {"s1", func(*bench, int, context.Context, *ManyRequest) (*ManyResponse, error) {
+			return &ManyResponse{Verdicts: []owner.Verdict{{Problem: problem.New(problem.Overloaded, "x")}}}, nil
 		}, problem.OutcomeUnknown, time.Millisecond},
-		"the owner hangs": {"s1", func(_ *bench, _ int, ctx context.Context, _ *ManyTask) (*ManyAnswer, error) {
+		"the owner hangs": {"s1", func(_ *bench, _ int, ctx context.Context, _ *ManyRequest) (*ManyResponse, error) {
 			<-ctx.Done()
 			return lost()
 		}, problem.OutcomeUnknown, 1500 * time.Millisecond},
@@ -234,7 +236,7 @@
 		t.Run(n, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				k := 0
-				b := newBench(func(b *bench, ctx context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+				b := newBench(func(b *bench, ctx context.Context, _ string, q *ManyRequest) (*ManyResponse, error) {
 					k++
 					return c.path(b, k, ctx, q)
 				})
@@ -252,7 +254,7 @@
 // A message whose time is over is told so on the instant: one that is under way may have been taken, one that waits behind was never sent.
 func TestOffersAreToldWhenTheirTimeIsOver(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		b := newBench(func(b *bench, ctx context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+		b := newBench(func(b *bench, ctx context.Context, _ string, q *ManyRequest) (*ManyResponse, error) {
 			select {
 			case <-time.After(1200 * time.Millisecond):
 			case <-ctx.Done():
@@ -284,7 +286,7 @@
 // Past the backlog a message is turned away at once, and never reaches an owner.
 func TestOffersPastTheBacklogAreNeverHandedOver(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyRequest) (*ManyResponse, error) {
 			time.Sleep(time.Second)
 			return b.take(q), nil
 		})
@@ -311,7 +313,7 @@
 	bubble(t, func(t *testing.T) {
 		n := 0
 		var seen [][]uint64
-		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyTask) (*ManyAnswer, error) {
+		b := newBench(func(b *bench, _ context.Context, _ string, q *ManyRequest) (*ManyResponse, error) {
 			n++
 			var cs []uint64
 			for _, x := range q.Tasks {
@@ -322,7 +324,7 @@
 			if n != 2 {
 				return b.take(q), nil
 			}
-			a := b.take(&ManyTask{Tasks: q.Tasks[:1]})
+			a := b.take(&ManyRequest{Tasks: q.Tasks[:1]})
 			for range q.Tasks[1:] {
 				a.Verdicts = append(a.Verdicts, owner.Verdict{Problem: problem.New(problem.OutcomeUnknown, "lost the partition")})
 			}
@@ -349,7 +351,7 @@
 // A call that hangs at an owner that is one no more is left at the news of another, which is asked at once.
 func TestOffersFollowTheRecordAtOnce(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		b := newBench(func(b *bench, ctx context.Context, to string, q *ManyTask) (*ManyAnswer, error) {
+		b := newBench(func(b *bench, ctx context.Context, to string, q *ManyRequest) (*ManyResponse, error) {
 			if to == "s1" {
 				<-ctx.Done()
 				return lost()
--- a/internal/ledger/owner/assure.go
+++ b/internal/ledger/owner/assure.go
@@ -61,7 +61,7 @@
 	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
 	defer stop()
 	as := gather.Ask(cx, o.Rec.Replicas, func(ctx context.Context, p record.Place) (bool, error) {
-		q := &replica.AppendTask{Target: replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}, Kind: line.Ledger, Urgent: o.Urgent}
+		q := &replica.AppendRequest{Target: replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}, Kind: line.Ledger, Urgent: o.Urgent}
 		if p.Node == o.d.Self {
 			return true, o.d.Replica.Stands(q.Target)
 		}
--- a/internal/ledger/owner/fan.go
+++ b/internal/ledger/owner/fan.go
@@ -47,8 +47,8 @@
 	Packed *Packed `json:"z,omitempty"`
 }
 
-// PollTask asks for committed messages of the followed topics after an offset.
-type PollTask struct {
+// PollRequest asks for committed messages of the followed topics after an offset.
+type PollRequest struct {
 	Partition int           `json:"p"`
 	Node      string        `json:"n"`
 	Boot      string        `json:"b"`
@@ -257,7 +257,7 @@
 }
 
 // Poll gives committed messages of the topics that a node follows, waiting for some up to the task's hold.
-func (o *Owner) Poll(ctx context.Context, q *PollTask) (*Polled, error) {
+func (o *Owner) Poll(ctx context.Context, q *PollRequest) (*Polled, error) {
 	var due <-chan struct{}
 	var mine *fan
 	defer func() { o.polled(ctx, mine) }()
--- a/internal/ledger/owner/fan_test.go
+++ b/internal/ledger/owner/fan_test.go
@@ -29,7 +29,7 @@
 func (o *Owner) polling(ctx context.Context, seq uint64) chan error {
 	c := make(chan error, 1)
 	go func() {
-		_, err := o.Poll(ctx, &PollTask{Node: "a1", Boot: "b", Sequence: seq, Hold: o.d.Bounds.Spread})
+		_, err := o.Poll(ctx, &PollRequest{Node: "a1", Boot: "b", Sequence: seq, Hold: o.d.Bounds.Spread})
 		c <- err
 	}()
 	synctest.Wait()
--- a/internal/ledger/owner/marks.go
+++ b/internal/ledger/owner/marks.go
@@ -388,7 +388,7 @@
 
 // patience is how long a reader is waited for that was not heard and was no member.
 func (o *Owner) patience() time.Duration {
-	return o.d.Bounds.KeptFor(o.d.Longest()) + o.d.Bounds.Licence() + o.d.Stretch
+	return o.d.Bounds.KeptFor(o.d.Longest()) + o.d.Bounds.Lease() + o.d.Stretch
 }
 
 // abandon gives up the readers that keep marks and were neither heard nor members for long.
@@ -432,7 +432,7 @@
 func (o *Owner) visit(ctx context.Context, node, addr, boot string) {
 	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
 	defer stop()
-	a, err := member.Hello.Call(cx, o.d.Net, o.d.Self, addr, &member.HelloTask{})
+	a, err := member.Hello.Call(cx, o.d.Net, o.d.Self, addr, &member.HelloRequest{})
 	if err != nil || a.Info.Name != home(node) || a.Info.Boot == "" || strings.HasPrefix(boot, a.Info.Boot) {
 		return
 	}
--- a/internal/ledger/owner/marks_test.go
+++ b/internal/ledger/owner/marks_test.go
@@ -47,8 +47,8 @@
 		return nil, problem.New(problem.Unreachable, "nobody at %s", q.URL.Host)
 	}
 	m := http.NewServeMux()
-	member.Hello.Handle(m, func(context.Context, *member.HelloTask) (*member.HelloAnswer, error) {
-		return &member.HelloAnswer{Info: member.Info{Name: strings.TrimPrefix(q.URL.Host, "at-"), Boot: boot}}, nil
+	member.Hello.Handle(m, func(context.Context, *member.HelloRequest) (*member.HelloResponse, error) {
+		return &member.HelloResponse{Info: member.Info{Name: strings.TrimPrefix(q.URL.Host, "at-"), Boot: boot}}, nil
 	})
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, q)
@@ -161,7 +161,7 @@
 	c := make(chan polled, 1)
 	turn := r.told(node, boot)
 	go func() {
-		a, err := r.Poll(r.t.Context(), &PollTask{Node: node, Boot: boot, Sequence: 1, From: from, Hold: r.d.Bounds.Spread, Marks: true, Turn: turn})
+		a, err := r.Poll(r.t.Context(), &PollRequest{Node: node, Boot: boot, Sequence: 1, From: from, Hold: r.d.Bounds.Spread, Marks: true, Turn: turn})
 		c <- polled{a, err}
 	}()
 	synctest.Wait()
@@ -235,11 +235,11 @@
 		assert.Assert(t, time.Since(at) == 0, "woken after %s", time.Since(at))
 		assert.Equal(t, p.a.Entries[0].Visitor, "w")
 		assert.NilError(t, <-old)
-		a, err := r.Poll(t.Context(), &PollTask{Node: "a2", Boot: "b", Sequence: 1})
+		a, err := r.Poll(t.Context(), &PollRequest{Node: "a2", Boot: "b", Sequence: 1})
 		assert.NilError(t, err)
 		assert.Equal(t, len(a.Entries), 0, "a node that minds no withdrawals is given nothing with a key")
 		r.takes(says("v", 2, "t", "k"))
-		a, err = r.Poll(t.Context(), &PollTask{Node: "a2", Boot: "b", Sequence: 1})
+		a, err = r.Poll(t.Context(), &PollRequest{Node: "a2", Boot: "b", Sequence: 1})
 		assert.NilError(t, err)
 		assert.Equal(t, len(a.Entries), 0)
 		assert.Equal(t, a.To, uint64(3), "it is held up by nothing with a key")
@@ -336,7 +336,7 @@
 				a, err := r.Follow(t.Context(), &Want{Node: "a1", Boot: boot, Sequence: 90 + sent, Full: true, Marks: true, Topics: map[string]int{"t": 1}, After: map[string]uint64{"t": 0}, Turn: sent})
 				assert.NilError(t, err)
 				assert.Assert(t, a.Lost && len(a.Back) == 0)
-				p, err := r.Poll(t.Context(), &PollTask{Node: "a1", Boot: boot, Sequence: 1, Marks: true, Turn: sent})
+				p, err := r.Poll(t.Context(), &PollRequest{Node: "a1", Boot: boot, Sequence: 1, Marks: true, Turn: sent})
 				assert.NilError(t, err)
 				assert.Equal(t, len(p.Entries), 0)
 				r.lands()
--- a/internal/ledger/owner/owner.go
+++ b/internal/ledger/owner/owner.go
@@ -42,7 +42,7 @@
 	// Longest is how long spaces ask to keep for, as far as this node knows.
 	Longest  func() time.Duration
 	Licensed func() error
-	// Marks is how many withdrawals of a partition may stand, and Stretch what a node's licence may last longer.
+	// Marks is how many withdrawals of a partition may stand, and Stretch what a node's lease may last longer.
 	Marks   func() int
 	Stretch time.Duration
 	Settled func(ctx context.Context, r record.Record)
--- a/internal/ledger/owner/read.go
+++ b/internal/ledger/owner/read.go
@@ -9,11 +9,11 @@
 	"postjunction/internal/samza/state"
 )
 
-// ReadTask asks for committed entries after an offset, waiting for news up to Hold. From ^0 asks only where the committed ledger ends.
+// ReadRequest asks for committed entries after an offset, waiting for news up to Hold. From ^0 asks only where the committed ledger ends.
 // Marks says that the node minds withdrawals as the reader Node under Boot, which has forgotten all that is withdrawn up to From, unless
 // it reads Beside. Done says that the reader under this boot holds nothing any more and reads no further. Turn is what an earlier answer gave: nobody
 // becomes a reader without it, as a task may come late from a run that is over.
-type ReadTask struct {
+type ReadRequest struct {
 	Partition int           `json:"p"`
 	From      uint64        `json:"f"`
 	Hold      time.Duration `json:"h"`
@@ -62,8 +62,8 @@
 	return t.n, t.n == told && !t.over
 }
 
-// Read answers a ReadTask.
-func (o *Owner) Read(ctx context.Context, q *ReadTask) (*Reading, error) {
+// Read answers a ReadRequest.
+func (o *Owner) Read(ctx context.Context, q *ReadRequest) (*Reading, error) {
 	if q.Done {
 		return o.readOver(ctx, q)
 	}
@@ -98,7 +98,7 @@
 }
 
 // reading gives the answer of now, and whether news are worth waiting for.
-func (o *Owner) reading(q *ReadTask) (*Reading, bool) {
+func (o *Owner) reading(q *ReadRequest) (*Reading, bool) {
 	t := o.tracks[line.Ledger]
 	r := &Reading{Base: t.line.Base().Offset, To: t.commit, Epoch: o.Rec.Epoch}
 	reads, turned := false, true
@@ -141,7 +141,7 @@
 }
 
 // readOver has a reader that holds nothing any more be gone, once that is on a majority.
-func (o *Owner) readOver(ctx context.Context, q *ReadTask) (*Reading, error) {
+func (o *Owner) readOver(ctx context.Context, q *ReadRequest) (*Reading, error) {
 	o.mu.Lock()
 	if err := o.following(); err != nil {
 		o.mu.Unlock()
--- a/internal/ledger/owner/read_test.go
+++ b/internal/ledger/owner/read_test.go
@@ -22,7 +22,7 @@
 	turn uint64
 }
 
-func (f *feed) asks(q ReadTask) chan *Reading {
+func (f *feed) asks(q ReadRequest) chan *Reading {
 	f.mu.Lock()
 	q.Node, q.Boot, q.Turn, q.Marks, q.Hold = "a1/streams", f.boot, f.turn, true, f.d.Bounds.Hold()
 	f.mu.Unlock()
@@ -56,7 +56,7 @@
 // opens has the reader told its turn.
 func (f *feed) opens() *feed {
 	f.t.Helper()
-	r := <-f.asks(ReadTask{From: ^uint64(0)})
+	r := <-f.asks(ReadRequest{From: ^uint64(0)})
 	assert.Equal(f.t, r.Turn, f.turn)
 	assert.Assert(f.t, f.turn > 0)
 	return f
@@ -66,7 +66,7 @@
 func (f *feed) begins(from uint64) *feed {
 	f.t.Helper()
 	f.opens()
-	c := f.asks(ReadTask{From: from})
+	c := f.asks(ReadRequest{From: from})
 	f.lands()
 	assert.Assert(f.t, len((<-c).Entries) > 0)
 	assert.Equal(f.t, f.st.Readers["a1/streams"].Boot, f.boot)
@@ -86,11 +86,11 @@
 		f := (&feed{rig: r, boot: "b.1"}).begins(0)
 		r.takes(withdraws("v", 4, "t", "k"))
 		r.takes(says("v", 5, "t", "k"))
-		assert.Equal(t, shown((<-f.asks(ReadTask{From: 0})).Entries), "1- 2b 3b 4reader 5withdraw 6b")
+		assert.Equal(t, shown((<-f.asks(ReadRequest{From: 0})).Entries), "1- 2b 3b 4reader 5withdraw 6b")
 	},
 	"a node that does not mind withdrawals is given nothing with a key": func(t *testing.T, r *rig) {
 		r.takes(says("v", 1, "t", "k"), says("v", 2, "t", ""))
-		a, err := r.Owner.Read(t.Context(), &ReadTask{})
+		a, err := r.Owner.Read(t.Context(), &ReadRequest{})
 		assert.NilError(t, err)
 		assert.Equal(t, shown(a.Entries), "1- 2b")
 		assert.Equal(t, len(r.st.Readers), 0)
@@ -98,10 +98,10 @@
 	"it is on a majority that a node reads before it is given a key": func(t *testing.T, r *rig) {
 		r.takes(says("v", 1, "t", ""), says("v", 2, "t", "k"))
 		f := (&feed{rig: r, boot: "b.1"}).opens()
-		a := <-f.asks(ReadTask{From: 0})
+		a := <-f.asks(ReadRequest{From: 0})
 		assert.Equal(t, shown(a.Entries), "1b")
 		assert.Equal(t, a.To, uint64(1))
-		c := f.asks(ReadTask{From: 1})
+		c := f.asks(ReadRequest{From: 1})
 		assert.Equal(t, len(c), 0)
 		r.lands()
 		assert.Equal(t, shown((<-c).Entries), "2b 3reader")
@@ -112,17 +112,17 @@
 		f := (&feed{rig: r, boot: "b.1"}).begins(0)
 		at := r.takes(withdraws("v", 2, "t", "k"))
 		assert.DeepEqual(t, f.left(at), []string{"a1/streams"})
-		f.asks(ReadTask{From: at, Beside: true})
-		f.asks(ReadTask{From: ^uint64(0)})
-		f.asks(ReadTask{From: at - 1})
+		f.asks(ReadRequest{From: at, Beside: true})
+		f.asks(ReadRequest{From: ^uint64(0)})
+		f.asks(ReadRequest{From: at - 1})
 		assert.DeepEqual(t, f.left(at), []string{"a1/streams"})
-		f.asks(ReadTask{From: at})
+		f.asks(ReadRequest{From: at})
 		assert.Equal(t, len(f.left(at)), 0)
 	},
 	"a withdrawal comes at once": func(t *testing.T, r *rig) {
 		r.takes(says("v", 1, "t", "k"))
 		f := (&feed{rig: r, boot: "b.1"}).begins(0)
-		c, begun := f.asks(ReadTask{From: 2}), time.Now()
+		c, begun := f.asks(ReadRequest{From: 2}), time.Now()
 		r.takes(withdraws("v", 2, "t", "k"))
 		assert.Equal(t, shown((<-c).Entries), "3withdraw")
 		assert.Equal(t, time.Since(begun), time.Duration(0))
@@ -133,24 +133,24 @@
 		now := (&feed{rig: r, boot: "b.2"}).begins(0)
 		stranger := &feed{rig: r, boot: "gone.1"}
 		for _, f := range []*feed{old, stranger} {
-			a := <-f.asks(ReadTask{From: 0})
+			a := <-f.asks(ReadRequest{From: 0})
 			assert.Equal(t, len(a.Entries), 0)
 			r.lands()
 			assert.Equal(t, r.st.Readers["a1/streams"].Boot, "b.2")
 		}
-		assert.Equal(t, len((<-now.asks(ReadTask{From: 0})).Entries), 0, "the turn is another's meanwhile")
-		assert.Equal(t, shown((<-now.asks(ReadTask{From: 0})).Entries), "1b 2reader 3reader")
+		assert.Equal(t, len((<-now.asks(ReadRequest{From: 0})).Entries), 0, "the turn is another's meanwhile")
+		assert.Equal(t, shown((<-now.asks(ReadRequest{From: 0})).Entries), "1b 2reader 3reader")
 	},
 	"a reader that let go of all is gone once that is on a majority, and its late questions bring it not back": func(t *testing.T, r *rig) {
 		r.takes(says("v", 1, "t", "k"))
 		f := (&feed{rig: r, boot: "b.1"}).begins(0)
-		c := f.asks(ReadTask{From: ^uint64(0), Done: true})
+		c := f.asks(ReadRequest{From: ^uint64(0), Done: true})
 		assert.Equal(t, len(c), 0)
 		r.lands()
 		<-c
 		assert.Equal(t, len(r.st.Readers), 0)
 		for range 2 {
-			assert.Equal(t, len((<-f.asks(ReadTask{From: 0})).Entries), 0)
+			assert.Equal(t, len((<-f.asks(ReadRequest{From: 0})).Entries), 0)
 			r.lands()
 			assert.Equal(t, len(r.st.Readers), 0)
 			f.turn = 0
@@ -159,17 +159,17 @@
 	},
 	"one that was not noted as a reader is done as well": func(t *testing.T, r *rig) {
 		f := &feed{rig: r, boot: "b.1"}
-		<-f.asks(ReadTask{From: ^uint64(0), Done: true})
+		<-f.asks(ReadRequest{From: ^uint64(0), Done: true})
 		assert.Equal(t, r.tracks[line.Ledger].last.Offset, uint64(0))
 	},
 	"a run that is done does not end the one after it": func(t *testing.T, r *rig) {
 		r.takes(says("v", 1, "t", "k"))
 		old := (&feed{rig: r, boot: "b.1"}).begins(0)
 		now := (&feed{rig: r, boot: "b.2"}).begins(0)
-		<-old.asks(ReadTask{From: ^uint64(0), Done: true})
+		<-old.asks(ReadRequest{From: ^uint64(0), Done: true})
 		r.lands()
 		assert.Equal(t, r.st.Readers["a1/streams"].Boot, "b.2")
-		assert.Assert(t, len((<-now.asks(ReadTask{From: 0})).Entries) > 0)
+		assert.Assert(t, len((<-now.asks(ReadRequest{From: 0})).Entries) > 0)
 	},
 	"one that was given up is told so, and is one again under another boot or gone for good": func(t *testing.T, r *rig) {
 		r.takes(says("v", 1, "t", "k"))
@@ -183,13 +183,13 @@
 		u, err := r.forgotten(at)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, u.GivenUp, []string{"a1/streams"})
-		for _, q := range []ReadTask{{From: 0}, {From: at}, {From: ^uint64(0)}, {From: 0, Beside: true}} {
+		for _, q := range []ReadRequest{{From: 0}, {From: at}, {From: ^uint64(0)}, {From: 0, Beside: true}} {
 			a := <-f.asks(q)
 			assert.Assert(t, a.Clean)
 			assert.Equal(t, len(a.Entries), 0)
 		}
 		r.takes(says("v", 3, "t", "k"))
-		c := f.asks(ReadTask{From: ^uint64(0), Done: true})
+		c := f.asks(ReadRequest{From: ^uint64(0), Done: true})
 		r.lands()
 		<-c
 		assert.Equal(t, len(r.st.Readers), 0)
@@ -230,7 +230,7 @@
 		r.submitsTo(says("v", 1, "t", "k"))
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		q := &ReadTask{Node: "a1/streams", Boot: "b.1", Marks: true, Hold: time.Second}
+		q := &ReadRequest{Node: "a1/streams", Boot: "b.1", Marks: true, Hold: time.Second}
 		for range 2 {
 			a, err := r.Owner.Read(ctx, q)
 			assert.NilError(t, err)
--- a/internal/ledger/owner/takeover.go
+++ b/internal/ledger/owner/takeover.go
@@ -14,7 +14,7 @@
 	"postjunction/internal/samza/state"
 )
 
-type sealed = gather.Answer[record.Place, *replica.SealAnswer]
+type sealed = gather.Answer[record.Place, *replica.SealResponse]
 
 func (o *Owner) takeOver(ctx context.Context) error {
 	begun := o.d.Clock.Now()
@@ -27,7 +27,7 @@
 	}
 	var tails []sealed
 	if err := o.insist(ctx, "seal", func() error {
-		if _, err := o.d.Replica.Seal(ctx, &replica.SealTask{Target: o.target(o.d.Self), Urgent: o.Urgent}); err != nil {
+		if _, err := o.d.Replica.Seal(ctx, &replica.SealRequest{Target: o.target(o.d.Self), Urgent: o.Urgent}); err != nil {
 			return err
 		}
 		var err error
@@ -110,8 +110,8 @@
 func (o *Owner) seal(ctx context.Context) ([]sealed, error) {
 	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
 	defer stop()
-	as := gather.Ask(cx, o.Rec.Replicas, func(ctx context.Context, p record.Place) (*replica.SealAnswer, error) {
-		q := &replica.SealTask{Target: o.target(p.Node), Urgent: o.Urgent}
+	as := gather.Ask(cx, o.Rec.Replicas, func(ctx context.Context, p record.Place) (*replica.SealResponse, error) {
+		q := &replica.SealRequest{Target: o.target(p.Node), Urgent: o.Urgent}
 		if p.Node == o.d.Self {
 			return o.d.Replica.Seal(ctx, q)
 		}
@@ -134,7 +134,7 @@
 
 const fetchMost = 512
 
-func (o *Owner) fetch(ctx context.Context, node string, k line.Kind, from uint64, most int) (*replica.FetchAnswer, error) {
+func (o *Owner) fetch(ctx context.Context, node string, k line.Kind, from uint64, most int) (*replica.FetchResponse, error) {
 	p, _ := o.Rec.Place(node)
 	a, ok := o.d.Addr(node)
 	if !ok {
@@ -142,7 +142,7 @@
 	}
 	cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
 	defer stop()
-	return replica.Fetch.Call(cx, o.d.Net, o.d.Self, a, &replica.FetchTask{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Kind: k, From: from, Most: most})
+	return replica.Fetch.Call(cx, o.d.Net, o.d.Self, a, &replica.FetchRequest{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Kind: k, From: from, Most: most})
 }
 
 func (o *Owner) adopt(ctx context.Context, k line.Kind, tails []sealed) error {
@@ -177,7 +177,7 @@
 		if len(f.Entries) == 0 || f.Tail.Last.Less(top) {
 			return problem.New(problem.Mismatch, "%s ends at %d, short of %d", best, f.Tail.Last.Offset, top.Offset)
 		}
-		a, err := o.d.Replica.Append(ctx, &replica.AppendTask{Target: o.target(o.d.Self), Kind: k, After: at, Entries: f.Entries, Reset: reset, Urgent: o.Urgent})
+		a, err := o.d.Replica.Append(ctx, &replica.AppendRequest{Target: o.target(o.d.Self), Kind: k, After: at, Entries: f.Entries, Reset: reset, Urgent: o.Urgent})
 		if err != nil {
 			return err
 		}
--- a/internal/ledger/owner/track.go
+++ b/internal/ledger/owner/track.go
@@ -112,7 +112,7 @@
 			}
 			continue
 		}
-		a, err := o.d.Replica.Append(ctx, &replica.AppendTask{Target: o.target(o.d.Self), Kind: t.kind, After: at, Entries: es, Base: base, Urgent: o.Urgent})
+		a, err := o.d.Replica.Append(ctx, &replica.AppendRequest{Target: o.target(o.d.Self), Kind: t.kind, After: at, Entries: es, Base: base, Urgent: o.Urgent})
 		if err == nil && !a.OK {
 			err = problem.New(problem.Mismatch, "the own line ends at %d", a.Tail.Last.Offset)
 		}
@@ -165,10 +165,10 @@
 		if len(es) == 0 && told && !c.full {
 			d, quiet := o.d.Bounds.Session(), ok && o.d.Still != nil && commit == said && base == cut
 			if commit > said && t.kind == line.Ledger {
-				d, moved = o.d.Bounds.Pulse(), nil
+				d, moved = o.d.Bounds.Heartbeat(), nil
 			}
 			if base != cut {
-				d = o.d.Bounds.Pulse()
+				d = o.d.Bounds.Heartbeat()
 			}
 			due := sent.Add(d)
 			if quiet {
@@ -191,7 +191,7 @@
 			continue
 		}
 		cx, stop := context.WithTimeout(ctx, o.d.Bounds.Call())
-		a, err := replica.Append.Call(cx, o.d.Net, o.d.Self, addr, &replica.AppendTask{Target: replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}, Kind: t.kind, After: c.at, Entries: es, Commit: commit, Base: base, Reset: c.reset, Urgent: o.Urgent})
+		a, err := replica.Append.Call(cx, o.d.Net, o.d.Self, addr, &replica.AppendRequest{Target: replica.Target{Partition: o.Rec.Partition, Incarnation: p.Incarnation, Epoch: o.Rec.Epoch}, Kind: t.kind, After: c.at, Entries: es, Commit: commit, Base: base, Reset: c.reset, Urgent: o.Urgent})
 		stop()
 		sent = o.d.Clock.Now()
 		if err != nil {
--- a/internal/ledger/owner/used_test.go
+++ b/internal/ledger/owner/used_test.go
@@ -32,7 +32,7 @@
 	defer func() { stop(); <-done }()
 	r.Start("i", j)
 	at := replica.Target{Partition: 3, Incarnation: "i", Epoch: 5}
-	_, err = r.Seal(ctx, &replica.SealTask{Target: at})
+	_, err = r.Seal(ctx, &replica.SealRequest{Target: at})
 	assert.NilError(t, err)
 	o := New(Deps{Self: "s1", Clock: clock.Real{}, Bounds: options.DefaultBounds, Replica: r}, record.Record{Partition: 3, Epoch: 5, Owner: "s1", Replicas: []record.Place{{Node: "s1", Incarnation: "i"}}}, false)
 	short, end := context.WithCancel(ctx)
--- a/internal/ledger/replica/calls.go
+++ b/internal/ledger/replica/calls.go
@@ -13,8 +13,8 @@
 	Epoch       uint64 `json:"e"`
 }
 
-// SealTask asks a replica to turn away all epochs below.
-type SealTask struct {
+// SealRequest asks a replica to turn away all epochs below.
+type SealRequest struct {
 	Target
 	Urgent bool `json:"u,omitempty"`
 }
@@ -26,13 +26,13 @@
 	Commit uint64     `json:"commit"`
 }
 
-// SealAnswer gives the tails of both lines.
-type SealAnswer struct {
+// SealResponse gives the tails of both lines.
+type SealResponse struct {
 	Tails map[line.Kind]Tail `json:"tails"`
 }
 
-// AppendTask extends a line after a point; with Reset the replica starts anew there.
-type AppendTask struct {
+// AppendRequest extends a line after a point; with Reset the replica starts anew there.
+type AppendRequest struct {
 	Target
 	Kind    line.Kind    `json:"k"`
 	After   line.Point   `json:"a"`
@@ -43,8 +43,8 @@
 	Urgent  bool         `json:"u,omitempty"`
 }
 
-// AppendAnswer gives the replica's last point; OK tells whether the lines matched.
-type AppendAnswer struct {
+// AppendResponse gives the replica's last point; OK tells whether the lines matched.
+type AppendResponse struct {
 	OK   bool `json:"ok"`
 	Tail Tail `json:"tail"`
 }
@@ -57,20 +57,20 @@
 	Last      line.Point
 }
 
-// StillTask asks whether lines of one disk stand as their owners have told them: the partitions by the kind of line, each in rising order, and the sum of all.
-type StillTask struct {
+// StillRequest asks whether lines of one disk stand as their owners have told them: the partitions by the kind of line, each in rising order, and the sum of all.
+type StillRequest struct {
 	Incarnation string              `json:"i"`
 	Lines       map[line.Kind][]int `json:"l"`
 	Sum         uint64              `json:"s"`
 }
 
-// StillAnswer tells whether all do.
-type StillAnswer struct {
+// StillResponse tells whether all do.
+type StillResponse struct {
 	Alike bool `json:"a,omitempty"`
 }
 
-// FetchTask reads entries of a line, committed or not.
-type FetchTask struct {
+// FetchRequest reads entries of a line, committed or not.
+type FetchRequest struct {
 	Partition   int       `json:"p"`
 	Incarnation string    `json:"i"`
 	Kind        line.Kind `json:"k"`
@@ -78,15 +78,15 @@
 	Most        int       `json:"m"`
 }
 
-// FetchAnswer gives entries with the tail they were read at.
-type FetchAnswer struct {
+// FetchResponse gives entries with the tail they were read at.
+type FetchResponse struct {
 	Tail    Tail         `json:"tail"`
 	Before  line.Point   `json:"before"`
 	Entries []line.Entry `json:"n,omitempty"`
 }
 
-// DropTask tells a replica that the ownership record no longer names it.
-type DropTask struct {
+// DropRequest tells a replica that the ownership record no longer names it.
+type DropRequest struct {
 	Target
 }
 
@@ -95,9 +95,9 @@
 
 // The replica's calls.
 var (
-	Seal   = wire.Name[SealTask, SealAnswer]("Ledger", "Seal", wire.Ordered, "epochs only rise on a disk")
-	Append = wire.Name[AppendTask, AppendAnswer]("Ledger", "Append", wire.Ordered, "entries have their epoch and place; a copy that has them answers the same, and lower epochs are refused")
-	Still  = wire.Name[StillTask, StillAnswer]("Ledger", "Still", wire.Reads, "compares sums, changes nothing on disk")
-	Fetch  = wire.Name[FetchTask, FetchAnswer]("Ledger", "Fetch", wire.Reads, "entries of a copy")
-	Drop   = wire.Name[DropTask, Done]("Ledger", "Drop", wire.Ordered, "names the epoch of the record that no longer places the copy here")
+	Seal   = wire.Name[SealRequest, SealResponse]("Ledger", "Seal", wire.Ordered, "epochs only rise on a disk")
+	Append = wire.Name[AppendRequest, AppendResponse]("Ledger", "Append", wire.Ordered, "entries have their epoch and place; a copy that has them answers the same, and lower epochs are refused")
+	Still  = wire.Name[StillRequest, StillResponse]("Ledger", "Still", wire.Reads, "compares sums, changes nothing on disk")
+	Fetch  = wire.Name[FetchRequest, FetchResponse]("Ledger", "Fetch", wire.Reads, "entries of a copy")
+	Drop   = wire.Name[DropRequest, Done]("Ledger", "Drop", wire.Ordered, "names the epoch of the record that no longer places the copy here")
 )
--- a/internal/ledger/replica/giveup_test.go
+++ b/internal/ledger/replica/giveup_test.go
@@ -50,15 +50,15 @@
 		cx, leave := context.WithCancel(ctx)
 		gone := make(chan error, 1)
 		go func() {
-			_, err := r.Append(cx, &AppendTask{Target: to(1), Kind: line.Ledger, After: p, Reset: true})
+			_, err := r.Append(cx, &AppendRequest{Target: to(1), Kind: line.Ledger, After: p, Reset: true})
 			gone <- err
 		}()
 		synctest.Wait()
 		leave()
 		assert.Assert(t, <-gone != nil)
-		done := make(chan *AppendAnswer, 1)
+		done := make(chan *AppendResponse, 1)
 		go func() {
-			a, err := r.Append(ctx, &AppendTask{Target: to(1), Kind: line.Ledger, After: p, Entries: chain(p, 1, "c")})
+			a, err := r.Append(ctx, &AppendRequest{Target: to(1), Kind: line.Ledger, After: p, Entries: chain(p, 1, "c")})
 			assert.Check(t, err)
 			done <- a
 		}()
--- a/internal/ledger/replica/replica.go
+++ b/internal/ledger/replica/replica.go
@@ -326,7 +326,7 @@
 }
 
 // Seal turns lower epochs away from now on; it answers once that is synced.
-func (r *Replica) Seal(ctx context.Context, q *SealTask) (*SealAnswer, error) {
+func (r *Replica) Seal(ctx context.Context, q *SealRequest) (*SealResponse, error) {
 	in, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
@@ -337,7 +337,7 @@
 			return nil, err
 		}
 	}
-	a := &SealAnswer{Tails: map[line.Kind]Tail{}}
+	a := &SealResponse{Tails: map[line.Kind]Tail{}}
 	for _, k := range line.Kinds {
 		a.Tails[k] = r.tail(q.Partition, k)
 	}
@@ -351,7 +351,7 @@
 }
 
 // Append extends a line once it is synced, after checking the epoch, the disk and the place.
-func (r *Replica) Append(ctx context.Context, q *AppendTask) (*AppendAnswer, error) {
+func (r *Replica) Append(ctx context.Context, q *AppendRequest) (*AppendResponse, error) {
 	in, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
@@ -361,7 +361,7 @@
 	l := r.Line(q.Partition, q.Kind)
 	if !q.Reset {
 		if p, ok := l.Point(q.After.Offset); !ok || p != q.After {
-			return &AppendAnswer{Tail: r.tail(q.Partition, q.Kind)}, nil
+			return &AppendResponse{Tail: r.tail(q.Partition, q.Kind)}, nil
 		}
 	}
 	var rs []journal.Rec
@@ -410,7 +410,7 @@
 		}
 	}
 	l.SetCommit(min(q.Commit, at.Offset))
-	return &AppendAnswer{OK: true, Tail: Tail{Base: l.Base(), Last: at, Commit: l.Commit()}}, nil
+	return &AppendResponse{OK: true, Tail: Tail{Base: l.Base(), Last: at, Commit: l.Commit()}}, nil
 }
 
 // CutTo drops what follows an offset, when a tail adopted under the target's epoch differs.
@@ -425,12 +425,12 @@
 }
 
 // Fetch reads entries.
-func (r *Replica) Fetch(_ context.Context, q *FetchTask) (*FetchAnswer, error) {
+func (r *Replica) Fetch(_ context.Context, q *FetchRequest) (*FetchResponse, error) {
 	if q.Incarnation != r.incarnation {
 		return nil, problem.New(problem.WrongDisk, "this disk is %s, not %s", r.incarnation, q.Incarnation)
 	}
 	l := r.Line(q.Partition, q.Kind)
-	a := &FetchAnswer{Tail: r.tail(q.Partition, q.Kind)}
+	a := &FetchResponse{Tail: r.tail(q.Partition, q.Kind)}
 	if q.From > 0 {
 		a.Before, _ = l.Point(q.From - 1)
 	}
@@ -439,7 +439,7 @@
 }
 
 // Drop forgets a partition that the record, at an epoch above the sealed one, no longer places here.
-func (r *Replica) Drop(ctx context.Context, q *DropTask) (*Done, error) {
+func (r *Replica) Drop(ctx context.Context, q *DropRequest) (*Done, error) {
 	in, err := r.enter(ctx, q.Target)
 	if err != nil {
 		return nil, err
--- a/internal/ledger/replica/replica_test.go
+++ b/internal/ledger/replica/replica_test.go
@@ -47,7 +47,7 @@
 
 func put(t *testing.T, r *Replica, k line.Kind, epoch uint64, after line.Point, bodies ...string) line.Point {
 	es := chain(after, epoch, bodies...)
-	a, err := r.Append(ctx, &AppendTask{Target: to(epoch), Kind: k, After: after, Entries: es})
+	a, err := r.Append(ctx, &AppendRequest{Target: to(epoch), Kind: k, After: after, Entries: es})
 	assert.NilError(t, err)
 	assert.Assert(t, a.OK)
 	return es[len(es)-1].At()
@@ -57,29 +57,29 @@
 	d := memlog.New()
 	r := boot(t, d, "i")
 	p := put(t, r, line.Ledger, 1, line.Point{}, "a", "b")
-	s, err := r.Seal(ctx, &SealTask{Target: to(3)})
+	s, err := r.Seal(ctx, &SealRequest{Target: to(3)})
 	assert.NilError(t, err)
 	assert.Equal(t, s.Tails[line.Ledger].Last, p)
 	d.LosePower(true)
 	r = boot(t, d, "i")
 	for _, k := range line.Kinds {
-		_, err = r.Append(ctx, &AppendTask{Target: to(2), Kind: k, After: r.Line(1, k).Last(), Entries: chain(r.Line(1, k).Last(), 2, "late")})
+		_, err = r.Append(ctx, &AppendRequest{Target: to(2), Kind: k, After: r.Line(1, k).Last(), Entries: chain(r.Line(1, k).Last(), 2, "late")})
 		assert.Assert(t, problem.Has(err, problem.StaleEpoch), "%s: %v", k, err)
 	}
-	_, err = r.Seal(ctx, &SealTask{Target: to(2)})
+	_, err = r.Seal(ctx, &SealRequest{Target: to(2)})
 	assert.Assert(t, problem.Has(err, problem.StaleEpoch), "%v", err)
-	_, err = r.Drop(ctx, &DropTask{to(2)})
+	_, err = r.Drop(ctx, &DropRequest{to(2)})
 	assert.Assert(t, problem.Has(err, problem.StaleEpoch), "%v", err)
 	assert.Equal(t, r.Line(1, line.Ledger).Last(), p)
 }
 
 func TestAnotherIncarnationIsTurnedAway(t *testing.T) {
 	r := boot(t, memlog.New(), "j")
-	_, err := r.Seal(ctx, &SealTask{Target: to(1)})
+	_, err := r.Seal(ctx, &SealRequest{Target: to(1)})
 	assert.Assert(t, problem.Has(err, problem.WrongDisk), "%v", err)
-	_, err = r.Append(ctx, &AppendTask{Target: to(1), Kind: line.Ledger})
+	_, err = r.Append(ctx, &AppendRequest{Target: to(1), Kind: line.Ledger})
 	assert.Assert(t, problem.Has(err, problem.WrongDisk), "%v", err)
-	_, err = r.Fetch(ctx, &FetchTask{Partition: 1, Incarnation: "i", Kind: line.Ledger})
+	_, err = r.Fetch(ctx, &FetchRequest{Partition: 1, Incarnation: "i", Kind: line.Ledger})
 	assert.Assert(t, problem.Has(err, problem.WrongDisk), "%v", err)
 }
 
@@ -88,12 +88,12 @@
 	r := boot(t, d, "i")
 	p := put(t, r, line.Ledger, 1, line.Point{}, "a")
 	put(t, r, line.Ledger, 1, p, "lost", "lost too")
-	a, err := r.Append(ctx, &AppendTask{Target: to(2), Kind: line.Ledger, After: line.Point{Offset: 2, Epoch: 1, Chain: 5}})
+	a, err := r.Append(ctx, &AppendRequest{Target: to(2), Kind: line.Ledger, After: line.Point{Offset: 2, Epoch: 1, Chain: 5}})
 	assert.NilError(t, err)
 	assert.Assert(t, !a.OK, "another line at the same place")
 	bad := chain(p, 2, "x")
 	bad[0].Body = []byte("altered")
-	_, err = r.Append(ctx, &AppendTask{Target: to(2), Kind: line.Ledger, After: p, Entries: bad})
+	_, err = r.Append(ctx, &AppendRequest{Target: to(2), Kind: line.Ledger, After: p, Entries: bad})
 	assert.Assert(t, problem.Has(err, problem.Mismatch), "%v", err)
 	q := put(t, r, line.Ledger, 2, p, "kept")
 	d.LosePower(false)
@@ -115,7 +115,7 @@
 	put(t, r, line.Changelog, 2, p, "another two")
 	_, ok = r.Directory(1)
 	assert.Assert(t, !ok, "the directory is of a tail that was cut")
-	_, err := r.Drop(ctx, &DropTask{to(3)})
+	_, err := r.Drop(ctx, &DropRequest{to(3)})
 	assert.NilError(t, err)
 	_, ok = r.Directory(1)
 	assert.Assert(t, !ok)
@@ -142,9 +142,9 @@
 func TestFencedOwnerCutsNothing(t *testing.T) {
 	r := boot(t, memlog.New(), "i")
 	p := put(t, r, line.Ledger, 1, line.Point{}, "a", "b")
-	_, err := r.Seal(ctx, &SealTask{Target: to(2)})
+	_, err := r.Seal(ctx, &SealRequest{Target: to(2)})
 	assert.NilError(t, err)
-	_, err = r.Seal(ctx, &SealTask{Target: to(3)})
+	_, err = r.Seal(ctx, &SealRequest{Target: to(3)})
 	assert.NilError(t, err)
 	q := put(t, r, line.Ledger, 3, p, "told to be taken")
 	err = r.CutTo(ctx, to(2), line.Ledger, 1, false)
@@ -179,7 +179,7 @@
 // A copy tells that a line stands as it was told only while it ends there and nobody has sealed its partition under a higher epoch since.
 func TestStillStands(t *testing.T) {
 	still := func(r *Replica, inc string, ss ...Silent) (bool, error) {
-		q := &StillTask{Incarnation: inc, Lines: map[line.Kind][]int{}, Sum: Sum(ss)}
+		q := &StillRequest{Incarnation: inc, Lines: map[line.Kind][]int{}, Sum: Sum(ss)}
 		for _, s := range ss {
 			q.Lines[s.Kind] = append(q.Lines[s.Kind], s.Partition)
 		}
@@ -199,7 +199,7 @@
 	assert.Equal(t, len(r.lines), lines, "asking makes no lines")
 	_, err = still(r, "another", one)
 	assert.Assert(t, problem.Has(err, problem.WrongDisk))
-	_, err = r.Seal(t.Context(), &SealTask{Target: to(4)})
+	_, err = r.Seal(t.Context(), &SealRequest{Target: to(4)})
 	assert.NilError(t, err)
 	ok, err = still(r, "i", none, one)
 	assert.Assert(t, !ok && err == nil)
--- a/internal/ledger/replica/still.go
+++ b/internal/ledger/replica/still.go
@@ -26,7 +26,7 @@
 }
 
 // Still tells whether lines end here as their owners have told them, and nobody else has sealed their partitions since. It writes nothing and waits for nobody.
-func (r *Replica) Still(_ context.Context, q *StillTask) (*StillAnswer, error) {
+func (r *Replica) Still(_ context.Context, q *StillRequest) (*StillResponse, error) {
 	if q.Incarnation != r.incarnation {
 		return nil, problem.New(problem.WrongDisk, "this disk is %s, not %s", r.incarnation, q.Incarnation)
 	}
@@ -36,7 +36,7 @@
 			ss = append(ss, r.silent(p, k))
 		}
 	}
-	return &StillAnswer{Alike: Sum(ss) == q.Sum}, nil
+	return &StillResponse{Alike: Sum(ss) == q.Sum}, nil
 }
 
 func (r *Replica) silent(p int, k line.Kind) Silent {
--- a/internal/ledger/still/still.go
+++ b/internal/ledger/still/still.go
@@ -132,7 +132,7 @@
 
 // ask tells what became of lines that were silent, in their order. Where the sums of many differ, those of their halves tell which.
 func (l *Lines) ask(d Disk, all []*waiting) {
-	q := &replica.StillTask{Incarnation: d.Incarnation, Lines: map[line.Kind][]int{}}
+	q := &replica.StillRequest{Incarnation: d.Incarnation, Lines: map[line.Kind][]int{}}
 	ss := make([]replica.Silent, len(all))
 	for i, w := range all {
 		ss[i] = w.line
--- a/internal/ledger/still/still_test.go
+++ b/internal/ledger/still/still_test.go
@@ -31,7 +31,7 @@
 	return replica.Silent{Partition: p, Kind: line.Ledger, Epoch: 2, Last: line.Point{Offset: uint64(p), Epoch: 1}}
 }
 
-func (c *copies) still(_ context.Context, q *replica.StillTask) (*replica.StillAnswer, error) {
+func (c *copies) still(_ context.Context, q *replica.StillRequest) (*replica.StillResponse, error) {
 	time.Sleep(c.takes)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -47,7 +47,7 @@
 		}
 		ss = append(ss, s)
 	}
-	return &replica.StillAnswer{Alike: replica.Sum(ss) == q.Sum}, nil
+	return &replica.StillResponse{Alike: replica.Sum(ss) == q.Sum}, nil
 }
 
 func (c *copies) Do(q *http.Request) (*http.Response, error) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -20,10 +20,10 @@
 
 // Info is what a node says of itself.
 type Info struct {
-	Name    string `json:"name"`
-	Zone    string `json:"zone"`
-	Listen  string `json:"listen"`
-	Fellows string `json:"fellows"`
+	Name   string `json:"name"`
+	Zone   string `json:"zone"`
+	Listen string `json:"listen"`
+	Peers  string `json:"fellows"`
 	// Visits is where visitors' line sessions are taken.
 	Visits      string `json:"visits,omitempty"`
 	Disk        string `json:"disk"`
@@ -31,7 +31,7 @@
 	Boot        string `json:"boot"`
 	Stage       string `json:"stage"`
 	// Description is which one the node has. Control nodes alone are told that of others, the others that one is Behind: it has had an older one than is
-	// confirmed for longer than a licence.
+	// confirmed for longer than a lease.
 	Description uint64 `json:"description,omitempty"`
 	Behind      bool   `json:"behind,omitempty"`
 	Roster      uint64 `json:"roster"`
@@ -42,7 +42,7 @@
 	Deaf    bool            `json:"deaf,omitempty"`
 	Build   string          `json:"build,omitempty"`
 	Wire    int             `json:"wire"`
-	// Lag is how long this node's pulses take, in microseconds, the second shortest of the last few; all that are far from slow are told as one.
+	// Lag is how long this node's heartbeats take, in microseconds, the second shortest of the last few; all that are far from slow are told as one.
 	Lag int64 `json:"lag_us,omitempty"`
 	// Homes tells that this build keeps attachments in an urgent partition too.
 	Homes bool `json:"homes,omitempty"`
@@ -58,8 +58,8 @@
 	Age  time.Duration `json:"age"`
 }
 
-// SessionsTask gives a control node another's sessions.
-type SessionsTask struct {
+// SessionsRequest gives a control node another's sessions.
+type SessionsRequest struct {
 	From     string  `json:"from"`
 	Sessions []Heard `json:"sessions,omitempty"`
 	// Story tells the sessions by difference, Have how far the story of the receiver is known; Sessions then holds nothing.
@@ -67,29 +67,29 @@
 	Have  *Mark  `json:"h,omitempty"`
 }
 
-// SessionsAnswer gives the receiver's sessions back.
-type SessionsAnswer struct {
+// SessionsResponse gives the receiver's sessions back.
+type SessionsResponse struct {
 	From     string  `json:"f,omitempty"`
 	Sessions []Heard `json:"sessions,omitempty"`
 	Story    *Story  `json:"s,omitempty"`
 	Have     *Mark   `json:"h,omitempty"`
 }
 
-// HelloTask asks a seed who it is. A control node that knows no roster says who it is itself, so that others find it through the seed.
-type HelloTask struct {
+// HelloRequest asks a seed who it is. A control node that knows no roster says who it is itself, so that others find it through the seed.
+type HelloRequest struct {
 	From *Info `json:"from,omitempty"`
 }
 
-// HelloAnswer says who a node is and whom it knows.
-type HelloAnswer struct {
+// HelloResponse says who a node is and whom it knows.
+type HelloResponse struct {
 	Info  Info   `json:"info"`
 	Known []Info `json:"known"`
 }
 
 // The calls of membership.
 var (
-	Sessions = wire.Name[SessionsTask, SessionsAnswer]("Member", "Sessions", wire.Ordered, "sessions carry ages, and what was heard later stands")
-	Hello    = wire.Name[HelloTask, HelloAnswer]("Member", "Hello", wire.Ordered, "what is said of the sender is kept for a session at most")
+	Sessions = wire.Name[SessionsRequest, SessionsResponse]("Member", "Sessions", wire.Ordered, "sessions carry ages, and what was heard later stands")
+	Hello    = wire.Name[HelloRequest, HelloResponse]("Member", "Hello", wire.Ordered, "what is said of the sender is kept for a session at most")
 )
 
 type seen struct {
@@ -133,10 +133,10 @@
 
 // Differs tells whether two sayings of one node differ in what control and placement act on.
 func (i Info) Differs(k Info) bool {
-	return i.Boot != k.Boot || i.Disk != k.Disk || i.Incarnation != k.Incarnation || i.Stage != k.Stage || i.Fitness != k.Fitness || i.Deaf != k.Deaf || i.Fellows != k.Fellows || i.Roster != k.Roster
+	return i.Boot != k.Boot || i.Disk != k.Disk || i.Incarnation != k.Incarnation || i.Stage != k.Stage || i.Fitness != k.Fitness || i.Deaf != k.Deaf || i.Peers != k.Peers || i.Roster != k.Roster
 }
 
-// Changed is closed when a node joins, comes back, or says something new of its disk, stage, licence, address or roster.
+// Changed is closed when a node joins, comes back, or says something new of its disk, stage, lease, address or roster.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/member/touch/touch.go
+++ b/internal/member/touch/touch.go
@@ -1,4 +1,4 @@
-// Package touch finds out whether a node still reaches the machines that decide, and which fellows do when it does not.
+// Package touch finds out whether a node still reaches the machines that decide, and which peers do when it does not.
 package touch
 
 import (
@@ -15,23 +15,23 @@
 	"postjunction/internal/wire"
 )
 
-// ReachTask asks a fellow whether it reaches the machines that decide.
-type ReachTask struct{}
+// ReachRequest asks a peer whether it reaches the machines that decide.
+type ReachRequest struct{}
 
-// ReachAnswer says so.
-type ReachAnswer struct {
+// ReachResponse says so.
+type ReachResponse struct {
 	Well bool `json:"w"`
 }
 
 // Reach is the call.
-var Reach = wire.Name[ReachTask, ReachAnswer]("Touch", "Reach", wire.Reads, "the receiver looks whom it reaches")
+var Reach = wire.Name[ReachRequest, ReachResponse]("Touch", "Reach", wire.Reads, "the receiver looks whom it reaches")
 
 const (
 	doubtOf   = 3
 	doubtIn   = 2
 	askedMost = 8
 	slackOf   = 4
-	// half and some are the shares of the machines that decide that a fellow must reach to be well, and a node to keep its visitors.
+	// half and some are the shares of the machines that decide that a peer must reach to be well, and a node to keep its visitors.
 	half = 2
 	some = 1 << 10
 )
@@ -44,20 +44,20 @@
 	Net    wire.Network
 	// Heard tells when the fleet was last heard in the ordinary way, the zero time when it never was.
 	Heard func() time.Time
-	// Usual tells how long a pulse that is answered takes, and whether this node has been here long enough to know.
+	// Usual tells how long a heartbeat that is answered takes, and whether this node has been here long enough to know.
 	Usual func() (time.Duration, bool)
 	// Owners gives the addresses of the other machines that decide at present.
 	Owners func() []string
-	// Fellows gives the nodes that could take this node's visitors, in groups, the nearest first.
-	Fellows func() [][]member.Info
+	// Peers gives the nodes that could take this node's visitors, in groups, the nearest first.
+	Peers func() [][]member.Info
 	// Able tells whether this node itself could take visitors.
 	Able func() error
-	// Away hears which fellows take this node's visitors, and nothing once this node reaches those who decide again.
+	// Away hears which peers take this node's visitors, and nothing once this node reaches those who decide again.
 	Away func(to []member.Info)
 }
 
-// Run looks after the way to those who decide until ctx ends. As long as pulses are heard it costs nothing; when one is late, the machines that decide
-// are called and fellows asked at once, and when none of the former answers, fellows that reach them take the visitors.
+// Run looks after the way to those who decide until ctx ends. As long as heartbeats are heard it costs nothing; when one is late, the machines that decide
+// are called and peers asked at once, and when none of the former answers, peers that reach them take the visitors.
 func (t *Touch) Run(ctx context.Context) {
 	away := false
 	for pause := t.Bounds.Beat(); t.Clock.Sleep(ctx, pause) == nil; {
@@ -65,7 +65,7 @@
 		reached, to := true, []member.Info(nil)
 		if t.doubtful() {
 			if reached, to = t.look(ctx, !away); reached {
-				pause = t.Bounds.Pulse()
+				pause = t.Bounds.Heartbeat()
 			}
 		}
 		switch {
@@ -81,7 +81,7 @@
 	}
 }
 
-// look tells whether some machine that decides is reached or a pulse was heard meanwhile, and if not, which fellows reach them, if that is asked for.
+// look tells whether some machine that decides is reached or a heartbeat was heard meanwhile, and if not, which peers reach them, if that is asked for.
 func (t *Touch) look(ctx context.Context, ask bool) (bool, []member.Info) {
 	cx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -109,7 +109,7 @@
 func (t *Touch) doubtful() bool {
 	_, ok := t.Usual()
 	at := t.Heard()
-	return ok && !at.IsZero() && t.Clock.Now().Sub(at) > t.Bounds.Pulse()*doubtOf/doubtIn+t.slack()
+	return ok && !at.IsZero() && t.Clock.Now().Sub(at) > t.Bounds.Heartbeat()*doubtOf/doubtIn+t.slack()
 }
 
 // reached calls the machines that decide, and tells how many of how many answered, as soon as a share of them did.
@@ -118,20 +118,20 @@
 	defer stop()
 	as := t.Owners()
 	most := max(1, (len(as)+share-1)/share)
-	got := gather.Good(gather.Ask(cx, as, func(ctx context.Context, a string) (*watch.BeatAnswer, error) {
-		return watch.Beat.Call(ctx, t.Net, t.Self, a, &watch.BeatTask{})
-	}, func(as []gather.Answer[string, *watch.BeatAnswer]) bool { return len(gather.Good(as)) >= most }))
+	got := gather.Good(gather.Ask(cx, as, func(ctx context.Context, a string) (*watch.BeatResponse, error) {
+		return watch.Beat.Call(ctx, t.Net, t.Self, a, &watch.BeatRequest{})
+	}, func(as []gather.Answer[string, *watch.BeatResponse]) bool { return len(gather.Good(as)) >= most }))
 	return len(got), len(as)
 }
 
-// well gives the fellows of the nearest group in which some say that they reach those who decide: those who say so soon after the first.
+// well gives the peers of the nearest group in which some say that they reach those who decide: those who say so soon after the first.
 func (t *Touch) well(ctx context.Context) []member.Info {
-	for _, g := range t.Fellows() {
+	for _, g := range t.Peers() {
 		rand.Shuffle(len(g), func(i, k int) { g[i], g[k] = g[k], g[i] })
 		g = g[:min(len(g), askedMost)]
 		cx, stop := context.WithTimeout(ctx, 2*t.Bounds.Hedge())
-		as := gather.Good(gather.Ask(cx, g, func(ctx context.Context, i member.Info) (*ReachAnswer, error) {
-			a, err := Reach.Call(ctx, t.Net, t.Self, i.Fellows, &ReachTask{})
+		as := gather.Good(gather.Ask(cx, g, func(ctx context.Context, i member.Info) (*ReachResponse, error) {
+			a, err := Reach.Call(ctx, t.Net, t.Self, i.Peers, &ReachRequest{})
 			if err == nil && a.Well {
 				go func() {
 					_ = t.Clock.Sleep(cx, t.Bounds.Soon())
@@ -154,12 +154,12 @@
 	return nil
 }
 
-func (t *Touch) reach(ctx context.Context, _ *ReachTask) (*ReachAnswer, error) {
+func (t *Touch) reach(ctx context.Context, _ *ReachRequest) (*ReachResponse, error) {
 	if err := t.Able(); err != nil {
 		return nil, err
 	}
 	n, all := t.reached(ctx, half)
-	return &ReachAnswer{Well: half*n >= all}, nil
+	return &ReachResponse{Well: half*n >= all}, nil
 }
 
 // Serve adds the call.
--- a/internal/member/watch/watch.go
+++ b/internal/member/watch/watch.go
@@ -17,28 +17,28 @@
 	"postjunction/internal/wire"
 )
 
-// BeatTask asks for a sign of life.
-type BeatTask struct{}
+// BeatRequest asks for a sign of life.
+type BeatRequest struct{}
 
-// BeatAnswer is one: the run of the process.
-type BeatAnswer struct {
+// BeatResponse is one: the run of the process.
+type BeatResponse struct {
 	Boot string `json:"b"`
 }
 
-// HeardTask asks a fellow what it knows of a machine that is not heard.
-type HeardTask struct {
+// HeardRequest asks a peer what it knows of a machine that is not heard.
+type HeardRequest struct {
 	Node string `json:"n"`
 }
 
-// HeardAnswer says whether the machine was heard lately.
-type HeardAnswer struct {
+// HeardResponse says whether the machine was heard lately.
+type HeardResponse struct {
 	Heard bool `json:"h"`
 }
 
 // The calls of machines that look after one another.
 var (
-	Beat  = wire.Name[BeatTask, BeatAnswer]("Watch", "Beat", wire.Reads, "tells that the process lives")
-	Heard = wire.Name[HeardTask, HeardAnswer]("Watch", "Heard", wire.Reads, "tells whom the receiver has heard")
+	Beat  = wire.Name[BeatRequest, BeatResponse]("Watch", "Beat", wire.Reads, "tells that the process lives")
+	Heard = wire.Name[HeardRequest, HeardResponse]("Watch", "Heard", wire.Reads, "tells whom the receiver has heard")
 )
 
 // Why a machine counts as gone.
@@ -167,7 +167,7 @@
 	for again := false; ; again = true {
 		cx, stop := context.WithTimeout(ctx, w.Bounds.Silent())
 		at := w.Clock.Now()
-		_, err := Beat.Call(cx, w.Net, w.Self, addr, &BeatTask{})
+		_, err := Beat.Call(cx, w.Net, w.Self, addr, &BeatRequest{})
 		stop()
 		if !w.judge(ctx, n, x, w.Clock.Now().Sub(at), err, again) || w.Clock.Sleep(ctx, w.Bounds.Again()) != nil {
 			return
@@ -214,7 +214,7 @@
 		if !ok {
 			return false, problem.New(problem.Unreachable, "%s is not known", f)
 		}
-		h, err := Heard.Call(ctx, w.Net, w.Self, a, &HeardTask{Node: n})
+		h, err := Heard.Call(ctx, w.Net, w.Self, a, &HeardRequest{Node: n})
 		return err == nil && h.Heard, err
 	}, func(as []gather.Answer[string, bool]) bool { return heard(as) })
 	w.mu.Lock()
@@ -250,9 +250,9 @@
 
 // Serve adds the calls.
 func (w *Watch) Serve(m *http.ServeMux) {
-	Beat.Handle(m, func(context.Context, *BeatTask) (*BeatAnswer, error) { return &BeatAnswer{Boot: w.Boot}, nil })
-	Heard.Handle(m, func(_ context.Context, q *HeardTask) (*HeardAnswer, error) {
+	Beat.Handle(m, func(context.Context, *BeatRequest) (*BeatResponse, error) { return &BeatResponse{Boot: w.Boot}, nil })
+	Heard.Handle(m, func(_ context.Context, q *HeardRequest) (*HeardResponse, error) {
 		h, err := w.Hears(q.Node)
-		return &HeardAnswer{Heard: h}, err
+		return &HeardResponse{Heard: h}, err
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,26 +77,26 @@
 	voter   *voter.Voter
 	replica *replica.Replica
 
-	Board    *gossip.Board
-	View     *member.View
-	keeper   *session.Keeper
-	host     *session.Host
-	table    *member.Table
-	gossip   *gossip.Gossip
-	holder   *holder.Holder
-	confirm  *confirm.Confirmer
-	client   *client.Client
-	owners   *owners.Keeper
-	desk     *desk.Desk
-	presence *presence.Presence
-	gates    *admission.Gates
-	turned   turned.Memory
-	founder  *founding.Founder
-	leaves   *founding.Leaves
-	steward  *steward.Steward
-	duty     *duty.Duty
-	watch    *watch.Watch
-	touch    *touch.Touch
+	Board        *gossip.Board
+	View         *member.View
+	keeper       *session.Keeper
+	host         *session.Host
+	table        *member.Table
+	gossip       *gossip.Gossip
+	holder       *holder.Holder
+	confirm      *confirm.Confirmer
+	client       *client.Client
+	owners       *owners.Keeper
+	desk         *desk.Desk
+	presence     *presence.Presence
+	gates        *admission.Gates
+	turned       turned.Memory
+	founder      *founding.Founder
+	leaves       *founding.Leaves
+	reconfigurer *reconfigurer.Reconfigurer
+	duty         *duty.Duty
+	watch        *watch.Watch
+	touch        *touch.Touch
 
 	// Visitors and Operators are the services behind the door.
 	Visitors  *visitor.Service
@@ -187,7 +187,7 @@
 	n.mu.Lock()
 	o, st, fit := n.opts, n.stage, n.fitness
 	n.mu.Unlock()
-	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Fellows: o.Reached(), Visits: o.Visits, Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Homes: true, Keys: true, Processor: o.Carries(), Roster: n.Board.Roster().Sequence}
+	i := member.Info{Name: o.Name, Zone: o.Zone, Listen: o.Listen, Peers: o.Reached(), Visits: o.Visits, Disk: o.Disk, Boot: n.boot, Stage: st, Fitness: fit, Description: n.Board.Description().Sequence, Build: Build, Wire: wire.Sequence, Homes: true, Keys: true, Processor: o.Carries(), Roster: n.Board.Roster().Sequence}
 	if n.keeper != nil {
 		i.Deaf = !n.keeper.Confirmed()
 	}
@@ -214,13 +214,13 @@
 	if n.table != nil {
 		for _, i := range n.table.Live() {
 			if i.Name == node {
-				return i.Fellows, i.Stage == member.Serving && !n.host.Lost(i.Fellows)
+				return i.Peers, i.Stage == member.Serving && !n.host.Lost(i.Peers)
 			}
 		}
 		return "", false
 	}
 	i, ok := n.View.Get(node)
-	return i.Fellows, ok
+	return i.Peers, ok
 }
 
 // controls gives the members as a control node knows them, itself as it is now.
@@ -236,12 +236,12 @@
 
 func (n *Node) addr(node string) (string, bool) {
 	i, ok := n.View.Get(node)
-	return i.Fellows, ok
+	return i.Peers, ok
 }
 
 func (n *Node) reach(node string) (string, bool) {
 	i, ok := n.View.Last(node)
-	return i.Fellows, ok
+	return i.Peers, ok
 }
 
 var ranks = map[string]int{options.DiskStorage: 0, options.DiskControl: 1}
@@ -301,7 +301,7 @@
 		n.confirm = &confirm.Confirmer{Self: self, Net: net, Clock: clk, Bounds: b, Board: n.Board, Holder: n.holder, Mender: mender}
 		n.host = &session.Host{Self: self, Seeds: o.Seeds, Clock: clk, Bounds: b, Net: net, Table: n.table, Board: n.Board, Info: n.Info, Latest: n.confirm.Latest}
 		n.founder = founding.New(o, net, n.Info)
-		n.steward = &steward.Steward{Self: self, Clock: clk, Bounds: b, Board: n.Board, Founder: n.founder, Reformer: reform.New(self, net, b), Mender: mender, Live: n.controls, Changed: n.table.Changed, Sealed: n.voter.Sealed, Sealing: n.voter.Sealing, Log: n.log}
+		n.reconfigurer = &reconfigurer.Reconfigurer{Self: self, Clock: clk, Bounds: b, Board: n.Board, Founder: n.founder, Reformer: reform.New(self, net, b), Mender: mender, Live: n.controls, Changed: n.table.Changed, Sealed: n.voter.Sealed, Sealing: n.voter.Sealing, Log: n.log}
 		if r := n.voter.Roster(); r.Sequence > 0 {
 			n.Board.Offer(gossip.News{Roster: &r})
 		}
@@ -351,7 +351,7 @@
 		Leaving: n.leaving, Members: n.View.All, Info: n.Info, Body: o.Body,
 	}).Open(ctx)
 	n.touch = &touch.Touch{
-		Self: self, Clock: clk, Bounds: b, Net: net, Heard: n.keeper.Heard, Usual: n.keeper.Usual, Owners: n.deciders, Fellows: n.nearest, Able: n.Ready,
+		Self: self, Clock: clk, Bounds: b, Net: net, Heard: n.keeper.Heard, Usual: n.keeper.Usual, Owners: n.deciders, Peers: n.nearest, Able: n.Ready,
 		Away: func(to []member.Info) {
 			if len(to) > 0 {
 				n.log.Say(event.VisitorsSent, "visitors", n.House.Count(), "fellows", len(to))
@@ -403,7 +403,7 @@
 	if i.Name == n.opts.Name {
 		return n.turned.Find(q), nil
 	}
-	a, err := turned.Turned.Call(ctx, n.w.Net, n.opts.Name, i.Fellows, &q)
+	a, err := turned.Turned.Call(ctx, n.w.Net, n.opts.Name, i.Peers, &q)
 	if err != nil {
 		return nil, err
 	}
@@ -421,7 +421,7 @@
 	if n.opts.Voter() {
 		n.goes(func() { n.host.Run(ctx) })
 		n.goes(func() { n.confirm.Run(ctx) })
-		n.goes(func() { n.steward.Run(ctx) })
+		n.goes(func() { n.reconfigurer.Run(ctx) })
 		n.goes(func() { n.duty.Run(ctx) })
 	}
 	if n.replica != nil {
@@ -484,8 +484,8 @@
 	}
 }
 
-// Fellows gives the handler of the other nodes' calls.
-func (n *Node) Fellows() http.Handler {
+// Peers gives the handler of the other nodes' calls.
+func (n *Node) Peers() http.Handler {
 	m := http.NewServeMux()
 	member.Hello.Handle(m, n.keeper.Hello)
 	n.gossip.Serve(m)
--- a/internal/node/owners/owners.go
+++ b/internal/node/owners/owners.go
@@ -312,7 +312,7 @@
 		if err != nil || !r.Settled || r.Holds(k.Self) {
 			continue
 		}
-		if _, err := k.Replica.Drop(ctx, &replica.DropTask{Target: replica.Target{Partition: p, Incarnation: k.Replica.Incarnation(), Epoch: r.Epoch}}); err == nil {
+		if _, err := k.Replica.Drop(ctx, &replica.DropRequest{Target: replica.Target{Partition: p, Incarnation: k.Replica.Incarnation(), Epoch: r.Epoch}}); err == nil {
 			k.Log.Say(event.Orphan, "partition", p, "epoch", r.Epoch)
 		}
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -43,7 +43,7 @@
 	Uses     func(ctx context.Context, p int) ([]owner.Use, error)
 	Marks    func(ctx context.Context, p int) (*owner.MarksView, error)
 	Tallies  func() map[string]any
-	Trace    func(ctx context.Context, p int, q *desk.TraceTask) (*desk.Traced, error)
+	Trace    func(ctx context.Context, p int, q *desk.TraceRequest) (*desk.Traced, error)
 	Turned   func(ctx context.Context, i member.Info, q turned.Task) ([]turned.Note, error)
 	Log      *event.Logger
 
--- a/internal/operator/quorum.go
+++ b/internal/operator/quorum.go
@@ -62,7 +62,7 @@
 
 // known asks the control node of a seat which machines it knows, itself among them.
 func (s *Service) known(ctx context.Context, to roster.Seat) ([]member.Info, error) {
-	a, err := member.Hello.Call(ctx, s.Net, s.Info().Name, to.Addr, &member.HelloTask{})
+	a, err := member.Hello.Call(ctx, s.Net, s.Info().Name, to.Addr, &member.HelloRequest{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -16,19 +16,19 @@
 // Reader reads an operator's own document as a description that builds on base.
 type Reader = func(doc []byte, base uint64) (description.Description, error)
 
-// SubmitTask hands an operator's own document over to a control node, deflated. By is the change's name for older
+// SubmitRequest hands an operator's own document over to a control node, deflated. By is the change's name for older
 // builds, which take a change without one for a repeat; in this build the name follows from the order itself.
-type SubmitTask struct {
+type SubmitRequest struct {
 	Base uint64 `json:"b"`
 	By   string `json:"n"`
 	Doc  []byte `json:"d"`
 }
 
-// SubmitAnswer is the answer to an accepted document.
-type SubmitAnswer struct{}
+// SubmitResponse is the answer to an accepted document.
+type SubmitResponse struct{}
 
 // Submit is the call that hands a document over.
-var Submit = wire.Name[SubmitTask, SubmitAnswer]("Operator", "Submit", wire.Numbered, "the order names its base and has a digest; the register remembers accepted orders")
+var Submit = wire.Name[SubmitRequest, SubmitResponse]("Operator", "Submit", wire.Numbered, "the order names its base and has a digest; the register remembers accepted orders")
 
 // Read sets how this node reads the documents that other nodes hand over.
 func (s *Service) Read(r Reader) { s.reader.Store(&r) }
@@ -55,7 +55,7 @@
 	if err != nil {
 		return false, err
 	}
-	sent, err := client.Once(ctx, s.Client, Submit, &SubmitTask{Base: base, By: client.Name(), Doc: b})
+	sent, err := client.Once(ctx, s.Client, Submit, &SubmitRequest{Base: base, By: client.Name(), Doc: b})
 	return sent && !problem.Has(err, problem.NotReady), err
 }
 
@@ -70,7 +70,7 @@
 
 // Serve adds the call that hands a document over.
 func (s *Service) Serve(m *http.ServeMux) {
-	Submit.Handle(m, func(ctx context.Context, q *SubmitTask) (*SubmitAnswer, error) {
+	Submit.Handle(m, func(ctx context.Context, q *SubmitRequest) (*SubmitResponse, error) {
 		read := s.reader.Load()
 		if read == nil {
 			return nil, problem.New(problem.NotReady, "this node reads no documents")
@@ -84,7 +84,7 @@
 		if err := s.take(ctx, doc, q.Base, false, *read); err != nil {
 			return nil, err
 		}
-		return &SubmitAnswer{}, nil
+		return &SubmitResponse{}, nil
 	})
 }
 
--- a/internal/options/bounds.go
+++ b/internal/options/bounds.go
@@ -14,7 +14,7 @@
 var DefaultBounds = Bounds{Keeping: 35 * time.Second, Spread: 3 * time.Second, Recovery: 12 * time.Second}
 
 const (
-	pulseShare      = 10
+	heartbeatShare  = 10
 	slowShare       = 60
 	sessionShare    = 6
 	callShare       = 8
@@ -22,7 +22,7 @@
 	holdShare       = 3
 	settleShare     = 4
 	marginShare     = 5
-	licencePercent  = 80
+	leasePercent    = 80
 	apartShare      = 3
 	stopPercent     = 40
 	handPercent     = 10
@@ -44,15 +44,15 @@
 	growMost        = 8
 )
 
-// Pulse is how often a node renews its session and gossips.
-func (b Bounds) Pulse() time.Duration { return b.Spread / pulseShare }
+// Heartbeat is how often a node renews its session and gossips.
+func (b Bounds) Heartbeat() time.Duration { return b.Spread / heartbeatShare }
 
-// Licence is how long a confirmation of the description lets a node serve.
-func (b Bounds) Licence() time.Duration { return b.Spread * licencePercent / 100 }
+// Lease is how long a confirmation of the description lets a node serve.
+func (b Bounds) Lease() time.Duration { return b.Spread * leasePercent / 100 }
 
-// Apart is how long no majority may answer a control node before those whose session is with it look for another one: less than three pulses, hence than a session,
+// Apart is how long no majority may answer a control node before those whose session is with it look for another one: less than three heartbeats, hence than a session,
 // by whose end it would take members for gone that others still hear.
-func (b Bounds) Apart() time.Duration { return b.Licence() / apartShare }
+func (b Bounds) Apart() time.Duration { return b.Lease() / apartShare }
 
 // Session is how long a silent node stays a member.
 func (b Bounds) Session() time.Duration { return b.Recovery / sessionShare }
@@ -66,10 +66,10 @@
 // Hold is how long a read waits for news.
 func (b Bounds) Hold() time.Duration { return b.Spread / holdShare }
 
-// Slow is how long a machine's pulses may take before it counts as slow, if that is also much longer than usual.
+// Slow is how long a machine's heartbeats may take before it counts as slow, if that is also much longer than usual.
 func (b Bounds) Slow() time.Duration { return b.Spread / slowShare }
 
-// SlowTimes is how much longer than usual the pulses of a slow machine take.
+// SlowTimes is how much longer than usual the heartbeats of a slow machine take.
 const SlowTimes = 8
 
 // Settle is how long a take-over may take before another store is tried.
@@ -131,8 +131,8 @@
 	return min(b.Soon()<<(min(tries, growMost)/2), b.Retry())
 }
 
-// Eager is the pace of pulses while a node waits for its first licence.
-func (b Bounds) Eager() time.Duration { return b.Pulse() / eagerShare }
+// Eager is the pace of heartbeats while a node waits for its first lease.
+func (b Bounds) Eager() time.Duration { return b.Heartbeat() / eagerShare }
 
 // Changelog is the default interval of changelog batches.
 func (b Bounds) Changelog() time.Duration { return b.Recovery / changelogShare }
@@ -157,8 +157,8 @@
 		return f
 	}
 	add(b.Gap() <= b.Recovery, "recovery", "the steps after a loss add up to "+b.Gap().String()+", more than "+b.Recovery.String())
-	add(b.Licence()+b.Pulse() <= b.Spread, "spread", "licence and pulse add up to more than the spread")
-	add(b.Pulse()*3 <= b.Session(), "spread", "three pulses ("+(3*b.Pulse()).String()+") must fit into a session ("+b.Session().String()+"); raise recovery or lower spread")
+	add(b.Lease()+b.Heartbeat() <= b.Spread, "spread", "licence and pulse add up to more than the spread")
+	add(b.Heartbeat()*3 <= b.Session(), "spread", "three pulses ("+(3*b.Heartbeat()).String()+") must fit into a session ("+b.Session().String()+"); raise recovery or lower spread")
 	add(b.Keeping >= 2*b.Recovery, "keeping", "must be at least twice recovery ("+(2*b.Recovery).String()+") so that callers outlast a loss, is "+b.Keeping.String())
 	return f
 }
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -27,7 +27,7 @@
 	Name      string   `json:"name"`
 	Zone      string   `json:"zone"`
 	Listen    string   `json:"listen"`
-	Fellows   string   `json:"fellow_listen"`
+	Peers     string   `json:"fellow_listen"`
 	Reach     string   `json:"fellow_address,omitempty"`
 	Seeds     []string `json:"seeds"`
 	Disk      string   `json:"disk"`
@@ -50,7 +50,7 @@
 	Founding string `json:"founding"`
 	// Losses is how many machines with a disk may be lost at once; copies and acknowledgements follow from it.
 	Losses int `json:"losses"`
-	// Stretch lengthens the licence of a node that no control node can confirm for.
+	// Stretch lengthens the lease of a node that no control node can confirm for.
 	Stretch Span `json:"stretch"`
 	// Keepalive is how long a visitor may be silent before it gives a sign of life; three times that ends its visit.
 	Keepalive Span `json:"keepalive"`
@@ -77,7 +77,7 @@
 	return max(o.Link/packsBelow, 1)
 }
 
-// Packs tells whether the link is so narrow beside the processor that what fellows tell is to come packed.
+// Packs tells whether the link is so narrow beside the processor that what peers tell is to come packed.
 func (o *Options) Packs() bool {
 	return o.Link > 0 && o.Processor > 0 && o.Link < packsBelow*o.Processor
 }
@@ -136,7 +136,7 @@
 // Default gives the settings before a file and flags are read.
 func Default() Options {
 	return Options{
-		Listen: "127.0.0.1:7400", Fellows: "127.0.0.1:7500", Disk: DiskNone,
+		Listen: "127.0.0.1:7400", Peers: "127.0.0.1:7500", Disk: DiskNone,
 		Routine: 12, Urgent: 4,
 		Keeping: Span(DefaultBounds.Keeping), Spread: Span(DefaultBounds.Spread), Recovery: Span(DefaultBounds.Recovery),
 		Body: 64 << 10, Backlog: 64, Marks: 4096, Level: "info",
@@ -149,7 +149,7 @@
 	if o.Reach != "" {
 		return o.Reach
 	}
-	return o.Fellows
+	return o.Peers
 }
 
 // Bounds gives the three times.
@@ -176,7 +176,7 @@
 	fs.StringVar(&o.Name, "name", o.Name, "lasting `name` of this node")
 	fs.StringVar(&o.Zone, "zone", o.Zone, "`zone` that this node stands in")
 	fs.StringVar(&o.Listen, "listen", o.Listen, "`address` for callers and operators")
-	fs.StringVar(&o.Fellows, "fellow-listen", o.Fellows, "`address` for the other nodes")
+	fs.StringVar(&o.Peers, "fellow-listen", o.Peers, "`address` for the other nodes")
 	fs.StringVar(&o.Reach, "fellow-address", o.Reach, "`address` that the other nodes dial, when it differs from fellow-listen")
 	fs.Func("seeds", "one to seven `addresses` of other nodes, with commas between", func(t string) error {
 		o.Seeds = strings.Split(t, ",")
@@ -286,9 +286,9 @@
 	add(nameRule.MatchString(o.Name), "name", "must be 1 to 63 of a-z, 0-9 and -, is %q", o.Name)
 	add(nameRule.MatchString(o.Zone), "zone", "must be 1 to 63 of a-z, 0-9 and -, is %q", o.Zone)
 	add(address(o.Listen), "listen", "must be an IP number and a port from 1 to 65535, is %q", o.Listen)
-	add(address(o.Fellows), "fellow_listen", "must be an IP number and a port from 1 to 65535, is %q", o.Fellows)
+	add(address(o.Peers), "fellow_listen", "must be an IP number and a port from 1 to 65535, is %q", o.Peers)
 	add(o.Reach == "" || address(o.Reach), "fellow_address", "must be empty or an IP number and a port from 1 to 65535, is %q", o.Reach)
-	add(o.Listen != o.Fellows, "fellow_listen", "must differ from listen, is %q too", o.Fellows)
+	add(o.Listen != o.Peers, "fellow_listen", "must differ from listen, is %q too", o.Peers)
 	add(len(o.Seeds) >= 1 && len(o.Seeds) <= seedsMost, "seeds", "must be 1 to %d addresses, are %d", seedsMost, len(o.Seeds))
 	for i, s := range o.Seeds {
 		add(address(s), fmt.Sprintf("seeds[%d]", i), "must be an IP number and a port from 1 to 65535, is %q", s)
--- a/internal/placement/duty/scene.go
+++ b/internal/placement/duty/scene.go
@@ -22,7 +22,7 @@
 	slowFor     time.Duration
 }
 
-// idle is the load of a partition that takes nothing, in messages a second: what its pulses cost.
+// idle is the load of a partition that takes nothing, in messages a second: what its heartbeats cost.
 const idle = 1
 
 func (s *scene) weight(r record.Record) float64 {
@@ -139,7 +139,7 @@
 	}
 }
 
-// lags finds machines whose pulses take much longer than is usual among those with a disk, and for how long.
+// lags finds machines whose heartbeats take much longer than is usual among those with a disk, and for how long.
 func (d *Duty) lags(s *scene) {
 	var ls []int64
 	for _, m := range s.m {
--- a/internal/proof/crash/crash_test.go
+++ b/internal/proof/crash/crash_test.go
@@ -91,7 +91,7 @@
 	}
 	if p.rost > 0 {
 		for _, sealed := range []bool{false, true} {
-			if a, err := s.v.Peek(context.Background(), &voter.PeekTask{Roster: p.rost, Incarnation: "i1", Sealed: sealed}); err == nil {
+			if a, err := s.v.Peek(context.Background(), &voter.PeekRequest{Roster: p.rost, Incarnation: "i1", Sealed: sealed}); err == nil {
 				p.slots = a.Slots
 			}
 		}
@@ -139,7 +139,7 @@
 	put := func(p int, k line.Kind, e uint64, after func(l *line.Line) line.Point, n int, reset bool) func(*store) error {
 		return func(s *store) error {
 			a := after(s.r.Line(p, k))
-			x, err := s.r.Append(ctx, &replica.AppendTask{Target: to(p, e), Kind: k, After: a, Entries: entries(a, e, n), Reset: reset})
+			x, err := s.r.Append(ctx, &replica.AppendRequest{Target: to(p, e), Kind: k, After: a, Entries: entries(a, e, n), Reset: reset})
 			if err == nil && !x.OK {
 				err = fmt.Errorf("the lines did not match")
 			}
@@ -155,7 +155,7 @@
 	}
 	seal := func(p int, e uint64) func(*store) error {
 		return func(s *store) error {
-			_, err := s.r.Seal(ctx, &replica.SealTask{Target: to(p, e)})
+			_, err := s.r.Seal(ctx, &replica.SealRequest{Target: to(p, e)})
 			return err
 		}
 	}
@@ -163,7 +163,7 @@
 		return func(s *store) error {
 			l := s.r.Line(p, k)
 			b, _ := l.Point(l.Last().Offset - keep)
-			_, err := s.r.Append(ctx, &replica.AppendTask{Target: to(p, e), Kind: k, After: l.Last(), Base: b})
+			_, err := s.r.Append(ctx, &replica.AppendRequest{Target: to(p, e), Kind: k, After: l.Last(), Base: b})
 			return err
 		}
 	}
@@ -175,23 +175,23 @@
 	ballot := func(k string, seq uint64) voter.Ballot { return voter.Ballot{Roster: seq, Incarnation: "i1", Key: k} }
 	promise := func(k string, n uint64) func(*store) error {
 		return func(s *store) error {
-			_, err := s.v.Promise(ctx, &voter.PromiseTask{Ballot: ballot(k, s.v.Roster().Sequence), Epoch: epoch.Epoch{N: n, Node: "c1"}})
+			_, err := s.v.Promise(ctx, &voter.PromiseRequest{Ballot: ballot(k, s.v.Roster().Sequence), Epoch: epoch.Epoch{N: n, Node: "c1"}})
 			return err
 		}
 	}
 	accept := func(k string, n, w uint64) func(*store) error {
 		return func(s *store) error {
-			_, err := s.v.Accept(ctx, &voter.AcceptTask{Ballot: ballot(k, s.v.Roster().Sequence), Epoch: epoch.Epoch{N: n, Node: "c1"}, Value: voter.Value{Writes: w, Body: []byte(k)}})
+			_, err := s.v.Accept(ctx, &voter.AcceptRequest{Ballot: ballot(k, s.v.Roster().Sequence), Epoch: epoch.Epoch{N: n, Node: "c1"}, Value: voter.Value{Writes: w, Body: []byte(k)}})
 			return err
 		}
 	}
 	ts := []func(*store) error{
 		func(s *store) error {
-			_, err := s.v.Found(ctx, &voter.FoundTask{Incarnation: "i1", Roster: founding()})
+			_, err := s.v.Found(ctx, &voter.FoundRequest{Incarnation: "i1", Roster: founding()})
 			return err
 		},
 		func(s *store) error {
-			_, err := s.v.Open(ctx, &voter.OpenTask{Incarnation: "i1", Roster: founding(), Founding: true})
+			_, err := s.v.Open(ctx, &voter.OpenRequest{Incarnation: "i1", Roster: founding(), Founding: true})
 			return err
 		},
 		promise("description", 1), accept("description", 1, 1), promise("description", 3), accept("description", 3, 2), promise("partition/000", 2),
@@ -201,12 +201,12 @@
 		put(1, line.Ledger, 5, func(*line.Line) line.Point { return line.Point{Epoch: 4, Offset: 20, Chain: 7} }, 3, true),
 		func(s *store) error { return s.r.CutTo(ctx, to(1, 5), line.Ledger, 22, false) },
 		seal(2, 1), put(2, line.Ledger, 1, end, 4, false),
-		func(s *store) error { _, err := s.r.Drop(ctx, &replica.DropTask{Target: to(2, 9)}); return err },
+		func(s *store) error { _, err := s.r.Drop(ctx, &replica.DropRequest{Target: to(2, 9)}); return err },
 		accept(voter.RosterKey, 1, 1),
 		func(s *store) error {
 			n := s.v.Roster()
 			n.Sequence++
-			_, err := s.v.Open(ctx, &voter.OpenTask{Incarnation: "i1", Roster: n, Slots: map[string]voter.Slot{"description": {Accepted: epoch.Epoch{N: 3, Node: "c1"}, Value: voter.Value{Writes: 2}}}})
+			_, err := s.v.Open(ctx, &voter.OpenRequest{Incarnation: "i1", Roster: n, Slots: map[string]voter.Slot{"description": {Accepted: epoch.Epoch{N: 3, Node: "c1"}, Value: voter.Value{Writes: 2}}}})
 			return err
 		},
 		promise("description", 7),
@@ -236,7 +236,7 @@
 	// A writing anew goes on along with what is put, a slice each: some more is put until one has come to its end.
 	for e := uint64(1); s.j.Tally().Compactions == 0 && e < anewMost; e++ {
 		do(len(ts)+int(e), func(s *store) error {
-			_, err := s.r.Seal(t.Context(), &replica.SealTask{Target: replica.Target{Partition: 7, Incarnation: "i", Epoch: e}})
+			_, err := s.r.Seal(t.Context(), &replica.SealRequest{Target: replica.Target{Partition: 7, Incarnation: "i", Epoch: e}})
 			return err
 		})
 	}
--- a/internal/proof/crash/slices_test.go
+++ b/internal/proof/crash/slices_test.go
@@ -52,7 +52,7 @@
 	put := func(after func(l *line.Line) line.Point, n int, reset bool) func(*store) error {
 		return func(s *store) error {
 			a := after(s.r.Line(p, k))
-			x, err := s.r.Append(ctx, &replica.AppendTask{Target: to(*e), Kind: k, After: a, Entries: entries(a, *e, n), Reset: reset})
+			x, err := s.r.Append(ctx, &replica.AppendRequest{Target: to(*e), Kind: k, After: a, Entries: entries(a, *e, n), Reset: reset})
 			if err == nil && !x.OK {
 				err = fmt.Errorf("the lines did not match")
 			}
@@ -62,7 +62,7 @@
 	seal := func(f func(*store) error) func(*store) error {
 		return func(s *store) error {
 			*e++
-			if _, err := s.r.Seal(ctx, &replica.SealTask{Target: to(*e)}); err != nil {
+			if _, err := s.r.Seal(ctx, &replica.SealRequest{Target: to(*e)}); err != nil {
 				return err
 			}
 			return f(s)
@@ -75,18 +75,18 @@
 		seal(func(s *store) error { return s.r.CutTo(ctx, to(*e), k, some(s.r.Line(p, k)).Offset, false) }),
 		func(s *store) error {
 			l := s.r.Line(p, k)
-			_, err := s.r.Append(ctx, &replica.AppendTask{Target: to(*e), Kind: k, After: l.Last(), Base: some(l)})
+			_, err := s.r.Append(ctx, &replica.AppendRequest{Target: to(*e), Kind: k, After: l.Last(), Base: some(l)})
 			return err
 		},
 		seal(put(func(*line.Line) line.Point { return line.Point{Offset: uint64(r.IntN(200)), Epoch: *e - 1, Chain: 7} }, 1+r.IntN(90), true)),
-		seal(func(s *store) error { _, err := s.r.Drop(ctx, &replica.DropTask{Target: to(*e)}); return err }),
+		seal(func(s *store) error { _, err := s.r.Drop(ctx, &replica.DropRequest{Target: to(*e)}); return err }),
 		func(s *store) error {
 			return s.r.Keep(ctx, replica.Directory{Partition: p, At: s.r.Line(p, line.Changelog).Last(), Input: 1, State: []byte(`{}`)})
 		},
 		func(s *store) error {
 			b := voter.Ballot{Roster: s.v.Roster().Sequence, Incarnation: "i1", Key: "description"}
 			*e++
-			_, err := s.v.Promise(ctx, &voter.PromiseTask{Ballot: b, Epoch: epoch.Epoch{N: *e, Node: "c1"}})
+			_, err := s.v.Promise(ctx, &voter.PromiseRequest{Ballot: b, Epoch: epoch.Epoch{N: *e, Node: "c1"}})
 			return err
 		},
 	}[r.IntN(9)]
@@ -137,7 +137,7 @@
 			for p := range partitions {
 				for _, k := range line.Kinds {
 					run(func(s *store) error {
-						_, err := s.r.Append(t.Context(), &replica.AppendTask{Target: replica.Target{Partition: p, Incarnation: "i", Epoch: 1}, Kind: k, Entries: entries(line.Point{}, 1, 100+r.IntN(200))})
+						_, err := s.r.Append(t.Context(), &replica.AppendRequest{Target: replica.Target{Partition: p, Incarnation: "i", Epoch: 1}, Kind: k, Entries: entries(line.Point{}, 1, 100+r.IntN(200))})
 						return err
 					})
 				}
--- a/internal/proof/fleet/fleet.go
+++ b/internal/proof/fleet/fleet.go
@@ -89,7 +89,7 @@
 }
 
 // New writes the settings of a site's machines under dir. With base 0 the ports are free ones,
-// else callers' ports count up from base and fellows' ports from base+100. Unless direct, a relay stands between the machines.
+// else callers' ports count up from base and peers' ports from base+100. Unless direct, a relay stands between the machines.
 func New(bin, dir string, s Site, base int, direct bool, edit func(*options.Options)) (*Fleet, error) {
 	f := &Fleet{byName: map[string]*Process{}, ready: map[string]bool{}, Relay: newRelay(s.Apart)}
 	var seeds []string
@@ -99,13 +99,13 @@
 			k++
 			o := options.Default()
 			o.Name, o.Zone, o.Disk = fmt.Sprintf("%s%d", kind, i+1), fmt.Sprintf("z%d", i%s.Zones+1), disk
-			o.Listen, o.Fellows = fmt.Sprintf("127.0.0.1:%d", base+k), fmt.Sprintf("127.0.0.1:%d", base+100+k)
+			o.Listen, o.Peers = fmt.Sprintf("127.0.0.1:%d", base+k), fmt.Sprintf("127.0.0.1:%d", base+100+k)
 			if base == 0 {
 				var err error
 				if o.Listen, err = free(); err != nil {
 					return err
 				}
-				if o.Fellows, err = free(); err != nil {
+				if o.Peers, err = free(); err != nil {
 					return err
 				}
 			}
@@ -114,7 +114,7 @@
 			}
 			var err error
 			if !direct {
-				if o.Reach, err = f.Relay.serve(o.Name, o.Zone, o.Fellows); err != nil {
+				if o.Reach, err = f.Relay.serve(o.Name, o.Zone, o.Peers); err != nil {
 					return err
 				}
 			}
--- a/internal/proof/guest/guest.go
+++ b/internal/proof/guest/guest.go
@@ -358,7 +358,7 @@
 		}
 	}
 	if now.Sub(g.saidAt) > h.Keepalive {
-		g.say(now, visit.Task{Verb: visit.Pulse})
+		g.say(now, visit.Task{Verb: visit.Heartbeat})
 	}
 }
 
--- a/internal/proof/sim/answers_test.go
+++ b/internal/proof/sim/answers_test.go
@@ -13,7 +13,7 @@
 	"postjunction/internal/problem"
 )
 
-// An owner whose data links are cut keeps its licence and its belief that it decides. While others decide, it must neither vouch for an
+// An owner whose data links are cut keeps its lease and its belief that it decides. While others decide, it must neither vouch for an
 // attachment that was superseded nor give a final no or yes.
 func TestCutOffOwnerGivesNoFinalAnswer(t *testing.T) {
 	t.Parallel()
--- a/internal/proof/sim/astray_test.go
+++ b/internal/proof/sim/astray_test.go
@@ -33,7 +33,7 @@
 	return n
 }
 
-// A node that is cut off from all who decide keeps no visitors while a fellow of its zone reaches them: they are sent there within a twelfth of the
+// A node that is cut off from all who decide keeps no visitors while a peer of its zone reaches them: they are sent there within a twelfth of the
 // recovery time, and none is told to come to it until it reaches those who decide again.
 func TestVisitorsAreSentToAFellowThatReachesThoseWhoDecide(t *testing.T) {
 	t.Parallel()
--- a/internal/proof/sim/early_test.go
+++ b/internal/proof/sim/early_test.go
@@ -22,9 +22,9 @@
 		time.Sleep(time.Second)
 		m := w.Machines["a1"]
 		_, run := m.node()
-		_, err := desk.Attached.Call(w.ctx, &endpoint{w, m, run}, "a1", w.Machines["s1"].Opts.Fellows, &desk.AttachedTask{Visitor: "v"})
+		_, err := desk.Attached.Call(w.ctx, &endpoint{w, m, run}, "a1", w.Machines["s1"].Opts.Peers, &desk.AttachedRequest{Visitor: "v"})
 		assert.Assert(t, problem.Has(err, problem.NotOwner), "%v", err)
-		_, err = desk.Submit.Call(w.ctx, &endpoint{w, m, run}, "a1", w.Machines["s1"].Opts.Fellows, &owner.Task{Visitor: "v", Topic: "kept/t0", Call: 1, Body: []byte("1"), Description: 1})
+		_, err = desk.Submit.Call(w.ctx, &endpoint{w, m, run}, "a1", w.Machines["s1"].Opts.Peers, &owner.Task{Visitor: "v", Topic: "kept/t0", Call: 1, Body: []byte("1"), Description: 1})
 		assert.Assert(t, problem.Has(err, problem.NotReady), "a store that lacks the description refused for good: %v", err)
 		_, err = w.Port("a1").Attach(w.ctx, "v")
 		assert.Assert(t, problem.Has(err, problem.Unlicensed), "%v", err)
--- a/internal/proof/sim/founding_test.go
+++ b/internal/proof/sim/founding_test.go
@@ -130,7 +130,7 @@
 		assert.NilError(t, w.Until(3*time.Second, "all voters are seated", w.fullRoster))
 		w.Isolate("c1")
 		w.Isolate("a1")
-		w.Machines["a3"].Opts.Seeds = []string{w.Machines["c1"].Opts.Fellows, w.Machines["a1"].Opts.Fellows, w.Machines["a2"].Opts.Fellows}
+		w.Machines["a3"].Opts.Seeds = []string{w.Machines["c1"].Opts.Peers, w.Machines["a1"].Opts.Peers, w.Machines["a2"].Opts.Peers}
 		time.Sleep(5 * time.Second)
 		assert.NilError(t, w.Start("a3"))
 		at := time.Now()
--- a/internal/proof/sim/hand.go
+++ b/internal/proof/sim/hand.go
@@ -47,17 +47,17 @@
 		h.line.End()
 		return nil
 	}
-	g.wg.Go(h.pulse)
+	g.wg.Go(h.heartbeat)
 	return h
 }
 
-func (h *Hand) pulse() {
+func (h *Hand) heartbeat() {
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
 	for !h.Ended() {
 		select {
 		case <-t.C:
-			h.line.Do(visit.Task{Verb: visit.Pulse})
+			h.line.Do(visit.Task{Verb: visit.Heartbeat})
 		case <-h.g.w.ctx.Done():
 			h.line.End()
 			return
--- a/internal/proof/sim/lag_test.go
+++ b/internal/proof/sim/lag_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// How long pulses take is told by nodes whose duties can move for it, and by no others.
+// How long heartbeats take is told by nodes whose duties can move for it, and by no others.
 func TestOnlyNodesWithADiskTellHowLongPulsesTake(t *testing.T) {
 	t.Parallel()
 	stand(t, Armor, 380, func(t *testing.T, w *World) {
--- a/internal/proof/sim/measure_test.go
+++ b/internal/proof/sim/measure_test.go
@@ -191,9 +191,9 @@
 	}
 }
 
-const pulsePath = "/postjunction.Member/Pulse"
+const heartbeatPath = "/postjunction.Member/Pulse"
 
-// TestMeasureWordOfDescriptions measures what a description that everybody gets adds to the bodies of pulses, for each node, by nodes.
+// TestMeasureWordOfDescriptions measures what a description that everybody gets adds to the bodies of heartbeats, for each node, by nodes.
 func TestMeasureWordOfDescriptions(t *testing.T) {
 	measuring(t)
 	for _, access := range []int{7, 20, 60} {
@@ -207,12 +207,12 @@
 			time.Sleep(time.Minute)
 			const puts = 20
 			during := func(f func(i uint64)) float64 {
-				was := w.Flows()[pulsePath].Bytes
+				was := w.Flows()[heartbeatPath].Bytes
 				for i := range uint64(puts) {
 					f(i)
 					time.Sleep(2 * time.Second)
 				}
-				return float64(w.Flows()[pulsePath].Bytes - was)
+				return float64(w.Flows()[heartbeatPath].Bytes - was)
 			}
 			calm := during(func(uint64) {})
 			busy := during(func(base uint64) {
--- a/internal/proof/sim/owner_test.go
+++ b/internal/proof/sim/owner_test.go
@@ -41,7 +41,7 @@
 	return r
 }
 
-// A store that is back before its fellows find its port closed twice keeps its partitions; one that stays away longer loses them to the
+// A store that is back before its peers find its port closed twice keeps its partitions; one that stays away longer loses them to the
 // heirs that the record names, each partition once. Either way no epoch is used again, and what it did not own stays as it is.
 func TestUsedEpochIsNeverUsedAgainAndHeirsTakeOverInOrder(t *testing.T) {
 	t.Parallel()
--- a/internal/proof/sim/points_test.go
+++ b/internal/proof/sim/points_test.go
@@ -61,7 +61,7 @@
 
 // deciding tells whether a call asks a voter to accept a description.
 func deciding(x Point) bool {
-	var q voter.AcceptTask
+	var q voter.AcceptRequest
 	return x.Path == voter.Accept.Path && wire.Read(x.Body, &q) == nil && q.Key == confirm.Key
 }
 
@@ -79,8 +79,8 @@
 
 var isDuty = []byte(duty.Key)
 
-func appending(x Point) (replica.AppendTask, bool) {
-	var q replica.AppendTask
+func appending(x Point) (replica.AppendRequest, bool) {
+	var q replica.AppendRequest
 	return q, x.Path == replica.Append.Path && wire.Read(x.Body, &q) == nil
 }
 
--- a/internal/proof/sim/sealed_test.go
+++ b/internal/proof/sim/sealed_test.go
@@ -25,7 +25,7 @@
 			var mu sync.Mutex
 			who := ""
 			release, hits := w.Hold(func(x Point) bool {
-				var q voter.OpenTask
+				var q voter.OpenRequest
 				if x.Path != voter.Open.Path || x.Stage != Asking || wire.Read(x.Body, &q) != nil {
 					return false
 				}
--- a/internal/proof/sim/storm_test.go
+++ b/internal/proof/sim/storm_test.go
@@ -11,7 +11,7 @@
 	"postjunction/internal/control/voter"
 )
 
-// While a change is on its way to some voters, copies of the description differ. All control nodes saw that each pulse, read the key, compared whole
+// While a change is on its way to some voters, copies of the description differ. All control nodes saw that each heartbeat, read the key, compared whole
 // copies and sent them again; where its holder was slow to answer they claimed the key from one another, which made the copies differ anew, and
 // with documents of the users' size the control nodes' links were full for good.
 func TestAChangeOnItsWayIsLeftAlone(t *testing.T) {
@@ -32,7 +32,7 @@
 		was := w.Flows()
 		_, err = w.Put("a1", bootLoad.Describe(1))
 		assert.NilError(t, err)
-		time.Sleep(s.Bounds.Licence() / 3)
+		time.Sleep(s.Bounds.Lease() / 3)
 		is := w.Flows()
 		release()
 		assert.Assert(t, hits() > 0)
--- a/internal/proof/sim/streams_forget_test.go
+++ b/internal/proof/sim/streams_forget_test.go
@@ -70,7 +70,7 @@
 	return a
 }
 
-// listen opens a stream through a1 behind all that was shown so far; it goes on until it ends. A node that has just come back may have no licence yet,
+// listen opens a stream through a1 behind all that was shown so far; it goes on until it ends. A node that has just come back may have no lease yet,
 // and says so: its visitor asks again.
 func (x *forgetting) listen() {
 	x.mu.Lock()
--- a/internal/proof/sim/stretch_test.go
+++ b/internal/proof/sim/stretch_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// With the core gone, nodes and owners go on for the stretch, and no longer; one that starts meanwhile has no licence.
+// With the core gone, nodes and owners go on for the stretch, and no longer; one that starts meanwhile has no lease.
 func TestLicenceIsStretchedWhileNoControlNodeConfirms(t *testing.T) {
 	t.Parallel()
 	stretching(t, func(t *testing.T, w *World) {
--- a/internal/proof/sim/withdraw_test.go
+++ b/internal/proof/sim/withdraw_test.go
@@ -555,7 +555,7 @@
 	})
 }
 
-// A router is away for longer than the keeping time and the licence: it is given up, which the yes says, marks go, and when it is back it starts clean.
+// A router is away for longer than the keeping time and the lease: it is given up, which the yes says, marks go, and when it is back it starts clean.
 // One that is heard and hears nothing is not given up, as it may be licensed by others.
 func TestRouterAwayForLongIsGivenUp(t *testing.T) {
 	t.Parallel()
--- a/internal/proof/sim/world.go
+++ b/internal/proof/sim/world.go
@@ -114,7 +114,7 @@
 			o := w.opts(fmt.Sprintf("%s%d", kind, i+1), fmt.Sprintf("z%d", i%s.Zones+1), disk)
 			name := o.Name
 			if disk == options.DiskControl && (s.Founding != options.FoundSeeds || i < s.Known) && len(seeds) < 3 || s.Founding == options.FoundSeeds && disk == options.DiskNone && len(seeds) < 3 {
-				seeds = append(seeds, o.Fellows)
+				seeds = append(seeds, o.Peers)
 			}
 			w.Machines[name] = &Machine{w: w, Opts: o, Disk: memlog.New(), broken: make(chan struct{})}
 			w.Names = append(w.Names, name)
@@ -136,7 +136,7 @@
 	s, k := w.Site, len(w.Names)+1
 	o := options.Default()
 	o.Name, o.Zone, o.Disk, o.Data = name, zone, disk, "data"
-	o.Listen, o.Fellows = fmt.Sprintf("127.0.0.1:%d", 20000+k), fmt.Sprintf("127.0.0.1:%d", 30000+k)
+	o.Listen, o.Peers = fmt.Sprintf("127.0.0.1:%d", 20000+k), fmt.Sprintf("127.0.0.1:%d", 30000+k)
 	o.Keeping, o.Spread, o.Recovery = options.Span(s.Bounds.Keeping), options.Span(s.Bounds.Spread), options.Span(s.Bounds.Recovery)
 	o.Routine, o.Urgent = s.Routine, s.Urgent
 	if s.Founding != "" {
@@ -471,7 +471,7 @@
 	w.Machines[n].Disk.Wipe()
 }
 
-// Reset breaks every connection of a machine, callers' and fellows', and leaves its process alone.
+// Reset breaks every connection of a machine, callers' and peers', and leaves its process alone.
 func (w *World) Reset(n string) {
 	m := w.Machines[n]
 	m.mu.Lock()
@@ -816,7 +816,7 @@
 	return seq, err
 }
 
-// Watch notes every pulse which description each node serves.
+// Watch notes every heartbeat which description each node serves.
 func (w *World) Watch() {
 	w.wg.Go(func() {
 		for w.ctx.Err() == nil {
@@ -838,7 +838,7 @@
 					w.History.Show(fmt.Sprintf("%s#%d", n, run), s.Door.Operators.Board.Description().Sequence, time.Now(), w.Site.Bounds.Spread)
 				}
 			}
-			_ = clock.Real{}.Sleep(w.ctx, w.Site.Bounds.Pulse()/3)
+			_ = clock.Real{}.Sleep(w.ctx, w.Site.Bounds.Heartbeat()/3)
 		}
 	})
 }
--- a/internal/session/behind_test.go
+++ b/internal/session/behind_test.go
@@ -14,7 +14,7 @@
 	"postjunction/internal/options"
 )
 
-// A description that reaches everybody is no news of anybody: nodes are told only who has had an older one for longer than a licence, and that it has no longer.
+// A description that reaches everybody is no news of anybody: nodes are told only who has had an older one for longer than a lease, and that it has no longer.
 func TestOnlyWhoLagsBehindADescriptionIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := options.DefaultBounds
@@ -24,12 +24,12 @@
 		}}
 		has := map[string]uint64{"a1": 7, "a2": 7, "a3": 7}
 		var c member.Copy
-		told := func(pulses int) (news []member.Info) {
-			for range pulses {
-				time.Sleep(b.Pulse())
+		told := func(heartbeats int) (news []member.Info) {
+			for range heartbeats {
+				time.Sleep(b.Heartbeat())
 				for _, n := range []string{"a1", "a2", "a3"} {
 					m := c.Mark()
-					a, err := h.Pulse(context.Background(), &PulseTask{Info: member.Info{Name: n, Boot: "1", Stage: member.Serving, Description: has[n]}, Have: &m})
+					a, err := h.Heartbeat(context.Background(), &HeartbeatRequest{Info: member.Info{Name: n, Boot: "1", Stage: member.Serving, Description: has[n]}, Have: &m})
 					assert.NilError(t, err)
 					assert.Equal(t, len(a.Change.Moved), 0)
 					if n == "a1" {
@@ -40,13 +40,13 @@
 			}
 			return news
 		}
-		licence := int(b.Licence()/b.Pulse()) + 2
-		assert.Equal(t, len(told(licence)), 3)
+		lease := int(b.Lease()/b.Heartbeat()) + 2
+		assert.Equal(t, len(told(lease)), 3)
 		seq, has["a1"], has["a2"] = 8, 8, 8
-		assert.Equal(t, len(told(licence-3)), 0, "within a licence nobody is behind")
+		assert.Equal(t, len(told(lease-3)), 0, "within a licence nobody is behind")
 		late := told(3)
 		assert.Assert(t, len(late) == 1 && late[0].Name == "a3" && late[0].Behind && late[0].Description == 0, "%+v", late)
-		assert.Equal(t, len(told(licence)), 0)
+		assert.Equal(t, len(told(lease)), 0)
 		has["a3"] = 8
 		late = told(2)
 		assert.Assert(t, len(late) == 1 && late[0].Name == "a3" && !late[0].Behind, "%+v", late)
