--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -1,4 +1,4 @@
-// Package session keeps a node's session with a control node, and its licence to serve.
+// Package session keeps a node's session with a control node, and its lease to serve.
 package session
 
 import (
@@ -21,8 +21,8 @@
 	"postjunction/internal/wire"
 )
 
-// PulseTask renews a session.
-type PulseTask struct {
+// PulseRequest renews a session.
+type HeartbeatRequest struct {
 	Info member.Info `json:"info,omitzero"`
 	Left bool        `json:"left,omitempty"`
 	// Brief stands for the Info of a run whose last one this control node has, when there is nothing new to say.
@@ -40,8 +40,8 @@
 	Said uint64 `json:"s"`
 }
 
-// PulseAnswer gives the members, and, when a majority confirmed it, which description is current.
-type PulseAnswer struct {
+// PulseResponse gives the members, and, when a majority confirmed it, which description is current.
+type HeartbeatResponse struct {
 	Members []member.Info `json:"members,omitempty"`
 	// Change gives the members by difference, to a node that says what it has.
 	Change *member.Change `json:"c,omitempty"`
@@ -59,8 +59,8 @@
 	Changes     []description.Change     `json:"d,omitempty"`
 }
 
-// Pulse is the session call.
-var Pulse = wire.Name[PulseTask, PulseAnswer]("Member", "Pulse", wire.Ordered, "a session is renewed as of when the pulse arrived; sayings are numbered within a run")
+// Heartbeat is the session call.
+var Heartbeat = wire.Name[HeartbeatRequest, HeartbeatResponse]("Member", "Pulse", wire.Ordered, "a session is renewed as of when the pulse arrived; sayings are numbered within a run")
 
 // Confirmed is what a control node knows of the current description, and when it asked. Apart tells that no majority has answered it for a while.
 type Confirmed struct {
@@ -97,8 +97,8 @@
 	said uint64
 }
 
-// Pulse answers a node's pulse.
-func (h *Host) Pulse(_ context.Context, q *PulseTask) (*PulseAnswer, error) {
+// Heartbeat answers a node's heartbeat.
+func (h *Host) Heartbeat(_ context.Context, q *HeartbeatRequest) (*HeartbeatResponse, error) {
 	now, name := h.Clock.Now(), q.Info.Name
 	if q.Brief != nil {
 		name = q.Brief.Name
@@ -112,7 +112,7 @@
 	if q.Brief != nil {
 		if !ok || was.info.Boot != q.Brief.Boot || was.said != q.Brief.Said {
 			h.mu.Unlock()
-			return &PulseAnswer{}, nil
+			return &HeartbeatResponse{}, nil
 		}
 		is.info = was.info
 	} else {
@@ -129,7 +129,7 @@
 		}
 	}
 	h.Table.Note(is.info, 0)
-	a := &PulseAnswer{Young: young}
+	a := &HeartbeatResponse{Young: young}
 	if q.Have != nil {
 		c := h.members().Since(*q.Have)
 		a.Change, a.Said = &c, is.said
@@ -173,9 +173,9 @@
 	return s
 }
 
-// Run tells the other control nodes this one's sessions every pulse, and at once when there is news of one.
+// Run tells the other control nodes this one's sessions every heartbeat, and at once when there is news of one.
 func (h *Host) Run(ctx context.Context) {
-	for ; ctx.Err() == nil; clock.Wait(ctx, h.Clock, h.Bounds.Pulse(), h.word(), nil) {
+	for ; ctx.Err() == nil; clock.Wait(ctx, h.Clock, h.Bounds.Heartbeat(), h.word(), nil) {
 		if h.alone() {
 			go h.seek(ctx)
 		}
@@ -197,12 +197,12 @@
 	defer stop()
 	me := h.Info()
 	met := map[string]string{}
-	for _, a := range gather.Good(gather.Ask(cx, others(h.Seeds, me.Fellows), func(ctx context.Context, a string) (*member.HelloAnswer, error) {
-		return member.Hello.Call(ctx, h.Net, h.Self, a, &member.HelloTask{From: &me})
+	for _, a := range gather.Good(gather.Ask(cx, others(h.Seeds, me.Peers), func(ctx context.Context, a string) (*member.HelloResponse, error) {
+		return member.Hello.Call(ctx, h.Net, h.Self, a, &member.HelloRequest{From: &me})
 	}, nil)) {
 		for _, i := range append(a.A.Known, a.A.Info) {
 			if i.Disk == options.DiskControl {
-				met[i.Name] = i.Fellows
+				met[i.Name] = i.Peers
 			}
 		}
 	}
@@ -276,7 +276,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	q, ok := h.quiet[addr]
-	return ok && (q.away || h.Clock.Now().Sub(q.since) > quietMost*h.Bounds.Pulse())
+	return ok && (q.away || h.Clock.Now().Sub(q.since) > quietMost*h.Bounds.Heartbeat())
 }
 
 func (h *Host) others() []string {
@@ -291,10 +291,10 @@
 	}
 	for _, i := range h.Table.Live() {
 		if i.Disk == options.DiskControl {
-			as = append(as, i.Fellows)
+			as = append(as, i.Peers)
 		}
 	}
-	return others(as, h.Info().Fellows)
+	return others(as, h.Info().Peers)
 }
 
 func (h *Host) note(s []member.Heard) {
@@ -305,15 +305,15 @@
 
 // Serve adds the host's calls.
 func (h *Host) Serve(m *http.ServeMux) {
-	Pulse.Handle(m, h.Pulse)
-	member.Sessions.Handle(m, func(_ context.Context, q *member.SessionsTask) (*member.SessionsAnswer, error) {
+	Heartbeat.Handle(m, h.Heartbeat)
+	member.Sessions.Handle(m, func(_ context.Context, q *member.SessionsRequest) (*member.SessionsResponse, error) {
 		h.note(q.Sessions)
 		if q.Have == nil {
-			return &member.SessionsAnswer{Sessions: h.sessions()}, nil
+			return &member.SessionsResponse{Sessions: h.sessions()}, nil
 		}
 		h.hear(q.From, q.Story)
 		s, k := h.story(*q.Have), h.heard(q.From)
-		return &member.SessionsAnswer{From: h.Self, Story: &s, Have: &k}, nil
+		return &member.SessionsResponse{From: h.Self, Story: &s, Have: &k}, nil
 	})
 }
 
@@ -330,13 +330,13 @@
 	mu    sync.Mutex
 	with  member.Info
 	until time.Time
-	// heard is when a control node last answered a pulse.
+	// heard is when a control node last answered a heartbeat.
 	heard time.Time
 	live  bool
 	known []member.Info
 	met   map[string]mine
 	lags  []time.Duration
-	// usual is how long the last few answered pulses took.
+	// usual is how long the last few answered heartbeats took.
 	usual []time.Duration
 	// behind tells that a control node confirmed a description newer than this node's.
 	behind bool
@@ -363,7 +363,7 @@
 	k.lags = k.lags[max(0, len(k.lags)-lagsMost):]
 }
 
-// Lag gives the second shortest of the last few pulses' times, 0 before there are enough. Times so short that a machine eight times slower is not slow yet
+// Lag gives the second shortest of the last few heartbeats' times, 0 before there are enough. Times so short that a machine eight times slower is not slow yet
 // count as the longest of them: no judgement hangs on which one it is, and each that is told is told to all control nodes.
 func (k *Keeper) Lag() time.Duration {
 	k.mu.Lock()
@@ -374,7 +374,7 @@
 	return max(slices.Sorted(slices.Values(k.lags))[lagAt], k.Opts.Bounds().Slow()/options.SlowTimes)
 }
 
-// Usual gives the second shortest of the last few answered pulses' times, and whether there were enough. Pulses that were not answered don't count, so
+// Usual gives the second shortest of the last few answered heartbeats' times, and whether there were enough. Heartbeats that were not answered don't count, so
 // that it says how slow the way is, not whether there is one.
 func (k *Keeper) Usual() (time.Duration, bool) {
 	k.mu.Lock()
@@ -393,17 +393,17 @@
 	if now.Before(k.until) || !k.behind && !k.until.IsZero() && now.Before(k.until.Add(time.Duration(k.Opts.Stretch))) {
 		return nil
 	}
-	return problem.New(problem.Unlicensed, "no control node confirmed the description within %s", k.Opts.Bounds().Licence()+time.Duration(k.Opts.Stretch))
+	return problem.New(problem.Unlicensed, "no control node confirmed the description within %s", k.Opts.Bounds().Lease()+time.Duration(k.Opts.Stretch))
 }
 
-// Confirmed tells whether the licence stands by a control node's word alone, not by the stretch.
+// Confirmed tells whether the lease stands by a control node's word alone, not by the stretch.
 func (k *Keeper) Confirmed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.Clock.Now().Before(k.until)
 }
 
-// Heard tells when this node last had word from the fleet: an answer to a pulse, or on a control node the word of a majority.
+// Heard tells when this node last had word from the fleet: an answer to a heartbeat, or on a control node the word of a majority.
 func (k *Keeper) Heard() time.Time {
 	k.mu.Lock()
 	own, at := k.Local != nil && k.with.Name == k.Opts.Name, k.heard
@@ -422,8 +422,8 @@
 }
 
 // Hello says who this node is and whom it knows, with the control nodes that asked it lately.
-func (k *Keeper) Hello(_ context.Context, q *member.HelloTask) (*member.HelloAnswer, error) {
-	a := &member.HelloAnswer{Info: k.Info(), Known: slices.Clone(k.View.All())}
+func (k *Keeper) Hello(_ context.Context, q *member.HelloRequest) (*member.HelloResponse, error) {
+	a := &member.HelloResponse{Info: k.Info(), Known: slices.Clone(k.View.All())}
 	now := k.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -456,9 +456,9 @@
 	cx, stop := context.WithTimeout(ctx, k.Opts.Bounds().Call()/2)
 	defer stop()
 	var is []member.Info
-	gather.Ask(cx, others(k.Opts.Seeds, k.Opts.Reached()), func(ctx context.Context, a string) (*member.HelloAnswer, error) {
-		return member.Hello.Call(ctx, k.Net, k.Opts.Name, a, &member.HelloTask{})
-	}, func(as []gather.Answer[string, *member.HelloAnswer]) bool {
+	gather.Ask(cx, others(k.Opts.Seeds, k.Opts.Reached()), func(ctx context.Context, a string) (*member.HelloResponse, error) {
+		return member.Hello.Call(ctx, k.Net, k.Opts.Name, a, &member.HelloRequest{})
+	}, func(as []gather.Answer[string, *member.HelloResponse]) bool {
 		if h := as[len(as)-1]; h.Err == nil {
 			is = append(append(is, h.A.Info), h.A.Known...)
 		}
@@ -531,7 +531,7 @@
 	}
 }
 
-// pace is the pause before the next pulse: short while the first licence is to come, for no longer than a session, and a while longer
+// pace is the pause before the next heartbeat: short while the first lease is to come, for no longer than a session, and a while longer
 // under a control node that began lately itself.
 func (k *Keeper) pace(begun time.Time) time.Duration {
 	b := k.Opts.Bounds()
@@ -541,23 +541,23 @@
 	if k.until.IsZero() && age < b.Session() || k.young && age < b.Session()/2 {
 		return clock.Jitter(b.Eager(), 1, rand.Float64())
 	}
-	return b.Pulse()
+	return b.Heartbeat()
 }
 
 const missesMost = 2
 
-// say pulses once: with all that this node says of itself, or with word that nothing of it is new.
-func (k *Keeper) say(ctx context.Context, with member.Info) (*PulseAnswer, error) {
+// say heartbeats once: with all that this node says of itself, or with word that nothing of it is new.
+func (k *Keeper) say(ctx context.Context, with member.Info) (*HeartbeatResponse, error) {
 	if k.of != with.Name {
 		k.of, k.copy, k.last, k.said = with.Name, member.Copy{}, member.Info{}, 0
 	}
 	for {
 		i, m := k.Info(), k.copy.Mark()
-		q := &PulseTask{Info: i, Have: &m, Changes: k.Board.Takes()}
+		q := &HeartbeatRequest{Info: i, Have: &m, Changes: k.Board.Takes()}
 		if k.said != 0 && i.Alike(k.last) {
 			q.Info, q.Brief = member.Info{}, &Brief{Name: i.Name, Boot: i.Boot, Said: k.said}
 		}
-		a, err := k.pulse(ctx, with, q)
+		a, err := k.heartbeat(ctx, with, q)
 		if err != nil {
 			return nil, err
 		}
@@ -578,7 +578,7 @@
 
 // see takes in the members that a control node told, if they are other ones than before. Whom one leaves out that began lately, or that no majority answers,
 // may be there all the same: one that is cut off loses sessions which the others keep.
-func (k *Keeper) see(a *PulseAnswer) {
+func (k *Keeper) see(a *HeartbeatResponse) {
 	wary := a.Young || a.Apart || !a.Confirmed
 	if a.Change != nil {
 		if a.Change.Empty() && wary == k.wary && a.Young == k.young {
@@ -599,13 +599,13 @@
 	}
 }
 
-func (k *Keeper) pulse(ctx context.Context, with member.Info, q *PulseTask) (*PulseAnswer, error) {
+func (k *Keeper) heartbeat(ctx context.Context, with member.Info, q *HeartbeatRequest) (*HeartbeatResponse, error) {
 	if k.Local != nil && with.Name == k.Opts.Name {
-		return k.Local.Pulse(ctx, q)
+		return k.Local.Heartbeat(ctx, q)
 	}
 	cx, stop := context.WithTimeout(ctx, k.Opts.Bounds().Session()/3)
 	defer stop()
-	return Pulse.Call(cx, k.Net, k.Opts.Name, with.Fellows, q)
+	return Heartbeat.Call(cx, k.Net, k.Opts.Name, with.Peers, q)
 }
 
 func (k *Keeper) beat(ctx context.Context, with member.Info) error {
@@ -640,7 +640,7 @@
 		return problem.New(problem.Unlicensed, "description %d did not arrive yet", a.Sequence)
 	}
 	k.mu.Lock()
-	if t := sent.Add(b.Licence() - a.Age); t.After(k.until) {
+	if t := sent.Add(b.Lease() - a.Age); t.After(k.until) {
 		k.until = t
 	}
 	k.mu.Unlock()
@@ -657,9 +657,9 @@
 	k.live = ok
 	k.mu.Unlock()
 	if ok && !was {
-		k.Log.Say(event.LicenceBack)
+		k.Log.Say(event.LeaseBack)
 	}
 	if !ok && was {
-		k.Log.Say(event.LicenceLost)
+		k.Log.Say(event.LeaseLost)
 	}
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -21,7 +21,7 @@
 	"postjunction/internal/options"
 )
 
-// A node that heard of a newer description which has not arrived keeps to the plain licence; one that hears nobody has the stretch.
+// A node that heard of a newer description which has not arrived keeps to the plain lease; one that hears nobody has the stretch.
 func TestStretchDoesNotCoverANewerDescription(t *testing.T) {
 	for name, newer := range map[string]bool{"nobody confirms": false, "a newer one is confirmed": true} {
 		t.Run(name, func(t *testing.T) {
@@ -44,7 +44,7 @@
 					c = Confirmed{OK: true, Sequence: 1, At: time.Now()}
 				}
 				assert.Assert(t, k.beat(context.Background(), info()) != nil)
-				time.Sleep(o.Bounds().Licence())
+				time.Sleep(o.Bounds().Lease())
 				assert.Equal(t, k.Licensed() == nil, !newer)
 				assert.Assert(t, !k.Confirmed())
 				c = Confirmed{}
@@ -57,7 +57,7 @@
 	}
 }
 
-// pair is a network of one fellow.
+// pair is a network of one peer.
 type pair struct{ h *http.ServeMux }
 
 func (p *pair) Do(r *http.Request) (*http.Response, error) {
@@ -72,24 +72,24 @@
 		o := options.Default()
 		o.Name = "a1"
 		b := gossip.NewBoard(nil)
-		var asked []*PulseTask
+		var asked []*HeartbeatRequest
 		var h *Host
 		start := func() {
 			h = &Host{Self: "c1", Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: b, Latest: func() Confirmed { return Confirmed{OK: true, At: time.Now()} }}
 		}
 		start()
 		m := http.NewServeMux()
-		Pulse.Handle(m, func(ctx context.Context, q *PulseTask) (*PulseAnswer, error) {
+		Heartbeat.Handle(m, func(ctx context.Context, q *HeartbeatRequest) (*HeartbeatResponse, error) {
 			asked = append(asked, q)
-			return h.Pulse(ctx, q)
+			return h.Heartbeat(ctx, q)
 		})
 		me := member.Info{Name: "a1", Boot: "1", Stage: member.Serving, Lag: 500}
 		k := &Keeper{Opts: o, Clock: clock.Real{}, Net: &pair{m}, Board: b, View: member.NewView(), Info: func() member.Info { return me }}
 		beat := func(whole ...bool) {
 			t.Helper()
 			asked = nil
-			time.Sleep(o.Bounds().Pulse())
-			assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Fellows: "127.0.0.1:1"}))
+			time.Sleep(o.Bounds().Heartbeat())
+			assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Peers: "127.0.0.1:1"}))
 			assert.Equal(t, len(asked), len(whole))
 			for n, q := range asked {
 				assert.Equal(t, q.Brief == nil, whole[n])
@@ -111,7 +111,7 @@
 	})
 }
 
-// Pulses that are all far from slow are told as alike, however much they differ; a slow one is told as it is.
+// Heartbeats that are all far from slow are told as alike, however much they differ; a slow one is told as it is.
 func TestPulsesFarFromSlowAreNoNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := options.Default()
@@ -121,12 +121,12 @@
 		m := http.NewServeMux()
 		whole := 0
 		takes := time.Millisecond
-		Pulse.Handle(m, func(ctx context.Context, q *PulseTask) (*PulseAnswer, error) {
+		Heartbeat.Handle(m, func(ctx context.Context, q *HeartbeatRequest) (*HeartbeatResponse, error) {
 			time.Sleep(takes)
 			if q.Brief == nil {
 				whole++
 			}
-			return h.Pulse(ctx, q)
+			return h.Heartbeat(ctx, q)
 		})
 		k := &Keeper{Opts: o, Clock: clock.Real{}, Net: &pair{m}, Board: b, View: member.NewView()}
 		k.Info = func() member.Info {
@@ -136,8 +136,8 @@
 			t.Helper()
 			whole, takes = 0, d
 			for range lagsMost + 2 {
-				time.Sleep(o.Bounds().Pulse())
-				assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Fellows: "127.0.0.1:1"}))
+				time.Sleep(o.Bounds().Heartbeat())
+				assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Peers: "127.0.0.1:1"}))
 			}
 			return whole
 		}
@@ -165,7 +165,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		o := options.Default()
 		hosts := map[string]*Host{}
-		var asked *member.SessionsTask
+		var asked *member.SessionsRequest
 		start := func(name, other string) {
 			h := &Host{Self: name, Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: gossip.NewBoard(nil), Latest: func() Confirmed { return Confirmed{} }, Info: func() member.Info { return member.Info{Name: name} }}
 			h.Net = &reach{func(r *http.Request) (*http.Response, error) {
@@ -177,12 +177,12 @@
 		}
 		start("c1", "c2")
 		start("c2", "c1")
-		pulse := func(name, stage string) {
-			_, err := hosts["c1"].Pulse(context.Background(), &PulseTask{Info: member.Info{Name: name, Stage: stage}, Have: &member.Mark{}})
+		heartbeat := func(name, stage string) {
+			_, err := hosts["c1"].Heartbeat(context.Background(), &HeartbeatRequest{Info: member.Info{Name: name, Stage: stage}, Have: &member.Mark{}})
 			assert.NilError(t, err)
 		}
 		round := func() {
-			time.Sleep(o.Bounds().Pulse())
+			time.Sleep(o.Bounds().Heartbeat())
 			asked = hosts["c1"].task("c2")
 			hosts["c1"].exchange(context.Background(), "c2")
 		}
@@ -193,24 +193,24 @@
 			}
 			return s
 		}
-		pulse("a", member.Serving)
+		heartbeat("a", member.Serving)
 		round()
 		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving})
-		pulse("b", member.Serving)
+		heartbeat("b", member.Serving)
 		round()
 		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving, "b": member.Serving})
 		for range 20 {
-			pulse("a", member.Serving)
+			heartbeat("a", member.Serving)
 			round()
 		}
 		assert.Assert(t, asked.Story != nil && asked.Story.Change.Empty())
 		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving})
 		start("c2", "c1")
-		pulse("a", member.Leaving)
+		heartbeat("a", member.Leaving)
 		round()
 		assert.DeepEqual(t, stages(), map[string]string{"a": member.Leaving})
 		start("c1", "c2")
-		pulse("a", member.Serving)
+		heartbeat("a", member.Serving)
 		round()
 		assert.DeepEqual(t, stages(), map[string]string{"a": member.Serving})
 	})
@@ -230,25 +230,25 @@
 		b := gossip.NewBoard(nil)
 		h := &Host{Self: "c1", Clock: clock.Real{}, Bounds: o.Bounds(), Table: member.NewTable(clock.Real{}, o.Bounds()), Board: b, Latest: func() Confirmed { return Confirmed{OK: true, At: time.Now()} }}
 		m := http.NewServeMux()
-		Pulse.Handle(m, func(ctx context.Context, q *PulseTask) (*PulseAnswer, error) {
+		Heartbeat.Handle(m, func(ctx context.Context, q *HeartbeatRequest) (*HeartbeatResponse, error) {
 			assert.Assert(t, q.Brief == nil)
-			return h.Pulse(ctx, &PulseTask{Info: q.Info, Left: q.Left})
+			return h.Heartbeat(ctx, &HeartbeatRequest{Info: q.Info, Left: q.Left})
 		})
-		var asked []*member.SessionsTask
-		member.Sessions.Handle(m, func(_ context.Context, q *member.SessionsTask) (*member.SessionsAnswer, error) {
+		var asked []*member.SessionsRequest
+		member.Sessions.Handle(m, func(_ context.Context, q *member.SessionsRequest) (*member.SessionsResponse, error) {
 			asked = append(asked, q)
-			return &member.SessionsAnswer{Sessions: []member.Heard{{Info: member.Info{Name: "b"}}}}, nil
+			return &member.SessionsResponse{Sessions: []member.Heard{{Info: member.Info{Name: "b"}}}}, nil
 		})
 		k := &Keeper{Opts: o, Clock: clock.Real{}, Net: &pair{m}, Board: b, View: member.NewView(), Info: func() member.Info { return member.Info{Name: "a1", Boot: "1"} }}
 		for range 4 {
-			time.Sleep(o.Bounds().Pulse())
-			assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Fellows: "127.0.0.1:1"}))
+			time.Sleep(o.Bounds().Heartbeat())
+			assert.NilError(t, k.beat(context.Background(), member.Info{Name: "c1", Peers: "127.0.0.1:1"}))
 			_, ok := k.View.Get("a1")
 			assert.Assert(t, ok)
 		}
 		h.Net = &pair{m}
 		for range 4 {
-			time.Sleep(o.Bounds().Pulse())
+			time.Sleep(o.Bounds().Heartbeat())
 			h.exchange(context.Background(), "c2")
 		}
 		assert.Equal(t, len(asked), 4)
@@ -258,7 +258,7 @@
 		assert.Equal(t, len(h.Table.Live()), 2)
 		n := http.NewServeMux()
 		h.Serve(n)
-		a, err := member.Sessions.Call(context.Background(), &pair{n}, "c2", "c1", &member.SessionsTask{From: "c2"})
+		a, err := member.Sessions.Call(context.Background(), &pair{n}, "c2", "c1", &member.SessionsRequest{From: "c2"})
 		assert.NilError(t, err)
 		assert.Equal(t, len(a.Sessions), 1)
 		assert.Assert(t, a.Story == nil)
@@ -273,7 +273,7 @@
 		b := gossip.NewBoard(nil)
 		b.Offer(gossip.News{Roster: &roster.Roster{Sequence: 1, Fleet: "f"}})
 		info := func() member.Info { return member.Info{Name: "c1"} }
-		ready := time.Now().Add(o.Bounds().Pulse() * 2)
+		ready := time.Now().Add(o.Bounds().Heartbeat() * 2)
 		latest := func() Confirmed {
 			return Confirmed{OK: time.Now().After(ready), At: time.Now()}
 		}
@@ -286,7 +286,7 @@
 			defer close(done)
 			k.Run(ctx)
 		}()
-		time.Sleep(o.Bounds().Pulse()*2 + o.Bounds().Pulse()/2)
+		time.Sleep(o.Bounds().Heartbeat()*2 + o.Bounds().Heartbeat()/2)
 		synctest.Wait()
 		assert.NilError(t, k.Licensed(), "licensed within half a pulse after the first confirmation")
 		assert.Equal(t, k.With(), "c1")
--- a/internal/session/story.go
+++ b/internal/session/story.go
@@ -22,15 +22,15 @@
 }
 
 const (
-	looksPerPulse = 10
-	lateShare     = 3
+	looksPerHeartbeat = 10
+	lateShare         = 3
 )
 
-// members gives the roll of all members, which is looked through anew when one has news, and a few times a pulse for those that lapsed.
+// members gives the roll of all members, which is looked through anew when one has news, and a few times a heartbeat for those that lapsed.
 func (h *Host) members() *member.Roll {
 	now := h.Clock.Now()
 	h.mu.Lock()
-	fresh := h.told.seen != nil && now.Sub(h.told.looked) < h.Bounds.Pulse()/looksPerPulse
+	fresh := h.told.seen != nil && now.Sub(h.told.looked) < h.Bounds.Heartbeat()/looksPerHeartbeat
 	if fresh {
 		select {
 		case <-h.told.seen:
@@ -54,7 +54,7 @@
 	return &h.told.live
 }
 
-// due gives the description that every node must have by now: the one confirmed here, once it has been for a licence, or the one that was due before.
+// due gives the description that every node must have by now: the one confirmed here, once it has been for a lease, or the one that was due before.
 func (h *Host) due() uint64 {
 	c := h.Latest()
 	h.mu.Lock()
@@ -62,7 +62,7 @@
 	if c.OK && c.Sequence != h.told.put {
 		h.told.put, h.told.from = c.Sequence, c.At
 	}
-	if h.Clock.Now().Sub(h.told.from) >= h.Bounds.Licence() {
+	if h.Clock.Now().Sub(h.told.from) >= h.Bounds.Lease() {
 		h.told.due = h.told.put
 	}
 	return h.told.due
@@ -74,7 +74,7 @@
 	var s member.Story
 	for _, x := range h.sessions() {
 		is = append(is, x.Info)
-		if x.Age > h.Bounds.Pulse()+h.Bounds.Pulse()/lateShare {
+		if x.Age > h.Bounds.Heartbeat()+h.Bounds.Heartbeat()/lateShare {
 			if s.Late == nil {
 				s.Late = map[string]time.Duration{}
 			}
@@ -88,13 +88,13 @@
 	return s
 }
 
-func (h *Host) task(addr string) *member.SessionsTask {
+func (h *Host) task(addr string) *member.SessionsRequest {
 	h.mu.Lock()
 	have, ok := h.told.has[addr]
 	name := h.told.names[addr]
 	h.mu.Unlock()
 	k := h.heard(name)
-	q := &member.SessionsTask{From: h.Self, Have: &k}
+	q := &member.SessionsRequest{From: h.Self, Have: &k}
 	if !ok {
 		q.Sessions = h.sessions()
 		return q
@@ -144,7 +144,7 @@
 }
 
 // reached notes how far the one at an address knows this node's sessions, and tells whether it could follow what it was told.
-func (h *Host) reached(addr string, q *member.SessionsTask, a *member.SessionsAnswer) bool {
+func (h *Host) reached(addr string, q *member.SessionsRequest, a *member.SessionsResponse) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.told.has == nil {
--- a/internal/visitor/follow_test.go
+++ b/internal/visitor/follow_test.go
@@ -55,7 +55,7 @@
 // owners answer for an urgent partition, which gets one entry when asked for more; a routine one's owner says where it ends and nothing else.
 type owners struct{ urgent int }
 
-func (o owners) ReadAs(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+func (o owners) ReadAs(ctx context.Context, q *owner.ReadRequest) (*owner.Reading, error) {
 	first := q.From == ^uint64(0)
 	if q.Partition == o.urgent && !first && q.From < 8 {
 		return &owner.Reading{To: 8, Epoch: 1, Entries: []line.Entry{{Offset: 8, What: line.Message, Topic: "s/stop", Body: []byte("1")}}}, nil
--- a/internal/visitor/service.go
+++ b/internal/visitor/service.go
@@ -142,17 +142,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ways == nil {
-		stage, licence := policy.Func[*Task](s.stage), policy.Func[*Task](s.licence)
+		stage, lease := policy.Func[*Task](s.stage), policy.Func[*Task](s.lease)
 		interest, gate, identity := policy.Func[*Task](s.interest), policy.Func[*Task](s.gate), policy.Func[*Task](s.identity)
 		limit := policy.Func[*Task](s.limit)
 		s.ways = map[string]policy.Next[*Task]{
-			VerbAttach: policy.Chain[*Task](s.attach, stage, licence, gate, limit),
-			VerbSend:   policy.Chain[*Task](s.send, stage, licence, interest, gate, limit, identity),
-			VerbFollow: policy.Chain[*Task](s.follow, stage, licence, interest, gate),
-			VerbAck:    policy.Chain[*Task](s.ack, stage, licence, gate, limit, identity),
-			VerbCount:  policy.Chain[*Task](s.count, stage, licence, interest, gate, limit, identity),
+			VerbAttach: policy.Chain[*Task](s.attach, stage, lease, gate, limit),
+			VerbSend:   policy.Chain[*Task](s.send, stage, lease, interest, gate, limit, identity),
+			VerbFollow: policy.Chain[*Task](s.follow, stage, lease, interest, gate),
+			VerbAck:    policy.Chain[*Task](s.ack, stage, lease, gate, limit, identity),
+			VerbCount:  policy.Chain[*Task](s.count, stage, lease, interest, gate, limit, identity),
 
-			VerbWithdraw: policy.Chain[*Task](s.withdraw, stage, licence, interest, policy.Func[*Task](s.forget), gate, limit, identity),
+			VerbWithdraw: policy.Chain[*Task](s.withdraw, stage, lease, interest, policy.Func[*Task](s.forget), gate, limit, identity),
 		}
 	}
 	return s.ways[verb]
@@ -176,7 +176,7 @@
 	}
 }
 
-func (s *Service) licence(ctx context.Context, t *Task, next policy.Next[*Task]) error {
+func (s *Service) lease(ctx context.Context, t *Task, next policy.Next[*Task]) error {
 	if err := s.Licensed(); err != nil {
 		return err
 	}
@@ -270,7 +270,7 @@
 		return problem.New(problem.Malformed, "visitor must be 1 to 63 of letters, digits, ., _ and -, is %q", t.Visitor)
 	}
 	sec := token.Secret()
-	a, err := s.Desk.Attach(ctx, &desk.AttachTask{Visitor: t.Visitor, Secret: token.Digest(sec)})
+	a, err := s.Desk.Attach(ctx, &desk.AttachRequest{Visitor: t.Visitor, Secret: token.Digest(sec)})
 	if err != nil {
 		return err
 	}
@@ -316,7 +316,7 @@
 	if _, err := cursor.Unpack(r.Fleet, r.Layout.Count(), t.Cursor); err != nil {
 		return err
 	}
-	if err := s.Desk.Ack(ctx, &desk.AckTask{Visitor: t.Visitor, Generation: t.who.Generation, Cursor: t.Cursor}); err != nil {
+	if err := s.Desk.Ack(ctx, &desk.AckRequest{Visitor: t.Visitor, Generation: t.who.Generation, Cursor: t.Cursor}); err != nil {
 		return err
 	}
 	t.out = Left{Cursor: t.Cursor}
--- a/internal/visitor/visit/house.go
+++ b/internal/visitor/visit/house.go
@@ -304,7 +304,7 @@
 	Count:  (*Visit).count,
 
 	Withdraw: (*Visit).withdraw,
-	Pulse: func(v *Visit, _ Task) error {
+	Heartbeat: func(v *Visit, _ Task) error {
 		v.out(Answer{What: Alive})
 		return nil
 	},
--- a/internal/visitor/visit/house_test.go
+++ b/internal/visitor/visit/house_test.go
@@ -28,7 +28,7 @@
 type source struct {
 	mu     sync.Mutex
 	follow func(q *owner.Want) *owner.Told
-	poll   func(q *owner.PollTask) *owner.Polled
+	poll   func(q *owner.PollRequest) *owner.Polled
 	wants  []*owner.Want
 }
 
@@ -45,7 +45,7 @@
 }
 
 // Poll answers as the test says, at most once in a while.
-func (s *source) Poll(ctx context.Context, _ record.Record, q *owner.PollTask) (*owner.Polled, error) {
+func (s *source) Poll(ctx context.Context, _ record.Record, q *owner.PollRequest) (*owner.Polled, error) {
 	s.mu.Lock()
 	f := s.poll
 	s.mu.Unlock()
@@ -224,7 +224,7 @@
 			return line.Entry{What: line.Message, Topic: topic, Visitor: "x", Call: o, Offset: o}
 		}
 		h.src.mu.Lock()
-		h.src.poll = func(q *owner.PollTask) *owner.Polled {
+		h.src.poll = func(q *owner.PollRequest) *owner.Polled {
 			if given {
 				return nil
 			}
@@ -276,7 +276,7 @@
 			}
 			return a
 		}
-		h.src.poll = func(*owner.PollTask) *owner.Polled {
+		h.src.poll = func(*owner.PollRequest) *owner.Polled {
 			if polled >= 60 {
 				return nil
 			}
--- a/internal/visitor/visit/spread.go
+++ b/internal/visitor/visit/spread.go
@@ -66,7 +66,7 @@
 const controlShare = 2
 
 // elsewhere gives the address where a newcomer is better off, or none. Among nodes with plenty it is drawn anew for one that comes back, since the
-// node it was sent to may be gone without its fellows having noticed yet.
+// node it was sent to may be gone without its peers having noticed yet.
 func (h *House) elsewhere() string {
 	if a := h.away(); a != "" {
 		return a
@@ -74,7 +74,7 @@
 	h.spread.mu.Lock()
 	defer h.spread.mu.Unlock()
 	s, now := &h.spread, h.Clock.Now()
-	if s.from.IsZero() || now.Sub(s.from) >= h.Bounds.Pulse() {
+	if s.from.IsZero() || now.Sub(s.from) >= h.Bounds.Heartbeat() {
 		s.from = now
 		s.keep, s.to = plan(h.Info(), h.Members())
 	}
--- a/internal/visitor/visit/spread_test.go
+++ b/internal/visitor/visit/spread_test.go
@@ -70,7 +70,7 @@
 		all := zone(1, 9)
 		me := all[3]
 		h.Info, h.Members = func() member.Info { return me }, func() []member.Info { return all }
-		time.Sleep(h.Bounds.Pulse())
+		time.Sleep(h.Bounds.Heartbeat())
 		v.Do(Task{Verb: Leave, Topic: "a"})
 		assert.DeepEqual(t, h.said(), []string{"left a"})
 		kept, sent := 0, 0
@@ -95,7 +95,7 @@
 	})
 }
 
-// Visits of a node that leaves are dealt to its fellows by what they have, and evenly where nobody says.
+// Visits of a node that leaves are dealt to its peers by what they have, and evenly where nobody says.
 func TestVisitsOfALeavingNodeAreDealtByProcessor(t *testing.T) {
 	count := func(is []member.Info, n int) map[string]int {
 		got, next := map[string]int{}, deal(is)
--- a/internal/visitor/visit/task.go
+++ b/internal/visitor/visit/task.go
@@ -9,12 +9,12 @@
 
 // The verbs.
 const (
-	Attach Verb = "attach"
-	Join   Verb = "join"
-	Leave  Verb = "leave"
-	Send   Verb = "send"
-	Count  Verb = "count"
-	Pulse  Verb = "pulse"
+	Attach    Verb = "attach"
+	Join      Verb = "join"
+	Leave     Verb = "leave"
+	Send      Verb = "send"
+	Count     Verb = "count"
+	Heartbeat Verb = "pulse"
 	// Withdraw withdraws what stands under a key.
 	Withdraw Verb = "withdraw"
 )
--- a/internal/visitor/visit/withdraw_test.go
+++ b/internal/visitor/visit/withdraw_test.go
@@ -184,7 +184,7 @@
 		told := h.told(v)
 		v.Do(Task{Verb: Withdraw, Topic: "live/a", Key: "k", Call: 7, Of: "w", Upto: 3})
 		v.Do(Task{Verb: Send, Topic: "live/a", Key: "k", Call: 8, Body: []byte("x")})
-		v.Do(Task{Verb: Pulse})
+		v.Do(Task{Verb: Heartbeat})
 		assert.DeepEqual(t, told(), []string{"0: taken live/a 8", "0: alive "})
 		time.Sleep(options.DefaultBounds.Call())
 		assert.DeepEqual(t, told()[2:], []string{"1025: forgotten live/a 7 k"})
@@ -250,7 +250,7 @@
 		assert.DeepEqual(t, over.said(), []string{"drop kept/a"})
 		next := uint64(20)
 		h.src.mu.Lock()
-		h.src.poll = func(*owner.PollTask) *owner.Polled {
+		h.src.poll = func(*owner.PollRequest) *owner.Polled {
 			if next++; next > 22 {
 				return nil
 			}
--- a/internal/visitor/withdraw_test.go
+++ b/internal/visitor/withdraw_test.go
@@ -25,7 +25,7 @@
 // pages are what the reads of a partition give, one after the other.
 type pages chan *owner.Reading
 
-func (p pages) ReadAs(ctx context.Context, q *owner.ReadTask) (*owner.Reading, error) {
+func (p pages) ReadAs(ctx context.Context, q *owner.ReadRequest) (*owner.Reading, error) {
 	if q.Done || q.From == ^uint64(0) {
 		return &owner.Reading{}, nil
 	}
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -135,7 +135,7 @@
 func TestReplyKeepsTheProblem(t *testing.T) {
 	n := uint64(0)
 	p := &problem.Problem{Kind: problem.Overloaded, Say: "full \xff\xfe", Faults: []problem.Fault{{Place: "a.b", Say: "c"}}, Current: &n, Retry: time.Second, RetryMS: 1000, Cause: problem.New(problem.Internal, "x")}
-	got := trip(t, reflect.ValueOf(&wire.Reply[gossip.ExchangeAnswer]{Problem: p})).(*wire.Reply[gossip.ExchangeAnswer])
+	got := trip(t, reflect.ValueOf(&wire.Reply[gossip.ExchangeResponse]{Problem: p})).(*wire.Reply[gossip.ExchangeResponse])
 	assert.Assert(t, got.Body == nil)
 	want := *p
 	want.Cause, want.Retry = nil, 0
@@ -155,16 +155,16 @@
 func samples() map[string]any {
 	ms := make([]member.Info, 13)
 	for i := range ms {
-		ms[i] = member.Info{Name: fmt.Sprintf("store-%d", i), Zone: "zone-a", Listen: "127.0.0.1:7000", Fellows: "127.0.0.1:8000", Disk: "own", Incarnation: "0123456789abcdef", Boot: "fedcba9876543210", Stage: "serving", Description: 17, Roster: 3, Partitions: 4, Loads: map[int]float64{1: 0.25, 7: 3.5}, Build: "1.0", Wire: 2, Lag: 900, Homes: true}
+		ms[i] = member.Info{Name: fmt.Sprintf("store-%d", i), Zone: "zone-a", Listen: "127.0.0.1:7000", Peers: "127.0.0.1:8000", Disk: "own", Incarnation: "0123456789abcdef", Boot: "fedcba9876543210", Stage: "serving", Description: 17, Roster: 3, Partitions: 4, Loads: map[int]float64{1: 0.25, 7: 3.5}, Build: "1.0", Wire: 2, Lag: 900, Homes: true}
 	}
 	es := make([]line.Entry, 4)
 	for i := range es {
 		es[i] = line.Entry{Offset: uint64(1e6 + i), Epoch: 4, What: "message", Topic: "armor/alerts", Visitor: "visitor-17", Call: 99, Generation: 3, Description: 17, Digest: "0123456789abcdef", Chain: 0xfedcba9876543210, Body: make([]byte, 200)}
 	}
 	return map[string]any{
-		"digest": &gossip.ExchangeTask{Digest: gossip.Digest{Roster: 3, Description: 17, Records: []uint64{4, 5, 6, 7, 8, 9}}},
-		"pulse":  &session.PulseAnswer{Members: ms, Confirmed: true, Sequence: 17, Age: time.Millisecond},
-		"append": &replica.AppendTask{After: line.Point{Offset: 1e6 - 1, Epoch: 4, Chain: 0xfedcba9876543210}, Entries: es, Commit: 1e6 - 1},
+		"digest": &gossip.ExchangeRequest{Digest: gossip.Digest{Roster: 3, Description: 17, Records: []uint64{4, 5, 6, 7, 8, 9}}},
+		"pulse":  &session.HeartbeatResponse{Members: ms, Confirmed: true, Sequence: 17, Age: time.Millisecond},
+		"append": &replica.AppendRequest{After: line.Point{Offset: 1e6 - 1, Epoch: 4, Chain: 0xfedcba9876543210}, Entries: es, Commit: 1e6 - 1},
 	}
 }
 
--- a/internal/wire/lane/frame.go
+++ b/internal/wire/lane/frame.go
@@ -10,15 +10,15 @@
 
 // Kinds of frame. A frame is its kind, a number, a length and that many bytes; the number is that of the call, of the head that is named, or nothing.
 const (
-	kindHead   = 1
-	kindOpen   = 2
-	kindData   = 3
-	kindCancel = 4
-	kindAbort  = 5
-	kindPulse  = 6
-	kindEcho   = 7
-	kindsEnd   = 8
-	more       = 0x80
+	kindHead      = 1
+	kindOpen      = 2
+	kindData      = 3
+	kindCancel    = 4
+	kindAbort     = 5
+	kindHeartbeat = 6
+	kindEcho      = 7
+	kindsEnd      = 8
+	more          = 0x80
 )
 
 const (
--- a/internal/wire/lane/link.go
+++ b/internal/wire/lane/link.go
@@ -22,8 +22,8 @@
 type Times struct {
 	Dial    time.Duration // of the longest attempt, the last; all others together take as long
 	Quiet   time.Duration // after which a connection is looked at before it is used again
-	Silence time.Duration // after which a fellow that owes answers is asked for a sign of life; after as long again it is given up
-	Unheard time.Duration // the longest that sent bytes stay without a receipt of the fellow's machine
+	Silence time.Duration // after which a peer that owes answers is asked for a sign of life; after as long again it is given up
+	Unheard time.Duration // the longest that sent bytes stay without a receipt of the peer's machine
 	Idle    time.Duration // after which an unused connection is closed
 	Begin   time.Duration // in which a connection must say who it is
 }
--- a/internal/wire/lane/network.go
+++ b/internal/wire/lane/network.go
@@ -23,7 +23,7 @@
 	ticks = 2 // in a silence
 )
 
-// Network reaches fellows over one connection each, opened at the first call and kept while it is used.
+// Network reaches peers over one connection each, opened at the first call and kept while it is used.
 type Network struct {
 	o       Options
 	peers   sync.Map
@@ -104,7 +104,7 @@
 	n.armed = want
 }
 
-// tick asks fellows that owe answers for a sign of life, and gives those up that gave none.
+// tick asks peers that owe answers for a sign of life, and gives those up that gave none.
 func (n *Network) tick() {
 	for _, c := range n.all() {
 		c.tick()
@@ -156,7 +156,7 @@
 	return p.(*peer)
 }
 
-// get gives the connection to a fellow and opens it if there is none; those who come meanwhile wait for the same one.
+// get gives the connection to a peer and opens it if there is none; those who come meanwhile wait for the same one.
 func (p *peer) get(ctx context.Context, from string) (*client, error) {
 	p.mu.Lock()
 	if c := p.c; c != nil {
@@ -251,7 +251,7 @@
 	return c
 }
 
-// fresh tells whether a connection can take a call. One that was quiet for a while is looked at: a fellow may have gone
+// fresh tells whether a connection can take a call. One that was quiet for a while is looked at: a peer may have gone
 // and come back while this process had no turn to notice.
 func (c *client) fresh() bool {
 	c.mu.Lock()
@@ -282,7 +282,7 @@
 	c.quiet++
 	switch {
 	case c.quiet == ticks:
-		c.say(kindPulse, 0, "")
+		c.say(kindHeartbeat, 0, "")
 		c.kick()
 	case c.quiet >= 2*ticks:
 		c.mu.Unlock()
@@ -443,7 +443,7 @@
 	return ctx.Err()
 }
 
-// Do carries a task to the fellow whose address the URL has, and its answer back. Failures are of kind Unreachable or those of the context.
+// Do carries a task to the peer whose address the URL has, and its answer back. Failures are of kind Unreachable or those of the context.
 func (n *Network) Do(r *http.Request) (*http.Response, error) {
 	ctx := r.Context()
 	if err := ctx.Err(); err != nil {
--- a/internal/wire/lane/server.go
+++ b/internal/wire/lane/server.go
@@ -25,7 +25,7 @@
 	probes     = 3
 )
 
-// Server answers the calls that fellows send over their connections.
+// Server answers the calls that peers send over their connections.
 type Server struct {
 	o    Options
 	h    http.Handler
@@ -105,7 +105,7 @@
 	return problem.Wrap(problem.Internal, err, "close")
 }
 
-// served is this side's end of a connection that a fellow opened.
+// served is this side's end of a connection that a peer opened.
 type served struct {
 	link
 	s     *Server
@@ -227,7 +227,7 @@
 			}
 		case kindCancel:
 			c.cancel(f.id)
-		case kindPulse:
+		case kindHeartbeat:
 			c.mu.Lock()
 			c.say(kindEcho, 0, "")
 			c.kick()
--- a/internal/wire/real.go
+++ b/internal/wire/real.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// Real reaches fellows over TCP, with one connection to each.
+// Real reaches peers over TCP, with one connection to each.
 func Real(b options.Bounds) *lane.Network { return lane.New(lanes(b)) }
 
-// Server answers the fellows that come to the listener that it is given.
+// Server answers the peers that come to the listener that it is given.
 func Server(h http.Handler, b options.Bounds) *lane.Server { return lane.NewServer(h, lanes(b)) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,7 +22,7 @@
 	fromHeader     = "Postjunction-From"
 )
 
-// Network gives the means to reach a fellow's address.
+// Network gives the means to reach a peer's address.
 type Network interface {
 	connect.HTTPClient
 }
@@ -79,7 +79,7 @@
 	addr string
 }
 
-// Call calls a fellow. A failure of the path between is Unreachable: the outcome is not known.
+// Call calls a peer. A failure of the path between is Unreachable: the outcome is not known.
 func (p *Procedure[Q, A]) Call(ctx context.Context, n Network, from, addr string, q *Q) (*A, error) {
 	k := key{n, addr}
 	v, ok := p.client.Load(k)
