--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -21,7 +21,7 @@
 	"postjunction/internal/wire"
 )
 
-// PulseRequest renews a session.
+// HeartbeatRequest renews a session.
 type HeartbeatRequest struct {
 	Info member.Info `json:"info,omitzero"`
 	Left bool        `json:"left,omitempty"`
@@ -40,7 +40,7 @@
 	Said uint64 `json:"s"`
 }
 
-// PulseResponse gives the members, and, when a majority confirmed it, which description is current.
+// HeartbeatResponse gives the members, and, when a majority confirmed it, which description is current.
 type HeartbeatResponse struct {
 	Members []member.Info `json:"members,omitempty"`
 	// Change gives the members by difference, to a node that says what it has.
