--- a/review/stand/config_test.go
+++ b/review/stand/config_test.go
@@ -11,7 +11,42 @@
 	"time"
 )
 
-func init() { cases["config"] = manyRoutes }
+func init() { cases["config"], cases["storm"] = manyRoutes, storm }
+
+// storm sends very large configurations one after the other, as fast as they are taken.
+func storm(dir string, _ []string) int {
+	d := newDay(dir, 3, 2, 3, []route{retained("aisle."), realtime("stop.")})
+	if d == nil {
+		return 2
+	}
+	defer d.end()
+	base, taken := uint64(1), 0
+	for version := uint64(2); time.Since(d.rec.begun) < 80*time.Second; version++ {
+		routes := []route{retained("aisle."), realtime("stop.")}
+		for i := range 1250 {
+			r := retained(fmt.Sprintf("idle%d.", i))
+			r.Timeout += int(version)
+			routes = append(routes, r)
+		}
+		if d.op.replace(base, document(version, routes), version, 15*time.Second) != 200 {
+			fmt.Printf("version %d was not taken within 15 s\n", version)
+			_ = d.op.learn(&base)
+			continue
+		}
+		base = version
+		taken++
+		d.op.readBack(d.op.node())
+	}
+	fmt.Printf("%d changes taken\n", taken)
+	ok := false
+	for range 10 {
+		ok = d.op.readBack(d.op.node()) || ok
+	}
+	if !ok {
+		d.book.mixed("the configuration does not come")
+	}
+	return d.verdict()
+}
 
 // ask sends one line after ATTACH to a node and returns what comes back.
 func ask(f *fleet, n *node, name, text string) string {
