Sessions, calls: a rejected attempt promises nothing of its call number

A client was told UNKNOWN for a number, sent it again, was told CONGEST ("not done, and never will be"), and sent the message under a new number. The first number stood in the log of the killed leader; the next leader committed it, and subscribers got both.

Cause: a node answered a call number by what it knew of the present attempt. no_owner, overloaded, leaving and unlicensed are true of an attempt that never left the node; an earlier attempt under the same number, over another connection or through another node, may stand in a log, a queue or the socket of a frozen process. No access node can know that, and none can know that an attempt is the first.

Change: a message or withdrawal that no leader decided on is answered outcome_unknown, with the same time to retry after (router.RejectCallNumber), in client sessions and, for calls that were admitted, over HTTP. Only call_passed, which a leader says once a majority confirmed its epoch, promises that a number never will be accepted. Codes and formats are unchanged; joins, attaches and counts keep theirs.

Why this works: a client uses a new number only after call_passed. That rests on a committed higher number of this client on this topic, so a late copy of the passed number is rejected by every later leader too.

Judge: deliverycheck ties the numbers under which one message was tried; a simulated client that uses a new number says so.

--- a/internal/client/policies.go
+++ b/internal/client/policies.go
@@ -7,6 +7,7 @@
 	"postjunction/internal/callpolicy"
 	"postjunction/internal/client/admission"
 	"postjunction/internal/client/token"
+	"postjunction/internal/partitionlog/router"
 )
 
 const (
@@ -91,6 +92,12 @@
 	return next(ctx, request)
 }
 
+// rejectCallNumber has a call that was admitted rejected by what is known of its number. What keeps
+// calls out before that is said of the node and the moment.
+func (s *Service) rejectCallNumber(ctx context.Context, request *Request, next callpolicy.Next[*Request]) error {
+	return router.RejectCallNumber(next(ctx, request))
+}
+
 func (s *Service) decodeToken(request *Request) (token.Token, error) {
 	if request.Token == "" {
 		return token.Token{}, apierror.New(apierror.TokenMissing, "the call has no bearer token")
--- a/internal/client/service.go
+++ b/internal/client/service.go
@@ -70,14 +70,14 @@
 	chain := callpolicy.Chain[*Request]
 	draining, lease, spaces := policy(s.checkDraining), policy(s.checkLease), policy(s.findSpaces)
 	admit, limit, identity := policy(s.admit), policy(s.limitTime), policy(s.checkIdentity)
-	forgotten := policy(s.awaitForgotten)
+	forgotten, number := policy(s.awaitForgotten), policy(s.rejectCallNumber)
 	return map[string]callpolicy.Next[*Request]{
 		VerbAttach:   chain(s.attach, draining, lease, admit, limit),
-		VerbSend:     chain(s.send, draining, lease, spaces, admit, limit, identity),
+		VerbSend:     chain(s.send, draining, lease, spaces, admit, limit, number, identity),
 		VerbFollow:   chain(s.follow, draining, lease, spaces, admit),
 		VerbAck:      chain(s.ack, draining, lease, admit, limit, identity),
 		VerbCount:    chain(s.count, draining, lease, spaces, admit, limit, identity),
-		VerbWithdraw: chain(s.withdraw, draining, lease, spaces, forgotten, admit, limit, identity),
+		VerbWithdraw: chain(s.withdraw, draining, lease, spaces, forgotten, admit, limit, number, identity),
 	}
 }
 
--- /dev/null
+++ b/internal/client/session/publish_test.go
@@ -0,0 +1,59 @@
+package session
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"postjunction/internal/apierror"
+	"postjunction/internal/gossip"
+	"postjunction/internal/partitionlog/leader"
+	"postjunction/internal/voters"
+)
+
+// A node that can't have a number decided does not know what earlier attempts under it have left.
+// Guards against a message delivered twice, since the client was promised that its number never
+// will be accepted and sent the message under a new one.
+func TestSend_RejectedAttemptPromisesNothingOfItsNumber(t *testing.T) {
+	rejectAll := func(code apierror.Code) func(*fixture) {
+		return func(fixture *fixture) {
+			fixture.Ledger = &fakeLedger{decide: func(*leader.Message) (*leader.Decision, error) {
+				return nil, apierror.New(code, "so")
+			}}
+		}
+	}
+	cases := map[string]struct {
+		reject func(fixture *fixture)
+		code   apierror.Code
+	}{
+		"no lease": {func(fixture *fixture) {
+			fixture.CheckLease = func() error { return apierror.New(apierror.NoLease, "so") }
+		}, apierror.OutcomeUnknown},
+		"shutting down": {func(fixture *fixture) {
+			draining := make(chan struct{})
+			close(draining)
+			fixture.Draining = draining
+		}, apierror.OutcomeUnknown},
+		"no partition yet": {func(fixture *fixture) {
+			fixture.store.Apply(gossip.Update{VoterSet: &voters.Set{Sequence: 2, Fleet: "fleet00"}})
+		}, apierror.OutcomeUnknown},
+		"no leader":       {rejectAll(apierror.NoPartitionLeader), apierror.OutcomeUnknown},
+		"backlog":         {rejectAll(apierror.Overloaded), apierror.OutcomeUnknown},
+		"uncertain":       {rejectAll(apierror.OutcomeUnknown), apierror.OutcomeUnknown},
+		"a higher number": {rejectAll(apierror.CallPassed), apierror.CallPassed},
+		"another body":    {rejectAll(apierror.CallAltered), apierror.CallAltered},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withSession(t, func(t *testing.T, fixture *fixture, session *Session) {
+				fixture.Ledger = &fakeLedger{}
+				c.reject(fixture)
+				session.Do(Request{Verb: Send, Topic: "kept/a", CallSeq: 7, Body: []byte("x")})
+				session.Do(Request{Verb: Withdraw, Topic: "kept/a", CallSeq: 8, Key: "k"})
+				assert.DeepEqual(t, fixture.takeResponses(), []string{
+					"turned send kept/a " + string(c.code), "turned withdraw kept/a " + string(c.code),
+				})
+			})
+		})
+	}
+}
--- a/internal/client/session/session.go
+++ b/internal/client/session/session.go
@@ -8,6 +8,7 @@
 	"postjunction/internal/delivery/fanout"
 	"postjunction/internal/partition"
 	"postjunction/internal/partitionlog/log"
+	"postjunction/internal/partitionlog/router"
 )
 
 const (
@@ -85,6 +86,9 @@
 }
 
 func (s *Session) reject(request Request, err error) {
+	if request.Verb == Send || request.Verb == Withdraw {
+		err = router.RejectCallNumber(err)
+	}
 	s.out(Response{
 		Type:      Rejected,
 		InReplyTo: request.Verb,
--- a/internal/partitionlog/router/router.go
+++ b/internal/partitionlog/router/router.go
@@ -4,7 +4,8 @@
 //
 // What must stay true: messages that one node submits for a partition reach the leader in that
 // order; each is answered once, by its deadline at the latest; no_owner and overloaded promise that
-// the message never was and never will be accepted by this call.
+// the message never was and never will be accepted by this call. A client is told what is known of its
+// call number (RejectCallNumber).
 //
 // A Router has no goroutines of its own but one for each partition that messages wait for; its
 // queues and epochs have locks of their own, none of which is held over a call. Submit and the
--- a/internal/partitionlog/router/submitqueue.go
+++ b/internal/partitionlog/router/submitqueue.go
@@ -105,8 +105,8 @@
 // with the answer, as soon as that is known and by until at the latest. What one node submits for a
 // partition reaches the leader in the order submitted. done must not block; when the backlog is
 // full it is called with Overloaded before SubmitAsync returns. The errors no_owner and overloaded
-// promise that the message never was and never will be accepted by this call; outcome_unknown
-// promises nothing.
+// promise that the message never was and never will be accepted by this call, but nothing of earlier
+// calls under its number (RejectCallNumber); outcome_unknown promises nothing.
 func (r *Router) SubmitAsync(
 	ctx context.Context, partitionID int, message *leader.Message, until time.Time, done func(*leader.Decision, error),
 ) {
--- a/internal/testing/deliverycheck/checker.go
+++ b/internal/testing/deliverycheck/checker.go
@@ -24,6 +24,9 @@
 	accepted time.Time
 	tries    int
 	rejected int
+	// renumbers is the number under which the same message was tried before, the zero Message for
+	// none.
+	renumbers Message
 }
 
 // The rules that are judged.
@@ -65,8 +68,8 @@
 
 // Tally says how much there was to judge.
 type Tally struct {
-	Sent, Accepted, Tries, Rejected, Got, Sessions, Resumed, Expired, Counts, Late int
-	Keyed, Withdrawals, Forgotten, Open, Void, Covered, Spared                     int
+	Sent, Accepted, Tries, Rejected, Renumbered, Got, Sessions, Resumed, Expired, Counts, Late int
+	Keyed, Withdrawals, Forgotten, Open, Void, Covered, Spared                                 int
 }
 
 // New makes an empty book.
@@ -124,6 +127,23 @@
 	s.tries++
 }
 
+// Renumber notes that m is another number for what was tried as earlier: one message, which may be
+// delivered once under either.
+func (b *Checker) Renumber(m, earlier Message) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent[m].renumbers = earlier
+	b.tally.Renumbered++
+}
+
+// first returns the first number that a message was tried under.
+func (b *Checker) first(m Message) Message {
+	for x := b.sent[m]; x != nil && x.renumbers != (Message{}); x = b.sent[m] {
+		m = x.renumbers
+	}
+	return m
+}
+
 // Rejected notes that a try was turned away with the promise that it never will be done.
 func (b *Checker) Rejected(m Message) {
 	b.mu.Lock()
@@ -252,65 +272,6 @@
 		(s.end.IsZero() || x.accepted.Before(s.end)) && !s.checker.spared(m, x)
 }
 
-const slack = 2
-
-// Presence is the time that a visitor listens to a topic on one connection.
-type Presence struct {
-	checker          *Checker
-	asked, since, to time.Time
-}
-
-// Here notes that a visitor asks to listen.
-func (b *Checker) Here(topic string, now time.Time) *Presence {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := &Presence{checker: b, asked: now}
-	b.presences[topic] = append(b.presences[topic], p)
-	return p
-}
-
-// Joined notes that it does.
-func (p *Presence) Joined(now time.Time) {
-	p.checker.mu.Lock()
-	defer p.checker.mu.Unlock()
-	p.since = now
-}
-
-// Gone notes that it does no longer.
-func (p *Presence) Gone(now time.Time) {
-	p.checker.mu.Lock()
-	defer p.checker.mu.Unlock()
-	if p.to.IsZero() {
-		p.to = now
-	}
-}
-
-// Count notes a count of listeners that was asked for and told. A calm fleet counts all that were
-// there all through the window.
-func (b *Checker) Count(topic string, n int, asked, answered time.Time, calm bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tally.Counts++
-	least, most := 0, 0
-	from := asked.Add(-b.Window)
-	for _, p := range b.presences[topic] {
-		if (p.to.IsZero() || p.to.After(from)) && p.asked.Before(answered) {
-			most++
-		}
-		if p.to.IsZero() && !p.since.IsZero() && p.since.Before(from) {
-			least++
-		}
-	}
-	if n > most+slack {
-		b.addViolation(Count, "%d were counted on %s at %s, %d were there at some moment, and %d more are let pass",
-			n, topic, answered.Format("04:05.000"), most, slack)
-	}
-	if calm && n < least {
-		b.addViolation(Count, "%d were counted on %s at %s, %d were there all the time", n, topic,
-			answered.Format("04:05.000"), least)
-	}
-}
-
 // Judge judges all that was seen. What was acknowledged after the cut need not have arrived.
 func (b *Checker) Judge(cut time.Time) (Tally, []Violation) {
 	b.mu.Lock()
@@ -349,6 +310,7 @@
 func (s *Session) judge() {
 	b := s.checker
 	seen, last, conn := map[Message]bool{}, map[string]uint64{}, 0
+	numbers := map[Message]Message{}
 	owed := map[string][]Message{}
 	for m, x := range b.sent {
 		if s.owed(m, x) {
@@ -359,6 +321,7 @@
 		if !s.kept && g.conn != conn {
 			clear(seen)
 			clear(last)
+			clear(numbers)
 			conn = g.conn
 		}
 		if seen[g.message] {
@@ -366,6 +329,7 @@
 			continue
 		}
 		seen[g.message] = true
+		s.judgeNumber(numbers, g)
 		if l := last[g.message.From]; g.message.CallSeq <= l {
 			b.addViolation(Order, "%s got %v after call %d at %s", s.client, g.message, l, g.at.Format("04:05.000"))
 		}
@@ -383,6 +347,17 @@
 	}
 }
 
+// judgeNumber judges whether a message came before under another of its numbers. numbers has, for the
+// first number of each message, the one that it came under.
+func (s *Session) judgeNumber(numbers map[Message]Message, g receipt) {
+	first := s.checker.first(g.message)
+	if number, ok := numbers[first]; ok {
+		s.checker.addViolation(Twice, "%s got %v at %s, a message that it had got as call %d", s.client, g.message,
+			g.at.Format("04:05.000"), number.CallSeq)
+	}
+	numbers[first] = g.message
+}
+
 func (s *Session) complete(cut time.Time) {
 	for m, x := range s.checker.sent {
 		if s.owed(m, x) && s.have[m] == 0 && x.accepted.Before(cut) && s.open(cut) &&
--- a/internal/testing/deliverycheck/plant_test.go
+++ b/internal/testing/deliverycheck/plant_test.go
@@ -95,6 +95,18 @@
 	}{
 		"a message comes twice":                       {Twice, func(d day) { d.got(d.x, 10) }},
 		"a message comes again on a later connection": {Twice, func(d day) { d.w.Joined(sec(9)); d.got(d.w, 1) }},
+		"a message comes again under another number": {Twice, func(d day) {
+			d.Try(msg(11), "", body(11), sec(11))
+			d.Renumber(msg(11), msg(10))
+			d.got(d.x, 11)
+		}},
+		"a message comes again under a third number": {Twice, func(d day) {
+			d.Try(msg(11), "", body(11), sec(11))
+			d.Renumber(msg(11), msg(10))
+			d.Try(msg(12), "", body(12), sec(12))
+			d.Renumber(msg(12), msg(11))
+			d.got(d.x, 12)
+		}},
 		"a message comes after a later one": {Order, func(d day) {
 			d.x.got[1], d.x.got[2] = d.x.got[2], d.x.got[1]
 		}},
--- a/internal/testing/sim/faults.go
+++ b/internal/testing/sim/faults.go
@@ -18,13 +18,19 @@
 type Fault func(w *World, r *rand.Rand) (undo func())
 
 func (w *World) pick(r *rand.Rand, kind string) string {
-	var ns []string
-	for _, n := range w.Names {
-		if kind == "" || n[:1] == kind {
-			ns = append(ns, n)
+	ns := w.namesOf(kind)
+	return ns[r.IntN(len(ns))]
+}
+
+// namesOf returns the machines whose names begin with the letter of a kind, all for none.
+func (w *World) namesOf(kind string) []string {
+	var names []string
+	for _, name := range w.Names {
+		if kind == "" || name[:1] == kind {
+			names = append(names, name)
 		}
 	}
-	return ns[r.IntN(len(ns))]
+	return names
 }
 
 func disky(r *rand.Rand) string { return []string{"c", "s"}[r.IntN(2)] }
--- a/internal/testing/simclient/client.go
+++ b/internal/testing/simclient/client.go
@@ -138,12 +138,14 @@
 }
 
 type message struct {
-	call     uint64
-	body     string
-	first    time.Time
-	asked    time.Time
-	retry    time.Time
-	fresh    int
+	call  uint64
+	body  string
+	first time.Time
+	asked time.Time
+	retry time.Time
+	fresh int
+	// earlier is the number under which the message was tried before, 0 for none.
+	earlier  uint64
 	inFlight bool
 	key      string
 	// withdrawal is that of a withdrawal, and none of a message.
--- a/internal/testing/simclient/requests.go
+++ b/internal/testing/simclient/requests.go
@@ -96,13 +96,25 @@
 				m.key = client.key()
 			}
 		}
-		client.Checker.Try(deliverycheck.Message{Topic: l.Topic, From: client.Name, CallSeq: m.call}, m.key, m.body, now)
+		client.noteTry(now, l.Topic, m)
 		client.send(now, session.Request{Verb: session.Send, Topic: l.Topic, CallSeq: m.call, Key: m.key,
 			Body: []byte(m.body)})
 	}
 	return true
 }
 
+// noteTry has the checker note that a message is about to be sent, and under which number it was
+// tried before.
+func (client *Client) noteTry(now time.Time, topic string, m *message) {
+	number := deliverycheck.Message{Topic: topic, From: client.Name, CallSeq: m.call}
+	client.Checker.Try(number, m.key, m.body, now)
+	if m.earlier != 0 {
+		earlier := number
+		earlier.CallSeq, m.earlier = m.earlier, 0
+		client.Checker.Renumber(number, earlier)
+	}
+}
+
 func (client *Client) key() string {
 	return fmt.Sprintf("k%d", client.Rand.IntN(max(1, client.Habits.Keys)))
 }
--- a/internal/testing/simclient/responses.go
+++ b/internal/testing/simclient/responses.go
@@ -190,7 +190,9 @@
 		}
 		in.messages = slices.DeleteFunc(in.messages, func(x *message) bool { return x == sent })
 		if sent.fresh < freshly {
-			in.messages = append(in.messages, &message{first: sent.first, retry: sent.retry, fresh: sent.fresh + 1})
+			in.messages = append(in.messages, &message{
+				first: sent.first, retry: sent.retry, fresh: sent.fresh + 1, earlier: sent.call,
+			})
 		}
 	},
 }
--- a/tools/mutations/client.sh
+++ b/tools/mutations/client.sh
@@ -14,3 +14,4 @@
 mutant yes-apart internal/client/service.go 's/spaces, forgotten, admit/spaces, admit, forgotten/' $S 'StreamsForget'
 mutant yes-in-time internal/client/withdraw.go 's/WithTimeout\(ctx, s\.Timing\.CallTimeout\(\)\)/WithTimeout(ctx, 9*s.Timing.CallTimeout())/' ./internal/client 'NamesPending'
 mutant keys-everywhere internal/client/calls.go 's/if err := s\.Router\.CheckKeysSupported\(\); err != nil/if err := s.Router.CheckKeysSupported(); false/' ./internal/client 'EveryBuild'
+mutant number-decided-admitted internal/client/service.go 's/limit, number, identity/limit, identity/g; s/forgotten, number := (.*), policy\(s\.rejectCallNumber\)/forgotten := $1/' ./internal/client 'NeverPromisedAway'
