Samza state: a file per concern; a batch of the changelog is put together apart

Cause: state.go had 484 lines; the application of entries stood in function literals of a map, and changelog.Replay read, put together and applied in one function above the bound of complexity.

One mutant now spans two files, so tools/mutation.sh takes several, joined by commas.

--- a/internal/samza/changelog/changelog.go
+++ b/internal/samza/changelog/changelog.go
@@ -4,7 +4,6 @@
 import (
 	"encoding/json"
 
-	"postjunction/internal/apierror"
 	"postjunction/internal/partitionlog/log"
 	"postjunction/internal/samza/state"
 )
@@ -47,43 +46,3 @@
 	b, _ := json.Marshal(commit)
 	return log.Entry{Type: log.TypeOffset, Body: b}
 }
-
-// Replay applies changelog entries to a state: batches only when complete, the input offset only by
-// its record. It returns the committed input offset.
-func Replay(s *state.State, input uint64, entries []log.Entry) (uint64, error) {
-	var parts []Batch
-	for _, entry := range entries {
-		switch entry.Type {
-		case log.TypeBatch:
-			var batch Batch
-			if err := json.Unmarshal(entry.Body, &batch); err != nil {
-				return 0, apierror.Wrap(apierror.DiskDamaged, err, "read changelog entry %d", entry.Offset)
-			}
-			if batch.Part == 0 {
-				parts = nil
-			}
-			if batch.Part != len(parts) || batch.Part > 0 && parts[0].Input != batch.Input {
-				parts = nil
-				continue
-			}
-			if parts = append(parts, batch); len(parts) < batch.Parts {
-				continue
-			}
-			for _, part := range parts {
-				for _, item := range part.Items {
-					if err := s.Set(item); err != nil {
-						return 0, apierror.Wrap(apierror.DiskDamaged, err, "read changelog key %q", item.Key)
-					}
-				}
-			}
-			parts = nil
-		case log.TypeOffset:
-			var commit Commit
-			if err := json.Unmarshal(entry.Body, &commit); err != nil {
-				return 0, apierror.Wrap(apierror.DiskDamaged, err, "read changelog entry %d", entry.Offset)
-			}
-			input = max(input, commit.Input)
-		}
-	}
-	return input, nil
-}
--- a/internal/samza/state/state_test.go
+++ b/internal/samza/state/state_test.go
@@ -88,7 +88,8 @@
 // last call may have been taken.
 func TestAnOlderBuildsAnswersMayHaveBeenTaken(t *testing.T) {
 	s := New()
-	assert.NilError(t, s.Set(Item{Key: "a:" + Key("v", "s/a"), Value: []byte(`{"l":9,"g":2,"r":[{"c":9,"o":4,"s":"d"}]}`)}))
+	older := []byte(`{"l":9,"g":2,"r":[{"c":9,"o":4,"s":"d"}]}`)
+	assert.NilError(t, s.Set(Item{Key: "a:" + Key("v", "s/a"), Value: older}))
 	a := s.Accepted[Key("v", "s/a")]
 	assert.Equal(t, a.Last, uint64(9))
 	assert.Equal(t, a.Floor, uint64(9))
--- a/tools/mutation.sh
+++ b/tools/mutation.sh
@@ -17,14 +17,16 @@
   if ! grep -qx -- "$name" <<<"$known"; then echo "mutation.sh: there is no mutant \"$name\"; there are:" $known >&2; exit 2; fi
 done
 
-mutant() { # name, file, perl expression, package, test regex
-  local name=$1 file=$2 expr=$3 package=$4 tests=$5
+mutant() { # name, file (several joined by commas), perl expression, package, test regex
+  local name=$1 files=${2//,/ } expr=$3 package=$4 tests=$5 file
   if [ ${#wanted[@]} -gt 0 ] && [[ ! " ${wanted[*]} " == *" $name "* ]]; then return; fi
   rm -rf "$work/tree"; mkdir "$work/tree"
   git -C "$root" archive HEAD | tar -x -C "$work/tree"
-  if [ ! -f "$work/tree/$file" ]; then echo "STALE   $name: there is no $file"; failed=1; return; fi
-  perl -0pi -e "$expr" "$work/tree/$file"
-  if git -C "$root" show "HEAD:$file" | cmp -s - "$work/tree/$file"; then echo "STALE   $name: the expression changes nothing"; failed=1; return; fi
+  for file in $files; do
+    if [ ! -f "$work/tree/$file" ]; then echo "STALE   $name: there is no $file"; failed=1; return; fi
+    perl -0pi -e "$expr" "$work/tree/$file"
+    if git -C "$root" show "HEAD:$file" | cmp -s - "$work/tree/$file"; then echo "STALE   $name: the expression changes nothing in $file"; failed=1; return; fi
+  done
   if ! (cd "$work/tree" && go vet "./$(dirname "$file")") >"$work/out" 2>&1; then echo "STALE   $name: does not compile"; head -3 "$work/out"; failed=1; return; fi
   if $stale_only; then echo "applies $name"; return; fi
   if (cd "$work/tree" && timeout 300 go test -count=1 -timeout 280s "$package" -run "$tests") >"$work/out" 2>&1; then
--- a/tools/mutations/samza-changelog.sh
+++ b/tools/mutations/samza-changelog.sh
@@ -1,2 +1,2 @@
 # Mutants of internal/samza/changelog.
-mutant offset-after-batch internal/samza/changelog/changelog.go 's/len\(parts\) < batch.Parts \{/false {/' ./internal/samza/changelog 'Whole'
+mutant offset-after-batch internal/samza/changelog/replay.go 's/len\(\*p\) < part\.Parts \{/false {/' ./internal/samza/changelog 'Whole'
