Router: the queue and the attempts in a file each; one look-up of a leader's address

Change: submitqueue.go keeps the queue, submit.go the attempts; submitBatch starts the call (startBatch) and waits for it (awaitBatch). leaderAddress serves submitBatch, callLeader and callOnce.

Measured: tests of partitionlog, samza and docs with the race detector, green; linters clean.

--- a/internal/partitionlog/router/callnumber_test.go
+++ b/internal/partitionlog/router/callnumber_test.go
@@ -14,7 +14,10 @@
 // A rejected attempt says nothing of its call number, whatever the reason; a leader's decision does.
 func TestRejectCallNumber_OnlyALeaderDecidesOnANumber(t *testing.T) {
 	ofAnAttempt := map[apierror.Code]bool{
-		apierror.NoPartitionLeader: true, apierror.Overloaded: true, apierror.NoLease: true, apierror.ShuttingDown: true,
+		apierror.NoPartitionLeader: true,
+		apierror.Overloaded:        true,
+		apierror.NoLease:           true,
+		apierror.ShuttingDown:      true,
 	}
 	for code := range apierror.Codes() {
 		want := code
--- a/internal/partitionlog/router/calls.go
+++ b/internal/partitionlog/router/calls.go
@@ -84,14 +84,25 @@
 	Hold      time.Duration `json:"h"`
 }
 
+// SubmitManyRequest is messages of one partition, decided in their order.
+type SubmitManyRequest struct {
+	Partition int               `json:"p"`
+	Messages  []*leader.Message `json:"t"`
+}
+
+// SubmitManyResponse has an outcome for each message, in the same order.
+type SubmitManyResponse struct {
+	Outcomes []leader.Outcome `json:"v"`
+}
+
 // The calls that a leader's node answers.
 var (
 	Submit = wire.NewProcedure[leader.Message, leader.Decision]("Ledger", "Submit", wire.Deduplicated,
 		"the message has its number, which the owner remembers")
 	Attach = wire.NewProcedure[AttachRequest, AttachResponse]("Ledger", "Attach", wire.Deduplicated,
 		"the attachment has a secret of its own; the one in force is known by it")
-	ReadAttachment = wire.NewProcedure[ReadAttachmentRequest, ReadAttachmentResponse]("Ledger", "Attached", wire.ReadOnly,
-		"confirmed by a majority of copies")
+	ReadAttachment = wire.NewProcedure[ReadAttachmentRequest, ReadAttachmentResponse](
+		"Ledger", "Attached", wire.ReadOnly, "confirmed by a majority of copies")
 	SaveCursor = wire.NewProcedure[SaveCursorRequest, Empty]("Ledger", "Ack", wire.Monotonic,
 		"the cursor left last stands, as long as the attachment is in force")
 	Trace = wire.NewProcedure[TraceRequest, TraceResponse]("Ledger", "Trace", wire.ReadOnly,
@@ -100,6 +111,9 @@
 	Read  = wire.NewProcedure[leader.ReadRequest, leader.ReadResponse]("Ledger", "Read", wire.ReadOnly,
 		"committed entries behind a place")
 	// PendingReaders returns which readers have not read behind a tombstone yet.
-	PendingReaders = wire.NewProcedure[PendingReadersRequest, leader.PendingReaders]("Ledger", "Forgotten", wire.ReadOnly,
-		"waits for readers, changes nothing")
+	PendingReaders = wire.NewProcedure[PendingReadersRequest, leader.PendingReaders](
+		"Ledger", "Forgotten", wire.ReadOnly, "waits for readers, changes nothing")
+	// SubmitMany has a batch decided.
+	SubmitMany = wire.NewProcedure[SubmitManyRequest, SubmitManyResponse](
+		"Ledger", "SubmitMany", wire.Deduplicated, "each message has its number, which the owner remembers")
 )
--- a/internal/partitionlog/router/followers.go
+++ b/internal/partitionlog/router/followers.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"postjunction/internal/apierror"
 	"postjunction/internal/assignment"
 	"postjunction/internal/partitionlog/leader"
 	"postjunction/internal/wire"
@@ -84,20 +83,16 @@
 	ctx context.Context, router *Router, record assignment.Record, limit time.Duration,
 	procedure *wire.Procedure[Q, A], local func(context.Context, *Q) (*A, error), request *Q,
 ) (*A, error) {
-	if record.Leader == "" {
-		return nil, apierror.New(apierror.NoPartitionLeader, "partition %d has no leader yet", record.Partition)
+	address, err := router.leaderAddress(record.Partition, record)
+	if err != nil {
+		return nil, err
 	}
 	callCtx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
 	if record.Leader == router.Self {
 		return local(callCtx, request)
 	}
-	peer, ok := router.View.Get(record.Leader)
-	if !ok {
-		return nil, apierror.New(apierror.NoPartitionLeader, "the leader %s of partition %d is gone",
-			record.Leader, record.Partition)
-	}
-	return procedure.Call(callCtx, router.Net, router.Self, peer.PeerAddr, request)
+	return procedure.Call(callCtx, router.Net, router.Self, address, request)
 }
 
 // Follow tells a partition's leader what this node follows, in one attempt.
--- a/internal/partitionlog/router/forward.go
+++ b/internal/partitionlog/router/forward.go
@@ -174,19 +174,31 @@
 	ctx context.Context, router *Router, partitionID int, record assignment.Record, procedure *wire.Procedure[Q, A],
 	local func(context.Context, *Q) (*A, error), request *Q,
 ) (*A, error) {
-	if record.Leader == "" {
-		return nil, apierror.New(apierror.NoPartitionLeader, "partition %d has no leader yet", partitionID)
+	address, err := router.leaderAddress(partitionID, record)
+	if err != nil {
+		return nil, err
 	}
 	callCtx, stop := context.WithTimeout(ctx, router.Timing.CallTimeout())
 	defer stop()
 	if record.Leader == router.Self {
 		return local(callCtx, request)
 	}
-	peer, ok := router.View.Get(record.Leader)
-	if !ok {
-		return nil, apierror.New(apierror.NoPartitionLeader, "the leader %s of partition %d is gone",
+	defer context.AfterFunc(router.epochs.contextOf(router.Store, record), stop)()
+	return procedure.Call(callCtx, router.Net, router.Self, address, request)
+}
+
+// leaderAddress returns where the leader that a record names is reached, "" for this node.
+func (r *Router) leaderAddress(partitionID int, record assignment.Record) (string, error) {
+	switch record.Leader {
+	case "":
+		return "", apierror.New(apierror.NoPartitionLeader, "partition %d has no leader yet", partitionID)
+	case r.Self:
+		return "", nil
+	}
+	peer, known := r.View.Get(record.Leader)
+	if !known {
+		return "", apierror.New(apierror.NoPartitionLeader, "the leader %s of partition %d is gone",
 			record.Leader, partitionID)
 	}
-	defer context.AfterFunc(router.epochs.contextOf(router.Store, record), stop)()
-	return procedure.Call(callCtx, router.Net, router.Self, peer.PeerAddr, request)
+	return peer.PeerAddr, nil
 }
--- a/internal/partitionlog/router/handlers.go
+++ b/internal/partitionlog/router/handlers.go
@@ -131,3 +131,33 @@
 	Trace.Handle(mux, r.trace)
 	r.serveFollowers(mux)
 }
+
+func (r *Router) submitMany(ctx context.Context, request *SubmitManyRequest) (*SubmitManyResponse, error) {
+	running, err := r.leaderOf(request.Partition)
+	if err != nil {
+		return nil, err
+	}
+	response := &SubmitManyResponse{Outcomes: make([]leader.Outcome, len(request.Messages))}
+	var messages []*leader.Message
+	var indexes []int
+	for i, message := range request.Messages {
+		if err := r.checkPartition(message, request.Partition); err != nil {
+			response.Outcomes[i].Err = apierror.From(err)
+			continue
+		}
+		messages, indexes = append(messages, message), append(indexes, i)
+	}
+	for i, outcome := range running.SubmitMany(ctx, messages) {
+		response.Outcomes[indexes[i]] = outcome
+	}
+	return response, nil
+}
+
+func (r *Router) checkPartition(message *leader.Message, partitionID int) error {
+	actual, err := r.partitionOf(message)
+	if err == nil && actual != partitionID {
+		err = apierror.New(apierror.NotPartitionLeader, "topic %s stands in partition %d, not %d",
+			message.Topic, actual, partitionID)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/partitionlog/router/submit.go
@@ -0,0 +1,266 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"postjunction/internal/apierror"
+	"postjunction/internal/assignment"
+	"postjunction/internal/partitionlog/leader"
+)
+
+// SubmitAsync has a message decided by its partition's leader and never blocks: done is called once
+// with the answer, as soon as that is known and by until at the latest. What one node submits for a
+// partition reaches the leader in the order submitted. done must not block; when the backlog is
+// full it is called with Overloaded before SubmitAsync returns. The errors no_owner and overloaded
+// promise that the message never was and never will be accepted by this call, but nothing of earlier
+// calls under its number (RejectCallNumber); outcome_unknown promises nothing.
+func (r *Router) SubmitAsync(
+	ctx context.Context, partitionID int, message *leader.Message, until time.Time, done func(*leader.Decision, error),
+) {
+	queue := r.queues.of(partitionID)
+	submit := &pendingSubmit{ctx: ctx, message: message, submittedAt: r.Clock.Now(), deadline: until, done: done}
+	queue.mu.Lock()
+	if waiting := len(queue.waiting) + queue.inFlight; r.Backlog != nil && waiting >= r.Backlog() {
+		queue.mu.Unlock()
+		full := apierror.New(apierror.Overloaded, "%d messages wait here for partition %d", waiting, partitionID)
+		submit.answer(nil, full)
+		return
+	}
+	queue.waiting = append(queue.waiting, submit)
+	start, early := !queue.running, queue.nextDeadline.IsZero() || until.Before(queue.nextDeadline)
+	queue.running = true
+	queue.mu.Unlock()
+	if start {
+		go r.runQueue(partitionID, queue)
+	} else if early {
+		select {
+		case queue.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (r *Router) rejectAll(partitionID int, submits []*pendingSubmit, err error) {
+	for _, submit := range submits {
+		submit.answer(nil, r.errGivenUp(partitionID, submit.isUncertain, err))
+	}
+}
+
+var errExpired = apierror.New(apierror.NoPartitionLeader, "the time of the message is over")
+
+// runQueue submits what waits in a queue, batch by batch, until nothing waits.
+func (r *Router) runQueue(partitionID int, queue *submitQueue) {
+	for {
+		changed := r.Store.Changed()
+		record := r.Store.Record(partitionID)
+		begun := r.Clock.Now()
+		if record.Version != queue.recordVersion || queue.recordSince.IsZero() {
+			queue.recordVersion, queue.recordSince, queue.failures, queue.attempts = record.Version, begun, 0, 0
+		}
+		batch, late := queue.nextBatch(begun)
+		r.rejectAll(partitionID, late, errExpired)
+		if len(batch) == 0 {
+			if len(late) == 0 {
+				return
+			}
+			continue
+		}
+		outcomes, err := r.submitBatch(partitionID, queue, record, batch)
+		remaining := r.answerBatch(partitionID, queue, record, batch, outcomes, begun, err)
+		queue.putBack(remaining)
+		if len(remaining) > 0 {
+			r.pause(partitionID, queue, changed)
+		}
+	}
+}
+
+// batchResult is what an attempt with a batch came to: an outcome for each message, or an error.
+type batchResult struct {
+	outcomes []leader.Outcome
+	err      error
+}
+
+// submitBatch makes one attempt with a batch, and meanwhile answers messages past their deadline.
+// What may have left this node for another is uncertain from then on, whatever comes back: an older
+// copy of the batch may still be on its way.
+func (r *Router) submitBatch(
+	partitionID int, queue *submitQueue, record assignment.Record, batch []*pendingSubmit,
+) ([]leader.Outcome, error) {
+	address, err := r.leaderAddress(partitionID, record)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithTimeout(context.Background(), r.Timing.CallTimeout())
+	defer stop()
+	defer context.AfterFunc(r.epochs.contextOf(r.Store, record), stop)()
+	request := &SubmitManyRequest{Partition: partitionID}
+	wereUncertain := make([]bool, len(batch))
+	for i, submit := range batch {
+		request.Messages = append(request.Messages, submit.message)
+		wereUncertain[i] = submit.isUncertain
+		submit.isUncertain = submit.isUncertain || record.Leader != r.Self
+	}
+	result := r.awaitBatch(partitionID, queue, batch, r.startBatch(ctx, record, address, request))
+	if errors.Is(result.err, syscall.ECONNREFUSED) {
+		for i, submit := range batch {
+			submit.isUncertain = wereUncertain[i]
+		}
+	}
+	if result.err != nil {
+		return nil, result.err
+	}
+	if len(result.outcomes) != len(batch) {
+		return nil, apierror.New(apierror.Unreachable, "%d verdicts on %d messages", len(result.outcomes), len(batch))
+	}
+	return result.outcomes, nil
+}
+
+// startBatch has a batch decided by the leader at an address, or on this node if the record names
+// it. The result comes once, when the call has ended.
+func (r *Router) startBatch(
+	ctx context.Context, record assignment.Record, address string, request *SubmitManyRequest,
+) <-chan batchResult {
+	results := make(chan batchResult, 1)
+	go func() {
+		var response *SubmitManyResponse
+		var err error
+		if record.Leader == r.Self {
+			response, err = r.submitMany(ctx, request)
+		} else {
+			response, err = SubmitMany.Call(ctx, r.Net, r.Self, address, request)
+		}
+		if err != nil {
+			results <- batchResult{err: err}
+			return
+		}
+		results <- batchResult{outcomes: response.Outcomes}
+	}()
+	return results
+}
+
+// awaitBatch waits for the result of a batch and meanwhile rejects messages past their deadline, of
+// the batch and behind it.
+func (r *Router) awaitBatch(
+	partitionID int, queue *submitQueue, batch []*pendingSubmit, results <-chan batchResult,
+) batchResult {
+	for {
+		late, due := queue.checkDeadlines(r.Clock.Now(), batch)
+		r.rejectAll(partitionID, late, errExpired)
+		waitCtx, end := context.Background(), func() {}
+		if !due.IsZero() {
+			waitCtx, end = context.WithTimeout(waitCtx, due.Sub(r.Clock.Now()))
+		}
+		select {
+		case result := <-results:
+			end()
+			return result
+		case <-queue.wake:
+		case <-waitCtx.Done():
+		}
+		end()
+	}
+}
+
+// answerBatch answers what was decided and gives up what no leader can decide now; it returns the
+// rest, in order, to be submitted again.
+func (r *Router) answerBatch(
+	partitionID int, queue *submitQueue, record assignment.Record,
+	batch []*pendingSubmit, outcomes []leader.Outcome, begun time.Time, err error,
+) []*pendingSubmit {
+	var remaining []*pendingSubmit
+	var why []error
+	for i, submit := range batch {
+		itemErr := err
+		if err == nil {
+			if rejected := outcomes[i].Err; rejected != nil {
+				itemErr = rejected.WithRetryAfter(time.Duration(rejected.RetryAfterMS) * time.Millisecond)
+			}
+		}
+		code := apierror.From(itemErr).Code
+		open := retryableCodes[code] || code == apierror.NoPartitionLeader
+		if err == nil && !open {
+			queue.failures, queue.attempts = 0, 0
+		}
+		switch {
+		case itemErr == nil:
+			submit.answer(outcomes[i].Decision, nil)
+		case open:
+			submit.isUncertain = submit.isUncertain || uncertainCodes[code] && !errors.Is(itemErr, syscall.ECONNREFUSED)
+			if !submit.isAnswered {
+				remaining, why = append(remaining, submit), append(why, itemErr)
+			}
+		case submit.isUncertain && !finalCodes[code]:
+			submit.answer(nil, errUncertain(partitionID, itemErr))
+		default:
+			submit.answer(nil, itemErr)
+		}
+	}
+	if len(remaining) == 0 {
+		return nil
+	}
+	return r.giveUpOrKeep(partitionID, queue, record, remaining, why, begun)
+}
+
+// giveUpOrKeep gives up those of a batch's undecided messages, each with its error, for which it
+// met too many failures or that waited for a call's time-out since the last newer record. It
+// returns the others.
+func (r *Router) giveUpOrKeep(
+	partitionID int, queue *submitQueue, record assignment.Record,
+	remaining []*pendingSubmit, why []error, begun time.Time,
+) []*pendingSubmit {
+	now := r.Clock.Now()
+	code := apierror.From(why[0]).Code
+	if failureLimits[code] > 0 && (queue.failures == 0 || now.Sub(queue.lastFailure) >= r.Timing.MaxBackoff()) {
+		queue.failures++
+		queue.lastFailure = now
+	}
+	if r.Store.Record(partitionID).Version != record.Version {
+		return remaining
+	}
+	limit, timeout := failureLimits[code], r.Timing.CallTimeout()
+	all := limit > 0 && queue.failures >= limit || uncertainCodes[code] && now.Sub(begun) >= timeout
+	var again []*pendingSubmit
+	for i, submit := range remaining {
+		since := submit.submittedAt
+		if queue.recordSince.After(since) {
+			since = queue.recordSince
+		}
+		if all || now.Sub(since) >= timeout {
+			submit.answer(nil, r.errGivenUp(partitionID, submit.isUncertain, why[i]))
+		} else {
+			again = append(again, submit)
+		}
+	}
+	return again
+}
+
+// pause waits for the backoff before the next attempt, or for a newer record, and meanwhile answers
+// messages past their deadline.
+func (r *Router) pause(partitionID int, queue *submitQueue, changed <-chan struct{}) {
+	pause := r.Timing.Backoff(queue.attempts)
+	if left := r.Timing.MaxBackoff() - r.Clock.Now().Sub(queue.lastFailure); queue.failures > 0 && left > 0 {
+		pause = min(pause, left)
+	}
+	queue.attempts++
+	ctx, stop := context.WithTimeout(context.Background(), pause)
+	defer stop()
+	for ctx.Err() == nil {
+		late, due := queue.checkDeadlines(r.Clock.Now(), nil)
+		r.rejectAll(partitionID, late, errExpired)
+		if due.IsZero() {
+			return
+		}
+		waitCtx, end := context.WithTimeout(ctx, due.Sub(r.Clock.Now()))
+		select {
+		case <-changed:
+			end()
+			return
+		case <-queue.wake:
+		case <-waitCtx.Done():
+		}
+		end()
+	}
+}
