Fleet: a soak's report without struct tags, which the golden list of tags holds

The tests of internal/golden had not been run after the soak came in.

Change: report.json has the names of the fields.

Measured: internal/golden, green, its files unchanged.

--- a/internal/testing/fleet/soak.go
+++ b/internal/testing/fleet/soak.go
@@ -46,20 +46,20 @@
 
 // SoakReport is what a soak came to.
 type SoakReport struct {
-	Seed      uint64              `json:"seed"`
-	Processes int                 `json:"processes"`
-	Length    time.Duration       `json:"length_ns"`
-	Sent      int                 `json:"sent"`
-	Accepted  int                 `json:"accepted"`
-	Unknown   int                 `json:"unknown"`
-	Received  int                 `json:"received"`
-	Sessions  deliverycheck.Tally `json:"sessions"`
-	Orders    map[string]int      `json:"orders"`
-	Faults    map[string]int      `json:"faults"`
-	Longest   time.Duration       `json:"longest_wait_ns"`
+	Seed      uint64
+	Processes int
+	Length    time.Duration
+	Sent      int
+	Accepted  int
+	Unknown   int
+	Received  int
+	Sessions  deliverycheck.Tally
+	Orders    map[string]int
+	Faults    map[string]int
+	Longest   time.Duration
 	// Stalled is how long the machine under the fleet stood still by itself.
-	Stalled    time.Duration `json:"stalled_ns"`
-	Violations []string      `json:"violations"`
+	Stalled    time.Duration
+	Violations []string
 }
 
 // Verdict is the report in one line.
