--- a/review/stand2/seeds_test.go
+++ b/review/stand2/seeds_test.go
@@ -103,7 +103,11 @@
 }
 
 // place is where a client stood in a topic, before a message that was acknowledged after it.
-type place struct{ topic, cursor, body string }
+type place struct {
+	topic, cursor, body string
+	// at is when the place was saved.
+	at time.Time
+}
 
 // savePlaces subscribes to topics and sends one message on each of them, which must be acknowledged.
 func (r *run) savePlaces() ([]place, bool) {
@@ -122,7 +126,7 @@
 		if word != "CONFIRM" {
 			return nil, false
 		}
-		places = append(places, place{topic, cursor, fmt.Sprintf("message-%02d-aaaaaaaaaaa", i)})
+		places = append(places, place{topic, cursor, fmt.Sprintf("message-%02d-aaaaaaaaaaa", i), time.Now()})
 	}
 	for i, saved := range places {
 		word, reason, err := sender.publish(saved.topic, uint64(i+1), saved.body, 1500*time.Millisecond)
