Log a search for a control node that fails for longer than a session

Cause: a node that finds no control node said nothing. Change: nodelease.Manager logs the failed search once it has lasted longer than a session time-out, under 107 before the first session and 301 later, with the number of seeds that answered.

--- a/internal/nodelease/manager.go
+++ b/internal/nodelease/manager.go
@@ -63,6 +63,10 @@
 	sentInfoNumber uint64
 	// membersUncertain is set when the control node may have left out members that are live.
 	membersUncertain bool
+	// searchFailedSince is when the present search for a control node failed first, the zero time
+	// before that. searchFailureLogged is set once that was logged.
+	searchFailedSince   time.Time
+	searchFailureLogged bool
 }
 
 // Run maintains the session until ctx ends. It blocks.
@@ -74,11 +78,12 @@
 			var err error
 			if control, err = m.chooseControlNode(ctx, avoid, hadSession); err != nil {
 				control, avoid, hadSession = membership.Info{}, "", false
+				m.logSearchFailure(err)
 				m.logLeaseChange()
 				_ = m.Clock.Sleep(ctx, clock.Jitter(m.heartbeatPause(startedAt), 1, rand.Float64()))
 				continue
 			}
-			hadSession = false
+			hadSession, m.searchFailedSince, m.searchFailureLogged = false, time.Time{}, false
 			m.Log.Log(event.Joined, "control", control.Name)
 			m.setControlNode(control)
 		}
@@ -104,6 +109,24 @@
 	}
 }
 
+// logSearchFailure logs that no control node was found, once for each search that takes longer than
+// a session time-out. A node that has had no session yet reports a delayed start.
+func (m *Manager) logSearchFailure(err error) {
+	now := m.Clock.Now()
+	if m.searchFailedSince.IsZero() {
+		m.searchFailedSince = now
+	}
+	if m.searchFailureLogged || now.Sub(m.searchFailedSince) < m.Settings.Timing().SessionTimeout() {
+		return
+	}
+	m.searchFailureLogged = true
+	if m.ControlNode() == "" {
+		m.Log.Log(event.StartDelayed, "problem", err)
+		return
+	}
+	m.Log.Log(event.SessionMoved, "problem", err)
+}
+
 // heartbeatPause returns the pause before the next heartbeat. It is short until the first lease is
 // granted, for no longer than a session time-out. It is also short under a control node that is
 // warming up, for no longer than half of that.
--- a/internal/nodelease/manager_discovery.go
+++ b/internal/nodelease/manager_discovery.go
@@ -51,11 +51,16 @@
 	if hadSession {
 		candidates = m.eligible(slices.Concat(m.View.All(), m.knownControlNodes), avoid)
 	}
+	answered := 0
 	if len(candidates) == 0 {
-		candidates = m.eligible(slices.Concat(m.querySeeds(ctx, avoid), m.View.All(), m.knownControlNodes), avoid)
+		var found []membership.Info
+		found, answered = m.querySeeds(ctx, avoid)
+		candidates = m.eligible(slices.Concat(found, m.View.All(), m.knownControlNodes), avoid)
 	}
 	if len(candidates) == 0 {
-		return membership.Info{}, apierror.New(apierror.Unreachable, "no control node was found through the seeds")
+		return membership.Info{}, apierror.New(apierror.Unreachable,
+			"no control node was found: %d of %d seeds answered, and none knows a control node that serves",
+			answered, len(m.Settings.Seeds))
 	}
 	sameZone := membership.Filter(candidates, func(info membership.Info) bool { return info.Zone == m.Settings.Zone })
 	if len(sameZone) > 0 && avoid == "" {
@@ -65,22 +70,22 @@
 }
 
 // querySeeds asks all seeds at once which nodes they know. It returns when the first answer names
-// an eligible control node.
-func (m *Manager) querySeeds(ctx context.Context, avoid string) []membership.Info {
+// an eligible control node. answered counts the seeds that answered by then.
+func (m *Manager) querySeeds(ctx context.Context, avoid string) (known []membership.Info, answered int) {
 	callCtx, cancel := context.WithTimeout(ctx, m.Settings.Timing().CallTimeout()/2)
 	defer cancel()
-	var known []membership.Info
 	quorum.Gather(callCtx, otherAddresses(m.Settings.Seeds, m.Settings.DialAddress()),
 		func(ctx context.Context, seed string) (*membership.IdentifyResponse, error) {
 			return membership.Identify.Call(ctx, m.Net, m.Settings.Name, seed, &membership.IdentifyRequest{})
 		},
 		func(results []quorum.Result[string, *membership.IdentifyResponse]) bool {
 			if latest := results[len(results)-1]; latest.Err == nil {
+				answered++
 				known = append(append(known, latest.Value.Info), latest.Value.Known...)
 			}
 			return len(m.eligible(known, avoid)) > 0
 		})
-	return known
+	return known, answered
 }
 
 // eligible returns the serving control nodes among some nodes, without this node and the one to
