Control nodes tell seeds that they have not heard of, as long as they run

Clients got REJECT ATTACH CONGEST, the stores never joined, until an operator changed the settings. Cause: stores and access nodes find control nodes through the seeds. A seed without a disk that has restarted knows nobody. Control nodes made themselves known to the seeds only until they had found one another; where they did so through the addresses on their disks before the seeds listened, or ran on while the seeds restarted, nobody told the seeds, and the seeds asked only one another. Evidence: event 107 on the stores, '3 of 3 seeds answered, and none knows a control node that serves' (the seeds: '2 of 3'). Change: at each heartbeat interval a control node sends its Info to every seed that it has not heard of for half a session time-out, one call at a time (nodelease.Server.contactNodes). Why it works: the control nodes know one another from their disks, and the seeds' addresses from their settings; so whatever a seed forgets, it is told again within a heartbeat interval of its start, and at the latest half a session after its last heartbeat.

--- a/internal/nodelease/server.go
+++ b/internal/nodelease/server.go
@@ -40,10 +40,11 @@
 	mu sync.Mutex
 	// ownSessions are the sessions with this control node, by node.
 	ownSessions map[string]nodeInfo
-	// discoveredPeers are the addresses of control nodes that were found through the seeds, by
-	// node.
-	discoveredPeers map[string]string
-	sessionChanged  chan struct{}
+	// discoveredPeers are the control nodes that were found through the seeds, by name.
+	discoveredPeers map[string]nodeInfo
+	// contacting are the addresses that a call of contact to is in flight.
+	contacting     map[string]bool
+	sessionChanged chan struct{}
 	// unansweredPeers are the control nodes, by address, that have not answered since an exchange
 	// with them began.
 	unansweredPeers map[string]unansweredPeer
--- a/internal/nodelease/server_peers.go
+++ b/internal/nodelease/server_peers.go
@@ -7,7 +7,6 @@
 
 	"postjunction/internal/clock"
 	"postjunction/internal/membership"
-	"postjunction/internal/quorum"
 	"postjunction/internal/settings"
 	"postjunction/internal/wire"
 )
@@ -22,13 +21,12 @@
 	refused bool
 }
 
-// Run exchanges sessions with the other control nodes at every heartbeat interval, and at once when
-// a session changes, until ctx ends. Exchanges in flight then end by their own time-outs.
+// Run exchanges sessions with the other control nodes and contacts nodes that may know no control
+// node, at every heartbeat interval, and at once when a session changes, until ctx ends. Calls in
+// flight then end by their own time-outs.
 func (s *Server) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if s.needsDiscovery() {
-			go s.discoverPeers(ctx)
-		}
+		s.contactNodes(ctx)
 		for _, address := range s.peerAddresses() {
 			s.recordPeerCall(address)
 			go s.exchangeSessions(ctx, address)
@@ -49,46 +47,9 @@
 	return peer.refused || s.Clock.Now().Sub(peer.since) > maxSilentHeartbeats*s.Timing.HeartbeatInterval()
 }
 
-// needsDiscovery reports whether this control node has to find others through its seeds.
-func (s *Server) needsDiscovery() bool {
-	if s.Store.VoterSet().Sequence == 0 {
-		return true
-	}
-	return !slices.ContainsFunc(s.Table.Live(), func(info membership.Info) bool {
-		return info.Disk == settings.DiskControl && info.Name != s.Self
-	})
-}
-
-// discoverPeers asks all seeds at once for their Info and for the nodes that they know.
-func (s *Server) discoverPeers(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, s.Timing.CallTimeout())
-	defer cancel()
-	self := s.Info()
-	results := quorum.Gather(callCtx, otherAddresses(s.Seeds, self.PeerAddr),
-		func(ctx context.Context, seed string) (*membership.IdentifyResponse, error) {
-			return membership.Identify.Call(ctx, s.Net, s.Self, seed, &membership.IdentifyRequest{From: &self})
-		}, nil)
-	discovered := map[string]string{}
-	for _, result := range quorum.Successes(results) {
-		for _, info := range append(result.Value.Known, result.Value.Info) {
-			if info.Disk == settings.DiskControl {
-				discovered[info.Name] = info.PeerAddr
-			}
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.discoveredPeers = discovered
-}
-
 // peerAddresses returns the addresses of all other control nodes that are known from any source.
 func (s *Server) peerAddresses() []string {
-	var addresses []string
-	s.mu.Lock()
-	for _, address := range s.discoveredPeers {
-		addresses = append(addresses, address)
-	}
-	s.mu.Unlock()
+	addresses := s.discoveredAddresses()
 	for _, voter := range s.Store.VoterSet().Voters {
 		addresses = append(addresses, voter.Addr)
 	}
