Nodes find the fleet again after all its seeds are gone

What callers saw: all seeds of the settings are gone, or were replaced in turn, while the fleet serves. Cause: but for the voter set on the voters' disks, each address of another node was in memory. A restarted store had its seeds and nothing else, and nobody who knew the address of a restarted node without a disk ever called it. Change: each node keeps an address book of present and former members; a node with a disk stores it, as a new type of record that older builds skip. A node that finds no control node otherwise asks the control nodes and a few others of its book. Control nodes contact former members that they have not heard of, four in a heartbeat interval, as they do with seeds. A whole fleet makes no such call. Why it works: whoever has a disk finds a control node by itself, and tells, if it is a control node, those who have none. SaveCursor of the simulator no longer assumes that c2 or c3 is present.

--- a/internal/disk/journal/journal_test.go
+++ b/internal/disk/journal/journal_test.go
@@ -57,6 +57,16 @@
 
 func record(body string) journal.Record { return journal.Record{Kind: 1, Body: []byte(body)} }
 
+// Guards old builds against record types that newer ones add: such records are skipped.
+func TestOpen_SkipsRecordsOfUnknownTypes(t *testing.T) {
+	disk := &slowLog{Disk: memlog.New()}
+	j := startJournal(t, disk)
+	assert.NilError(t, j.Put(t.Context(), false, func() {}, journal.Record{Kind: 250, Body: []byte("new")}))
+	_, report, err := journal.Open(disk, clock.Real{}, nil, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, report, journal.Report{Records: 1})
+}
+
 // Urgent records share neither a write nor a sync with the routine ones that were put before them.
 func TestUrgentRecordsAreWrittenAloneAndNext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/disk.go
+++ b/internal/node/disk.go
@@ -43,14 +43,15 @@
 func (n *Node) openJournal() error {
 	n.identity, n.acceptor, n.replica = &identity.Part{}, acceptor.New(), replica.New(n.env.Clock)
 	parts := map[uint16]journal.Part{
-		recordtype.Identity: n.identity,
-		recordtype.Slot:     n.acceptor,
-		recordtype.VoterSet: n.acceptor,
+		recordtype.Identity:  n.identity,
+		recordtype.Slot:      n.acceptor,
+		recordtype.VoterSet:  n.acceptor,
+		recordtype.Addresses: n.addressBook,
 	}
 	for _, recordType := range replica.RecordTypes() {
 		parts[recordType] = n.replica
 	}
-	order := []journal.Part{n.identity, n.acceptor, n.replica}
+	order := []journal.Part{n.identity, n.acceptor, n.addressBook, n.replica}
 	opened, report, err := journal.Open(n.env.Disk, n.env.Clock, parts, order)
 	if err != nil {
 		return err
@@ -76,8 +77,8 @@
 }
 
 // superviseDisk checks the disk every reconcile interval until ctx ends. It binds the disk to the
-// fleet, drops replicas that were moved elsewhere, records whether the disk accepts writes, and
-// scrubs its records.
+// fleet, stores the addresses of members, drops replicas that were moved elsewhere, records whether
+// the disk accepts writes, and scrubs its records.
 func (n *Node) superviseDisk(ctx context.Context) {
 	timing, clk := n.timing(), n.env.Clock
 	lastScrub, lastDrop := clk.Now(), clk.Now()
@@ -88,6 +89,7 @@
 			}
 			continue
 		}
+		n.storeAddresses(ctx)
 		if clk.Now().Sub(lastDrop) > timing.SweepInterval() {
 			lastDrop = clk.Now()
 			n.leaders.DropOrphans(ctx)
@@ -118,6 +120,17 @@
 	return n.identity.Join(ctx, n.journal, fleet)
 }
 
+// storeAddresses stores the address book of a node that knows its fleet. It does not report an
+// error: the next call tries again, and a disk that fails is reported by probeDisk.
+func (n *Node) storeAddresses(ctx context.Context) {
+	if n.Store.VoterSet().Fleet == "" {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, n.timing().CallTimeout())
+	defer stop()
+	_ = n.addressBook.Store(ctx, n.journal)
+}
+
 // probeDisk returns why the disk accepts no writes, nil if it does. Only a failed disk is probed,
 // so that probing adds no writes to a healthy one.
 func (n *Node) probeDisk(ctx context.Context, timeout time.Duration) error {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -17,13 +17,14 @@
 // disk can't be opened or belongs to another node, it returns that error and nothing runs.
 func Start(ctx context.Context, opts settings.Options, env Environment, log *event.Logger) (*Node, error) {
 	n := &Node{
-		env:      env,
-		log:      log,
-		opts:     opts,
-		bootID:   newBootID(),
-		stage:    membership.Serving,
-		draining: make(chan struct{}),
-		View:     membership.NewView(),
+		env:         env,
+		log:         log,
+		opts:        opts,
+		bootID:      newBootID(),
+		stage:       membership.Serving,
+		draining:    make(chan struct{}),
+		View:        membership.NewView(),
+		addressBook: &membership.AddressBook{},
 	}
 	n.Store = gossip.NewStore(n.onUpdate)
 	ctx, n.cancel = context.WithCancel(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,8 @@
 	identity *identity.Part
 	acceptor *acceptor.Acceptor
 	replica  *replica.Replica
+	// addressBook is in memory only on a node without a disk.
+	addressBook *membership.AddressBook
 
 	// Store contains the cluster's state as this node knows it: configuration, voter set and
 	// partition assignments.
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -65,7 +65,7 @@
 	}
 	n.leaseServer = &nodelease.Server{
 		Self: self, Net: net, Clock: clk, Timing: timing,
-		Seeds: opts.Seeds, Table: n.memberTable, Store: n.Store,
+		Seeds: opts.Seeds, AddressBook: n.addressBook, Table: n.memberTable, Store: n.Store,
 		Info: n.Info, LatestConfirmation: n.confirmer.Latest,
 	}
 	n.bootstrapper = bootstrap.New(opts, net, n.Info)
@@ -89,7 +89,7 @@
 	n.registers = registerclient.New(self, net, timing, n.members, n.proposer)
 	n.leaseManager = &nodelease.Manager{
 		Settings: opts, Net: net, Clock: clk, Log: n.log,
-		Store: n.Store, View: n.View, Info: n.Info, Local: n.leaseServer,
+		Store: n.Store, View: n.View, AddressBook: n.addressBook, Info: n.Info, Local: n.leaseServer,
 	}
 	n.gossiper = &gossip.Gossiper{
 		Self: self, Net: net, Clock: clk, Timing: timing, Store: n.Store, View: n.View.All,
--- a/internal/nodelease/helpers_test.go
+++ b/internal/nodelease/helpers_test.go
@@ -37,11 +37,15 @@
 ) *Server {
 	return &Server{
 		Self: self, Clock: clock.Real{}, Timing: timing, Table: membership.NewTable(clock.Real{}, timing), Store: store,
+		AddressBook:        &membership.AddressBook{},
 		Info:               func() membership.Info { return membership.Info{Name: self} },
 		LatestConfirmation: latestConfirmation,
 	}
 }
 
 func newManager(options settings.Options, store *gossip.Store, info func() membership.Info) *Manager {
-	return &Manager{Settings: options, Clock: clock.Real{}, Store: store, View: membership.NewView(), Info: info}
+	return &Manager{
+		Settings: options, Clock: clock.Real{}, Store: store, View: membership.NewView(),
+		AddressBook: &membership.AddressBook{}, Info: info,
+	}
 }
--- a/internal/nodelease/manager.go
+++ b/internal/nodelease/manager.go
@@ -26,7 +26,10 @@
 	Net      wire.Network
 	Store    *gossip.Store
 	View     *membership.View
-	Info     func() membership.Info
+	// AddressBook has the addresses to query if the seeds know no control node. The members of this
+	// node's sessions are added to it.
+	AddressBook *membership.AddressBook
+	Info        func() membership.Info
 	// Local is the Server on this node, nil if this node is not a control node.
 	Local *Server
 	Log   *event.Logger
@@ -71,19 +74,20 @@
 
 // Run maintains the session until ctx ends. It blocks.
 func (m *Manager) Run(ctx context.Context) {
-	avoid, missed, hadSession, startedAt := "", 0, false, m.Clock.Now()
+	missed, startedAt := 0, m.Clock.Now()
+	var search controlSearch
 	var control membership.Info
 	for ctx.Err() == nil {
 		if control.Name == "" {
 			var err error
-			if control, err = m.chooseControlNode(ctx, avoid, hadSession); err != nil {
-				control, avoid, hadSession = membership.Info{}, "", false
+			if control, err = m.chooseControlNode(ctx, search); err != nil {
+				control, search.avoid, search.hadSession = membership.Info{}, "", false
 				m.logSearchFailure(err)
 				m.logLeaseChange()
 				_ = m.Clock.Sleep(ctx, clock.Jitter(m.heartbeatPause(startedAt), 1, rand.Float64()))
 				continue
 			}
-			hadSession, m.searchFailedSince, m.searchFailureLogged = false, time.Time{}, false
+			search.hadSession, m.searchFailedSince, m.searchFailureLogged = false, time.Time{}, false
 			m.Log.Log(event.Joined, "control", control.Name)
 			m.setControlNode(control)
 		}
@@ -97,12 +101,12 @@
 				pause = m.Settings.Timing().RefusalRetryDelay()
 			}
 		default:
-			missed, hadSession = 0, true
+			missed, search = 0, controlSearch{hadSession: true}
 		}
 		m.logLeaseChange()
 		if missed >= maxMissedHeartbeats {
 			m.Log.Log(event.SessionMoved, "control", control.Name)
-			avoid, missed, control = control.Name, 0, membership.Info{}
+			search.avoid, missed, control = control.Name, 0, membership.Info{}
 			continue
 		}
 		_ = m.Clock.Sleep(ctx, pause)
--- a/internal/nodelease/manager_heartbeat.go
+++ b/internal/nodelease/manager_heartbeat.go
@@ -6,7 +6,6 @@
 
 	"postjunction/internal/gossip"
 	"postjunction/internal/membership"
-	"postjunction/internal/settings"
 )
 
 // heartbeat sends a heartbeat, applies the response and renews the lease by it. Without a voter set
@@ -93,6 +92,7 @@
 		}
 		members = m.members.All()
 	}
+	m.AddressBook.Observe(members)
 	m.membersUncertain = uncertain
 	m.mu.Lock()
 	m.controlWarmingUp = response.WarmingUp
@@ -102,8 +102,7 @@
 	} else {
 		m.View.Set(members)
 	}
-	controlNodes := membership.Filter(members,
-		func(info membership.Info) bool { return info.Disk == settings.DiskControl })
+	controlNodes := membership.Filter(members, isControlNode)
 	if len(controlNodes) > 0 {
 		m.knownControlNodes = slices.Clone(controlNodes)
 	}
--- a/internal/nodelease/server.go
+++ b/internal/nodelease/server.go
@@ -28,6 +28,7 @@
 type Server struct {
 	Self               string
 	Seeds              []string
+	AddressBook        *membership.AddressBook
 	Clock              clock.Clock
 	Timing             settings.Timing
 	Net                wire.Network
@@ -43,7 +44,9 @@
 	// discoveredPeers are the control nodes that were found through the seeds, by name.
 	discoveredPeers map[string]nodeInfo
 	// contacting are the addresses that a call of contact to is in flight.
-	contacting     map[string]bool
+	contacting map[string]bool
+	// nextContact is the number of former members that were contacted so far.
+	nextContact    int
 	sessionChanged chan struct{}
 	// unansweredPeers are the control nodes, by address, that have not answered since an exchange
 	// with them began.
--- a/internal/nodelease/server_discovery.go
+++ b/internal/nodelease/server_discovery.go
@@ -5,21 +5,25 @@
 	"slices"
 
 	"postjunction/internal/membership"
-	"postjunction/internal/settings"
 )
 
 // silenceDivisor determines after which silence a node may have restarted and forgotten the control
 // nodes: a session time-out divided by it.
 const silenceDivisor = 2
 
-// contactNodes sends this control node's Info to the nodes of contactAddresses. It does not wait for
-// the answers.
+// formerMembersPerRound is how many former members are contacted in a heartbeat interval.
+const formerMembersPerRound = 4
+
+// contactNodes sends this control node's Info to nodes that may know no control node: seeds and
+// former members. It does not wait for the answers. It records the control nodes that seeds and
+// control nodes name while it has to find others.
 func (s *Server) contactNodes(ctx context.Context) {
 	isDiscovering := s.needsDiscovery()
-	for _, address := range s.contactAddresses(isDiscovering) {
-		if s.beginContact(address) {
-			go s.contact(ctx, address, isDiscovering)
-		}
+	for _, address := range s.discoveryAddresses(isDiscovering) {
+		s.startContact(ctx, address, isDiscovering)
+	}
+	for _, address := range s.nextFormerMembers() {
+		s.startContact(ctx, address, false)
 	}
 }
 
@@ -29,19 +33,38 @@
 		return true
 	}
 	return !slices.ContainsFunc(s.Table.Live(), func(info membership.Info) bool {
-		return info.Disk == settings.DiskControl && info.Name != s.Self
+		return isControlNode(info) && info.Name != s.Self
 	})
 }
 
-// contactAddresses returns the addresses to contact: all seeds while this control node has to find
-// others, and else those seeds that it has not heard of for a while. Such a seed may have restarted
-// without a disk. It knows no control node then, and nobody but a control node can tell it.
-func (s *Server) contactAddresses(isDiscovering bool) []string {
-	addresses := s.Seeds
-	if !isDiscovering {
-		addresses = s.silentAddresses(addresses)
+// discoveryAddresses returns the seeds and the control nodes of the address book while this control
+// node has to find others, and else those seeds that it has not heard of for a while. Such a seed may
+// have restarted without a disk. It knows no control node then, and nobody but a control node can
+// tell it.
+func (s *Server) discoveryAddresses(isDiscovering bool) []string {
+	if isDiscovering {
+		return otherAddresses(slices.Concat(s.Seeds, s.AddressBook.Control()), s.Info().PeerAddr)
 	}
-	return otherAddresses(addresses, s.Info().PeerAddr)
+	return otherAddresses(s.silentAddresses(s.Seeds), s.Info().PeerAddr)
+}
+
+// nextFormerMembers returns the next few addresses of the address book at which no node has renewed
+// its session lately. Over some rounds it returns all of them. Before a voter set is known it returns
+// none.
+func (s *Server) nextFormerMembers() []string {
+	if s.Store.VoterSet().Sequence == 0 {
+		return nil
+	}
+	silent := otherAddresses(s.silentAddresses(s.AddressBook.All()), s.Info().PeerAddr)
+	count := min(len(silent), formerMembersPerRound)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var next []string
+	for range count {
+		next = append(next, silent[s.nextContact%len(silent)])
+		s.nextContact++
+	}
+	return next
 }
 
 // silentAddresses returns those of the addresses at which no node has renewed its session lately.
@@ -55,17 +78,23 @@
 	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return heard[address] })
 }
 
-// contact sends this control node's Info to the node at an address. If isDiscovering is set, it
-// records the control nodes that the node knows.
-func (s *Server) contact(ctx context.Context, address string, isDiscovering bool) {
-	defer s.endContact(address)
-	callCtx, cancel := context.WithTimeout(ctx, s.Timing.CallTimeout())
-	defer cancel()
-	self := s.Info()
-	response, err := membership.Identify.Call(callCtx, s.Net, s.Self, address, &membership.IdentifyRequest{From: &self})
-	if err == nil && isDiscovering {
-		s.recordDiscovered(append(response.Known, response.Info))
+// startContact sends this control node's Info to the node at an address, unless an earlier call to
+// it is in flight. If recordAnswer is set, it records the control nodes that the node knows.
+func (s *Server) startContact(ctx context.Context, address string, recordAnswer bool) {
+	if !s.beginContact(address) {
+		return
 	}
+	go func() {
+		defer s.endContact(address)
+		callCtx, cancel := context.WithTimeout(ctx, s.Timing.CallTimeout())
+		defer cancel()
+		self := s.Info()
+		request := &membership.IdentifyRequest{From: &self}
+		response, err := membership.Identify.Call(callCtx, s.Net, s.Self, address, request)
+		if err == nil && recordAnswer {
+			s.recordDiscovered(append(response.Known, response.Info))
+		}
+	}()
 }
 
 // beginContact reports whether the node at an address may be contacted: not while an earlier call to
@@ -98,7 +127,7 @@
 		s.discoveredPeers = map[string]nodeInfo{}
 	}
 	for _, info := range nodes {
-		if info.Disk == settings.DiskControl {
+		if isControlNode(info) {
 			s.discoveredPeers[info.Name] = nodeInfo{info: info, receivedAt: now}
 		}
 	}
--- a/internal/nodelease/server_discovery_test.go
+++ b/internal/nodelease/server_discovery_test.go
@@ -1,6 +1,8 @@
 package nodelease
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,12 +25,12 @@
 
 // Guards against control nodes that know one another and leave a seed alone that has restarted with
 // nothing on disk.
-func TestContactAddresses_SilentSeedIsContacted(t *testing.T) {
+func TestDiscoveryAddresses_SilentSeedIsContacted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := gossip.NewStore(nil)
 		server := newServer("c1", settings.DefaultTiming, store, confirmedNow)
 		server.Seeds = []string{"127.0.0.1:11", "127.0.0.1:12"}
-		contacts := func() []string { return server.contactAddresses(server.needsDiscovery()) }
+		contacts := func() []string { return server.discoveryAddresses(server.needsDiscovery()) }
 		assert.DeepEqual(t, contacts(), []string{"127.0.0.1:11", "127.0.0.1:12"})
 
 		store.Apply(gossip.Update{VoterSet: &firstVoterSet})
@@ -41,6 +43,28 @@
 	})
 }
 
+// Guards against former members that are never contacted, or contacted all at once.
+func TestNextFormerMembers_TakesTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := gossip.NewStore(nil)
+		server := newServer("c1", settings.DefaultTiming, store, confirmedNow)
+		members := []membership.Info{{Name: "a0", PeerAddr: "127.0.0.1:20"}}
+		server.Table.Observe(members[0], 0)
+		for i := range 2 * formerMembersPerRound {
+			members = append(members, membership.Info{PeerAddr: fmt.Sprintf("127.0.0.1:3%d", i)})
+		}
+		server.AddressBook.Observe(members)
+		assert.Equal(t, len(server.nextFormerMembers()), 0, "no voter set is known")
+
+		store.Apply(gossip.Update{VoterSet: &firstVoterSet})
+		first, second := server.nextFormerMembers(), server.nextFormerMembers()
+		assert.Equal(t, len(first), formerMembersPerRound)
+		contacted := slices.Sorted(slices.Values(slices.Concat(first, second)))
+		assert.Equal(t, len(slices.Compact(contacted)), 2*formerMembersPerRound)
+		assert.Assert(t, !slices.Contains(contacted, "127.0.0.1:20"), "a present member is left alone")
+	})
+}
+
 // Guards against a node that is told of a control node by that node itself and yet finds none.
 func TestChooseControlNode_IdentifiedNodeIsTheLastResort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -49,24 +73,24 @@
 		identified := membership.Info{Name: "c1", Disk: settings.DiskControl, Stage: membership.Serving}
 		known := membership.Info{Name: "c2", Disk: settings.DiskControl, Stage: membership.Serving}
 
-		_, err := manager.chooseControlNode(t.Context(), "", false)
+		_, err := manager.chooseControlNode(t.Context(), controlSearch{})
 		assert.ErrorContains(t, err, "no control node was found")
 
 		_, err = manager.Identify(t.Context(), &membership.IdentifyRequest{From: &identified})
 		assert.NilError(t, err)
-		chosen, err := manager.chooseControlNode(t.Context(), "", false)
+		chosen, err := manager.chooseControlNode(t.Context(), controlSearch{})
 		assert.NilError(t, err)
 		assert.Equal(t, chosen.Name, "c1")
 
 		manager.View.Set([]membership.Info{known})
-		chosen, err = manager.chooseControlNode(t.Context(), "", false)
+		chosen, err = manager.chooseControlNode(t.Context(), controlSearch{})
 		assert.NilError(t, err)
 		assert.Equal(t, chosen.Name, "c2")
 	})
 }
 
 // Guards against nodes that pass on control nodes of another fleet, which remembers this address.
-func TestIdentify_NodeWithAWorkingSessionRecordsNobody(t *testing.T) {
+func TestIdentify_NodeWithASessionRecordsNoControlNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := gossip.NewStore(nil)
 		store.Apply(gossip.Update{VoterSet: &firstVoterSet})
--- a/internal/nodelease/server_peers.go
+++ b/internal/nodelease/server_peers.go
@@ -7,7 +7,6 @@
 
 	"postjunction/internal/clock"
 	"postjunction/internal/membership"
-	"postjunction/internal/settings"
 	"postjunction/internal/wire"
 )
 
@@ -54,7 +53,7 @@
 		addresses = append(addresses, voter.Addr)
 	}
 	for _, info := range s.Table.Live() {
-		if info.Disk == settings.DiskControl {
+		if isControlNode(info) {
 			addresses = append(addresses, info.PeerAddr)
 		}
 	}
--- a/internal/recordtype/recordtype.go
+++ b/internal/recordtype/recordtype.go
@@ -16,4 +16,5 @@
 	CompactionBegins                   // the beginning of a slice of a compaction
 	CompactionEnds                     // the end of the slice
 	Probe                              // no content; a health check of the disk
+	Addresses                          // the addresses of present and former members
 )
--- a/internal/testing/sim/discovery_test.go
+++ b/internal/testing/sim/discovery_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"postjunction/internal/membership"
 	"postjunction/internal/settings"
 )
 
@@ -51,17 +52,6 @@
 	}
 }
 
-// presentOf returns the machines of a kind that are not removed.
-func (w *World) presentOf(disk string) []string {
-	var names []string
-	for _, name := range w.Present() {
-		if w.Machines[name].Opts.Disk == disk {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // allServeWithinRecovery checks that every machine present is ready within the recovery time.
 func (w *World) allServeWithinRecovery(t *testing.T) {
 	t.Helper()
@@ -70,36 +60,46 @@
 	t.Logf("all nodes serve after %s", time.Since(startedAt))
 }
 
+// killAndRestartAll kills all machines and starts them again in any order, or in any order after the
+// control nodes.
+func (w *World) killAndRestartAll(t *testing.T, controlNodesFirst bool) {
+	t.Helper()
+	w.killTogether(w.Present()...)
+	if controlNodesFirst {
+		assert.NilError(t, w.Start(w.presentOf(settings.DiskControl)...))
+		time.Sleep(startSpread)
+	}
+	w.startInAnyOrder(t, w.Present()...)
+}
+
 // Guards against seeds that restart with nothing on disk and that nobody tells of the fleet: the
 // control nodes have found one another through their disks by then, so the nodes that find control
 // nodes through the seeds stay outside for good.
 func TestKilledFleet_SeedsThatForgotLearnOfTheControlNodes(t *testing.T) {
 	t.Parallel()
 	skipUnderRace(t)
-	for controlSeeds := range 2 {
-		for _, order := range []string{"control nodes first", "any order"} {
-			for seed := range uint64(seeds(2)) {
-				t.Run(fmt.Sprintf("%d control seeds, %s, seed %d", controlSeeds, order, seed), func(t *testing.T) {
-					t.Parallel()
-					site := withSpares(seedSite(3, controlSeeds), "c1")
-					runScenario(t, site, 820+seed, time.Hour, func(t *testing.T, w *World) {
-						if controlSeeds > 0 {
-							// The control node among the seeds is replaced by one at another address.
-							assert.NilError(t, w.Add("c1b"))
-							time.Sleep(time.Second)
-							w.Remove("c1", true)
-							time.Sleep(8 * time.Second)
-						}
-						w.killTogether(w.Present()...)
-						if order == "control nodes first" {
-							assert.NilError(t, w.Start(w.presentOf(settings.DiskControl)...))
-							time.Sleep(startSpread)
-						}
-						w.startInAnyOrder(t, w.Present()...)
-						w.allServeWithinRecovery(t)
-					})
+	for _, test := range []struct {
+		name              string
+		controlSeeds      int
+		controlNodesFirst bool
+	}{
+		{"control nodes first", 0, true},
+		{"any order", 0, false},
+		{"a replaced seed, control nodes first", 1, true},
+		{"a replaced seed, any order", 1, false},
+	} {
+		for seed := range uint64(seeds(2)) {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				t.Parallel()
+				site := withSpares(seedSite(3, test.controlSeeds), "c1")
+				runScenario(t, site, 820+seed, time.Hour, func(t *testing.T, w *World) {
+					if test.controlSeeds > 0 {
+						w.replaceInTurn(t, "c1")
+					}
+					w.killAndRestartAll(t, test.controlNodesFirst)
+					w.allServeWithinRecovery(t)
 				})
-			}
+			})
 		}
 	}
 }
@@ -119,3 +119,90 @@
 		})
 	}
 }
+
+// Guards against calls that a whole fleet pays for: its control nodes contact nobody.
+func TestWholeFleet_ControlNodesContactNoNode(t *testing.T) {
+	t.Parallel()
+	runFleet(t, seedSite(3, 1), 870, func(t *testing.T, w *World) {
+		time.Sleep(w.Site.Timing.SessionTimeout())
+		before := w.TrafficByPath()[membership.Identify.Path].Calls
+		time.Sleep(w.Site.Timing.Recovery)
+		assert.Equal(t, w.TrafficByPath()[membership.Identify.Path].Calls, before)
+	})
+}
+
+// withAccess returns the site with another number of access nodes.
+func withAccess(site Site, access int) Site {
+	site.Access = access
+	return site
+}
+
+// replaceInTurn adds the spare of each machine and removes the machine, one after the other.
+func (w *World) replaceInTurn(t *testing.T, names ...string) {
+	t.Helper()
+	for _, name := range names {
+		assert.NilError(t, w.Add(name+"b"))
+		time.Sleep(time.Second)
+		w.Remove(name, true)
+		time.Sleep(5 * time.Second)
+	}
+}
+
+// loseSeeds removes the machines that the settings name as seeds, or replaces them if they have
+// spares.
+func (w *World) loseSeeds(t *testing.T) {
+	t.Helper()
+	if len(w.Site.Spares) > 0 {
+		w.replaceInTurn(t, w.Site.Spares...)
+		return
+	}
+	for _, seed := range []string{"a1", "a2", "a3"} {
+		w.Remove(seed, false)
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// Guards against a fleet that can't find itself once all seeds of its settings are gone: stores and
+// access nodes knew no other address, and nobody knew theirs.
+func TestSeedsGone_RestartedNodesFindTheFleet(t *testing.T) {
+	t.Parallel()
+	skipUnderRace(t)
+	accessSeeds, controlSeeds := withAccess(seedSite(3, 0), 5), withSpares(withAccess(Armor, 3), "c1", "c2", "c3")
+	for _, test := range []struct {
+		name         string
+		site         Site
+		killTogether bool
+	}{
+		{"access nodes as seeds, killed together", accessSeeds, true},
+		{"access nodes as seeds, restarted in turn", accessSeeds, false},
+		{"control nodes as seeds, killed together", controlSeeds, true},
+		{"control nodes as seeds, restarted in turn", controlSeeds, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			runScenario(t, test.site, 840, time.Hour, func(t *testing.T, w *World) {
+				w.loseSeeds(t)
+				if test.killTogether {
+					w.killAndRestartAll(t, false)
+				} else {
+					w.restartInTurn(t, w.Present()...)
+				}
+				w.allServeWithinRecovery(t)
+			})
+		})
+	}
+}
+
+// Guards against a voter, and a store, that come back to a fleet whose other control nodes, the seeds
+// among them, have all been replaced meanwhile.
+func TestSeedsGone_NodesThatWereAwayFindTheFleet(t *testing.T) {
+	t.Parallel()
+	skipUnderRace(t)
+	runScenario(t, withSpares(withAccess(Traductores, 2), "c1", "c2", "c3"), 850, time.Hour, func(t *testing.T, w *World) {
+		w.Kill("c4")
+		w.Kill("s4")
+		w.replaceInTurn(t, w.Site.Spares...)
+		assert.NilError(t, w.Start("c4", "s4"))
+		w.allServeWithinRecovery(t)
+	})
+}
--- a/internal/testing/sim/readback.go
+++ b/internal/testing/sim/readback.go
@@ -8,6 +8,7 @@
 
 	"postjunction/internal/apierror"
 	"postjunction/internal/client"
+	"postjunction/internal/settings"
 	"postjunction/internal/testing/history"
 )
 
@@ -54,7 +55,8 @@
 	saved.Topics = append(saved.Topics, "stop/line")
 	through := "c2"
 	if w.Machines[through].isRemoved() {
-		through = "c3"
+		controlNodes := w.presentOf(settings.DiskControl)
+		through = controlNodes[len(controlNodes)-1]
 	}
 	err := w.followAsNewClient("archivist", saved.Topics, "", through, w.Site.Timing.Recovery,
 		func(event client.Event) error {
--- a/internal/testing/sim/world.go
+++ b/internal/testing/sim/world.go
@@ -171,6 +171,11 @@
 	return slices.DeleteFunc(slices.Clone(w.Names), func(n string) bool { return w.Machines[n].isRemoved() })
 }
 
+// presentOf returns the machines with a kind of disk that are not removed.
+func (w *World) presentOf(disk string) []string {
+	return slices.DeleteFunc(w.Present(), func(n string) bool { return w.Machines[n].Opts.Disk != disk })
+}
+
 // Logger returns standard error when PJ_SIM_LOG is set, nil otherwise.
 func Logger() io.Writer {
 	if os.Getenv("PJ_SIM_LOG") != "" {
