A node drops members from its choice that answer no more

What callers saw: a node that was cut off while all control nodes were replaced, the seeds among them, never came back after the cut. A store in its place is a replica less for good. Cause: it chose its next control node among the members that it knew. They were all gone, but as long as it knew some it looked no further. Change: after two control nodes in a row that answered no heartbeat, it no longer chooses among the members that it knows, and so comes to those that told it of themselves and to its address book.

--- a/internal/nodelease/manager.go
+++ b/internal/nodelease/manager.go
@@ -72,6 +72,10 @@
 	searchFailureLogged bool
 }
 
+// maxFailedSessions is how many control nodes in a row may answer no heartbeat before the known
+// members count as outdated.
+const maxFailedSessions = 2
+
 // Run maintains the session until ctx ends. It blocks.
 func (m *Manager) Run(ctx context.Context) {
 	missed, startedAt := 0, m.Clock.Now()
@@ -107,6 +111,9 @@
 		if missed >= maxMissedHeartbeats {
 			m.Log.Log(event.SessionMoved, "control", control.Name)
 			search.avoid, missed, control = control.Name, 0, membership.Info{}
+			if !search.hadSession {
+				search.failedSessions++
+			}
 			continue
 		}
 		_ = m.Clock.Sleep(ctx, pause)
--- a/internal/nodelease/manager_discovery.go
+++ b/internal/nodelease/manager_discovery.go
@@ -20,8 +20,13 @@
 	avoid string
 	// hadSession reports that this session worked.
 	hadSession bool
+	// failedSessions counts the control nodes since then that answered no heartbeat.
+	failedSessions int
 }
 
+// membersOutdated reports whether the members of the last session are of no use any more.
+func (s controlSearch) membersOutdated() bool { return s.failedSessions >= maxFailedSessions }
+
 // Identify returns the Info of this node and of the nodes that it knows, including the control nodes
 // that identified themselves recently. Those are recorded only while this node has no working
 // session: a node that has one knows the control nodes of its fleet from it.
@@ -97,11 +102,14 @@
 	return candidates[rand.IntN(len(candidates))], nil
 }
 
-// findControlNodes returns the control nodes that the seeds know, and the known ones. If there are none, it returns those that identified themselves to this node, and then
+// findControlNodes returns the control nodes that the seeds know, and the known ones unless they are
+// outdated. If there are none, it returns those that identified themselves to this node, and then
 // those that the nodes of the address book know. An error has the code Unreachable.
 func (m *Manager) findControlNodes(ctx context.Context, search controlSearch) ([]membership.Info, error) {
 	found, answered := m.queryNodes(ctx, m.Settings.Seeds, search.avoid)
-	found = slices.Concat(found, m.knownMembers())
+	if !search.membersOutdated() {
+		found = slices.Concat(found, m.knownMembers())
+	}
 	if candidates := m.eligible(found, search.avoid); len(candidates) > 0 {
 		return candidates, nil
 	}
--- a/internal/testing/sim/discovery_test.go
+++ b/internal/testing/sim/discovery_test.go
@@ -206,3 +206,17 @@
 		w.allServeWithinRecovery(t)
 	})
 }
+
+// Guards against nodes that were cut off while all control nodes were replaced, and then try the old
+// ones for ever.
+func TestSeedsGone_NodesThatWereCutOffFindTheFleet(t *testing.T) {
+	t.Parallel()
+	skipUnderRace(t)
+	runScenario(t, withSpares(withAccess(Armor, 3), "c1", "c2", "c3"), 860, time.Hour, func(t *testing.T, w *World) {
+		w.Isolate("a1")
+		w.Isolate("s1")
+		w.replaceInTurn(t, w.Site.Spares...)
+		w.Heal()
+		w.allServeWithinRecovery(t)
+	})
+}
--- a/tools/mutations/nodelease.sh
+++ b/tools/mutations/nodelease.sh
@@ -8,3 +8,4 @@
 mutant former-members-told internal/nodelease/server_discovery.go 's/range s\.nextFormerMembers\(\)/range []string{}/' $S 'SeedsGone_RestartedNodes'
 mutant address-book-queried internal/nodelease/manager_discovery.go 's/m\.AddressBook\.Sample\(maxOtherQueries\)/nil/' $S 'SeedsGone_RestartedNodes'
 mutant address-book-stored internal/node/disk.go 's/_ = n\.addressBook\.Store\(ctx, n\.journal\)//' $S 'SeedsGone_RestartedNodes'
+mutant outdated-members-dropped internal/nodelease/manager_discovery.go 's/if !search\.membersOutdated\(\) \{/if true {/' $S 'SeedsGone_NodesThatWereCutOff'
