Mutant address-book-queried: run the tests that need the query

Cause: it was missed by TestSeedsGone_RestartedNodesFindTheFleet, in which the control nodes know the address of every node that has forgotten, and tell it. Change: it runs the tests in which nodes come back to control nodes that never knew them.

--- a/tools/mutations/nodelease.sh
+++ b/tools/mutations/nodelease.sh
@@ -6,6 +6,6 @@
 mutant fleet-silent-seeds-told internal/nodelease/server_discovery.go 's/return otherAddresses\(s\.silentAddresses\(s\.Seeds\), s\.Info\(\)\.PeerAddr\)/return nil/; s/range s\.nextFormerMembers\(\)/range []string{}/' $S 'SeedsThatForgot'
 mutant identified-last-resort internal/nodelease/manager_discovery.go 's/m\.eligible\(m\.identifiedNodes\(\), search\.avoid\)/m.eligible(nil, search.avoid)/' ./internal/nodelease 'LastResort'
 mutant former-members-told internal/nodelease/server_discovery.go 's/range s\.nextFormerMembers\(\)/range []string{}/' $S 'SeedsGone_RestartedNodes'
-mutant address-book-queried internal/nodelease/manager_discovery.go 's/m\.AddressBook\.Sample\(maxOtherQueries\)/nil/' $S 'SeedsGone_RestartedNodes'
+mutant address-book-queried internal/nodelease/manager_discovery.go 's/m\.AddressBook\.Sample\(maxOtherQueries\)/nil/' $S 'SeedsGone_NodesThat'
 mutant address-book-stored internal/node/disk.go 's/_ = n\.addressBook\.Store\(ctx, n\.journal\)//' $S 'SeedsGone_RestartedNodes'
 mutant outdated-members-dropped internal/nodelease/manager_discovery.go 's/if !search\.membersOutdated\(\) \{/if true {/' $S 'SeedsGone_NodesThatWereCutOff'
