Control nodes ask their address book only when their seeds have failed

An address that belongs to another fleet by now would have mixed the members of two fleets. Change: it asks them only while it knows no voter set and its seeds have failed for longer than a session time-out. A voter does not need it: the other voters call it.

--- a/internal/nodelease/server.go
+++ b/internal/nodelease/server.go
@@ -37,7 +37,7 @@
 	Info               func() membership.Info
 	LatestConfirmation func() Confirmation
 
-	// mu guards all fields below. The lists in transfer have locks of their own.
+	// mu guards the fields below, but for the last one. The lists in transfer have locks of their own.
 	mu sync.Mutex
 	// ownSessions are the sessions with this control node, by node.
 	ownSessions map[string]nodeInfo
@@ -55,6 +55,10 @@
 	startedAt      time.Time
 	lastInfoNumber uint64
 	transfer       transferState
+
+	// undiscoveredSince is since when this control node has known no other one and no voter set, the
+	// zero time while it does. Only the goroutine of Run uses it.
+	undiscoveredSince time.Time
 }
 
 // nodeInfo is the Info that a node sent, when it arrived, and the number that it was assigned.
--- a/internal/nodelease/server_discovery.go
+++ b/internal/nodelease/server_discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"postjunction/internal/membership"
 )
@@ -19,7 +20,7 @@
 // control nodes name while it has to find others.
 func (s *Server) contactNodes(ctx context.Context) {
 	isDiscovering := s.needsDiscovery()
-	for _, address := range s.discoveryAddresses(isDiscovering) {
+	for _, address := range s.discoveryAddresses(isDiscovering, s.seedsFailed()) {
 		s.startContact(ctx, address, isDiscovering)
 	}
 	for _, address := range s.nextFormerMembers() {
@@ -37,15 +38,33 @@
 	})
 }
 
-// discoveryAddresses returns the seeds and the control nodes of the address book while this control
-// node has to find others, and else those seeds that it has not heard of for a while. Such a seed may
-// have restarted without a disk. It knows no control node then, and nobody but a control node can
-// tell it.
-func (s *Server) discoveryAddresses(isDiscovering bool) []string {
-	if isDiscovering {
-		return otherAddresses(slices.Concat(s.Seeds, s.AddressBook.Control()), s.Info().PeerAddr)
+// seedsFailed reports whether this control node has known no voter set, and found no control node
+// through its seeds, for longer than a session time-out. Only the goroutine of Run calls it.
+func (s *Server) seedsFailed() bool {
+	now := s.Clock.Now()
+	if s.Store.VoterSet().Sequence > 0 || len(s.discoveredAddresses()) > 0 {
+		s.undiscoveredSince = time.Time{}
+		return false
+	}
+	if s.undiscoveredSince.IsZero() {
+		s.undiscoveredSince = now
+	}
+	return now.Sub(s.undiscoveredSince) > s.Timing.SessionTimeout()
+}
+
+// discoveryAddresses returns the seeds while this control node has to find others, and also the
+// control nodes of the address book if the seeds failed. Otherwise it returns those seeds that it has
+// not heard of for a while. Such a seed may have restarted without a disk. It knows no control node
+// then, and nobody but a control node can tell it.
+func (s *Server) discoveryAddresses(isDiscovering, seedsFailed bool) []string {
+	addresses := s.Seeds
+	switch {
+	case isDiscovering && seedsFailed:
+		addresses = slices.Concat(s.Seeds, s.AddressBook.Control())
+	case !isDiscovering:
+		addresses = s.silentAddresses(s.Seeds)
 	}
-	return otherAddresses(s.silentAddresses(s.Seeds), s.Info().PeerAddr)
+	return otherAddresses(addresses, s.Info().PeerAddr)
 }
 
 // nextFormerMembers returns the next few addresses of the address book at which no node has renewed
--- a/internal/nodelease/server_discovery_test.go
+++ b/internal/nodelease/server_discovery_test.go
@@ -30,7 +30,7 @@
 		store := gossip.NewStore(nil)
 		server := newServer("c1", settings.DefaultTiming, store, confirmedNow)
 		server.Seeds = []string{"127.0.0.1:11", "127.0.0.1:12"}
-		contacts := func() []string { return server.discoveryAddresses(server.needsDiscovery()) }
+		contacts := func() []string { return server.discoveryAddresses(server.needsDiscovery(), server.seedsFailed()) }
 		assert.DeepEqual(t, contacts(), []string{"127.0.0.1:11", "127.0.0.1:12"})
 
 		store.Apply(gossip.Update{VoterSet: &firstVoterSet})
@@ -43,6 +43,25 @@
 	})
 }
 
+// Guards against a control node that waits for seeds that are gone, and against one that asks
+// addresses that may be another fleet's by now while its seeds answer.
+func TestDiscoveryAddresses_AddressBookIsTheLastResort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newServer("c1", settings.DefaultTiming, gossip.NewStore(nil), confirmedNow)
+		server.Seeds = []string{"127.0.0.1:11"}
+		c2 := membership.Info{Name: "c2", PeerAddr: "127.0.0.1:2", Disk: settings.DiskControl}
+		server.AddressBook.Observe([]membership.Info{c2, {Name: "a1", PeerAddr: "127.0.0.1:12"}})
+		contacts := func() []string { return server.discoveryAddresses(true, server.seedsFailed()) }
+		assert.DeepEqual(t, contacts(), server.Seeds)
+
+		time.Sleep(settings.DefaultTiming.SessionTimeout() + time.Millisecond)
+		assert.DeepEqual(t, contacts(), []string{"127.0.0.1:11", "127.0.0.1:2"})
+
+		server.recordDiscovered([]membership.Info{c2})
+		assert.DeepEqual(t, contacts(), server.Seeds)
+	})
+}
+
 // Guards against former members that are never contacted, or contacted all at once.
 func TestNextFormerMembers_TakesTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
