--- a/internal/testing/sim/discovery_drawn_test.go
+++ b/internal/testing/sim/discovery_drawn_test.go
@@ -90,7 +90,8 @@
 	})
 }
 
-// drawDiscoverySite returns a site with one to three kinds of seeds, and spares for its control nodes.
+// drawDiscoverySite returns a site with none to three control nodes among its seeds, and a spare for
+// each control node.
 func drawDiscoverySite(seed uint64) Site {
 	site := seedSite(3+int(seed%2), int(seed/2%4))
 	site.Access = 4
